Drive HTTP exchanges from the caller's thread

A pushing client needs a second thread for each open stream, since ulfius pulls the body: 1,500 threads at 750 streams.

--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <deque>
 #include <mutex>
 #include <string>
 #include <unordered_map>
@@ -14,7 +15,7 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr int kPollMs = 100;
+constexpr std::chrono::milliseconds kSendStep{1000};
 constexpr size_t kIdleHandlesPerHost = 32;
 
 std::string_view Trim(std::string_view text) {
@@ -28,94 +29,113 @@
  public:
   Transfer() : multi_(curl_multi_init()), easy_(curl_easy_init()) {}
   ~Transfer() {
+    Detach();
     curl_easy_cleanup(easy_);
     curl_multi_cleanup(multi_);
   }
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
 
-  bool Run(const ClientRequest& request, const ResponseSink& sink, HttpReason* reason, ExchangeState* state);
+  void Begin(ClientRequest request);
+  ExchangeEvent Next(std::chrono::milliseconds limit);
+  ExchangeState state() const;
+  bool whole() const { return finished_ && whole_; }
+  /// Leaves the multi handle, which keeps the connection for the next request.
+  void Detach();
 
  private:
   static size_t OnHeader(char* data, size_t size, size_t count, void* self);
   static size_t OnBody(char* data, size_t size, size_t count, void* self);
 
-  void Prepare(const ClientRequest& request, curl_slist** headers);
-  bool DeliverHead();
-  bool Expired(const ClientRequest& request, HttpReason* reason);
-  void Explain(CURLcode code, HttpReason* reason) const;
+  void SetOptions();
+  void DeliverHead();
+  void Perform();
+  bool Stalled() const;
+  HttpReason Explain(CURLcode code) const;
 
   CURLM* multi_;
   CURL* easy_;
-  const ResponseSink* sink_ = nullptr;
+  ClientRequest request_;
+  curl_slist* header_list_ = nullptr;
+  bool attached_ = false;
   Headers headers_;
-  bool head_delivered_ = false;
-  bool refused_ = false;
-  bool body_seen_ = false;
+  std::deque<ExchangeEvent> events_;
+  bool head_seen_ = false;
+  bool finished_ = false;
+  bool whole_ = false;
   SteadyTime last_byte_;
 };
 
 size_t Transfer::OnHeader(char* data, size_t size, size_t count, void* self) {
   auto* transfer = static_cast<Transfer*>(self);
   const std::string_view line(data, size * count);
+  const size_t colon = line.find(':');
   if (line.starts_with("HTTP/")) {
     transfer->headers_.clear();  // an interim response came before
-    return line.size();
-  }
-  const size_t colon = line.find(':');
-  if (colon == std::string_view::npos) {
-    const bool end_of_head = line == "\r\n" || line == "\n";
-    return !end_of_head || transfer->DeliverHead() ? line.size() : 0;
+  } else if (colon != std::string_view::npos) {
+    transfer->headers_[std::string(line.substr(0, colon))] = std::string(Trim(line.substr(colon + 1)));
+  } else if (Trim(line).empty()) {
+    transfer->DeliverHead();
   }
-  const std::string_view value = Trim(line.substr(colon + 1));
-  transfer->headers_[std::string(line.substr(0, colon))] = std::string(value);
   return line.size();
 }
 
-bool Transfer::DeliverHead() {
+void Transfer::DeliverHead() {
+  constexpr long kFirstFinalStatus = 200;
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-  if (status < 200) return true;
-  head_delivered_ = true;
-  if (sink_->on_head && !sink_->on_head(static_cast<int>(status), headers_)) refused_ = true;
-  return !refused_;
+  if (status < kFirstFinalStatus || head_seen_) return;
+  head_seen_ = true;
+  ExchangeEvent event{ExchangeEvent::Kind::kHead};
+  event.status = static_cast<int>(status);
+  event.headers = headers_;
+  events_.push_back(std::move(event));
 }
 
 size_t Transfer::OnBody(char* data, size_t size, size_t count, void* self) {
   auto* transfer = static_cast<Transfer*>(self);
-  transfer->body_seen_ = true;
   transfer->last_byte_ = std::chrono::steady_clock::now();
-  if (transfer->sink_->on_body && !transfer->sink_->on_body(std::string_view(data, size * count))) {
-    transfer->refused_ = true;
-    return 0;
+  auto& events = transfer->events_;
+  if (events.empty() || events.back().kind != ExchangeEvent::Kind::kData) {
+    events.push_back({ExchangeEvent::Kind::kData});
   }
+  events.back().data.append(data, size * count);
   return size * count;
 }
 
-void Transfer::Prepare(const ClientRequest& request, curl_slist** headers) {
-  curl_easy_reset(easy_);
+void Transfer::Begin(ClientRequest request) {
+  request_ = std::move(request);
   headers_.clear();
-  head_delivered_ = refused_ = body_seen_ = false;
-  for (const auto& [name, value] : request.headers) {
-    *headers = curl_slist_append(*headers, (name + ": " + value).c_str());
+  events_.clear();
+  head_seen_ = finished_ = whole_ = false;
+  last_byte_ = {};
+  curl_easy_reset(easy_);
+  for (const auto& [name, value] : request_.headers) {
+    header_list_ = curl_slist_append(header_list_, (name + ": " + value).c_str());
   }
-  *headers = curl_slist_append(*headers, "Expect:");
-  curl_easy_setopt(easy_, CURLOPT_URL, request.url.c_str());
+  header_list_ = curl_slist_append(header_list_, "Expect:");
+  SetOptions();
+  curl_multi_add_handle(multi_, easy_);
+  attached_ = true;
+}
+
+void Transfer::SetOptions() {
+  curl_easy_setopt(easy_, CURLOPT_URL, request_.url.c_str());
   curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy_, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, *headers);
-  if (request.method == "GET") {
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
+  if (request_.method == "GET") {
     curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
   } else {
-    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request.body.data());
-    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
-    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.data());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE, static_cast<long>(request_.body.size()));
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
   }
-  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connect_timeout.count()));
-  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(request.timeout.count())));
-  if (request.single_use_connection) {
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request_.connect_timeout.count()));
+  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(request_.timeout.count())));
+  if (request_.single_use_connection) {
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
   }
@@ -125,25 +145,20 @@
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
 }
 
-/// Called only after all bytes that are there have been taken, so that a process that was paused does not
-/// take its own pause for the silence of the peer.
-bool Transfer::Expired(const ClientRequest& request, HttpReason* reason) {
-  if (request.cancel != nullptr && request.cancel->load(std::memory_order_acquire)) {
-    base::SetReason(reason, HttpCode::kAborted, "cancelled");
-    return true;
-  }
-  if (request.progress_timeout.count() > 0 && body_seen_ &&
-      std::chrono::steady_clock::now() - last_byte_ > request.progress_timeout) {
-    base::SetReason(reason, HttpCode::kStalled,
-                    "no byte for " + std::to_string(request.progress_timeout.count()) + " ms");
-    return true;
-  }
-  return false;
+void Transfer::Detach() {
+  if (attached_) curl_multi_remove_handle(multi_, easy_);
+  curl_slist_free_all(header_list_);
+  header_list_ = nullptr;
+  attached_ = false;
 }
 
-void Transfer::Explain(CURLcode code, HttpReason* reason) const {
+bool Transfer::Stalled() const {
+  return request_.progress_timeout.count() > 0 && last_byte_ != SteadyTime{} &&
+         std::chrono::steady_clock::now() - last_byte_ > request_.progress_timeout;
+}
+
+HttpReason Transfer::Explain(CURLcode code) const {
   HttpCode http_code = HttpCode::kBroken;
-  if (refused_) http_code = HttpCode::kAborted;
   if (code == CURLE_COULDNT_CONNECT) http_code = HttpCode::kConnect;
   if (code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) http_code = HttpCode::kInvalid;
   if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -151,38 +166,51 @@
     curl_easy_getinfo(easy_, CURLINFO_PRETRANSFER_TIME_T, &connect_time);
     http_code = connect_time == 0 ? HttpCode::kConnect : HttpCode::kTimeout;
   }
-  base::SetReason(reason, http_code, curl_easy_strerror(code));
+  return {http_code, curl_easy_strerror(code)};
 }
 
-bool Transfer::Run(const ClientRequest& request, const ResponseSink& sink, HttpReason* reason,
-                   ExchangeState* state) {
-  curl_slist* headers = nullptr;
-  sink_ = &sink;
-  Prepare(request, &headers);
-  curl_multi_add_handle(multi_, easy_);
-  bool whole = false;
-  for (int running = 1;;) {
-    curl_multi_perform(multi_, &running);
-    if (running == 0) {
-      int left = 0;
-      const CURLMsg* message = curl_multi_info_read(multi_, &left);
-      const CURLcode code = message == nullptr ? CURLE_RECV_ERROR : message->data.result;
-      whole = code == CURLE_OK;
-      if (!whole) Explain(code, reason);
-      break;
+void Transfer::Perform() {
+  int running = 0;
+  curl_multi_perform(multi_, &running);
+  if (running > 0) return;
+  int left = 0;
+  const CURLMsg* message = curl_multi_info_read(multi_, &left);
+  const CURLcode code = message == nullptr ? CURLE_RECV_ERROR : message->data.result;
+  finished_ = true;
+  whole_ = code == CURLE_OK;
+  ExchangeEvent event{whole_ ? ExchangeEvent::Kind::kEnd : ExchangeEvent::Kind::kFailed};
+  if (!whole_) event.reason = Explain(code);
+  events_.push_back(std::move(event));
+}
+
+ExchangeEvent Transfer::Next(std::chrono::milliseconds limit) {
+  const SteadyTime end = std::chrono::steady_clock::now() + limit;
+  while (events_.empty()) {
+    if (finished_) return {ExchangeEvent::Kind::kFailed, 0, {}, "", {HttpCode::kAborted, "already ended"}};
+    Perform();
+    if (!events_.empty()) break;
+    // Judged only after all bytes that are there have been taken, so that a process that was paused does not
+    // take its own pause for the silence of the peer.
+    if (Stalled()) {
+      finished_ = true;
+      const std::string detail = "no byte for " + std::to_string(request_.progress_timeout.count()) + " ms";
+      return {ExchangeEvent::Kind::kFailed, 0, {}, "", {HttpCode::kStalled, detail}};
     }
-    if (Expired(request, reason)) break;
-    curl_multi_poll(multi_, nullptr, 0, kPollMs, nullptr);
-  }
-  if (state != nullptr) {
-    long request_bytes = 0;
-    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &request_bytes);
-    state->connected = request_bytes > 0;
-    state->head_seen = head_delivered_;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    if (left.count() <= 0) return {};
+    auto wait = left;
+    if (request_.progress_timeout.count() > 0) wait = std::min(wait, request_.progress_timeout);
+    curl_multi_poll(multi_, nullptr, 0, static_cast<int>(wait.count()), nullptr);
   }
-  curl_multi_remove_handle(multi_, easy_);
-  curl_slist_free_all(headers);
-  return whole;
+  ExchangeEvent event = std::move(events_.front());
+  events_.pop_front();
+  return event;
+}
+
+ExchangeState Transfer::state() const {
+  long request_bytes = 0;
+  curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return {request_bytes > 0, head_seen_};
 }
 
 std::string HostOf(const std::string& url) {
@@ -191,36 +219,9 @@
   return url.substr(host, url.find('/', host) - host);
 }
 
-class CurlClient final : public Client {
+/// Transfers that are not in use, by host. Thread-safe.
+class TransferPool {
  public:
-  std::optional<Response> Send(const ClientRequest& request, HttpReason* reason,
-                               ExchangeState* state) override {
-    Response response;
-    ResponseSink sink;
-    sink.on_head = [&](int status, const Headers& headers) {
-      response.status = status;
-      response.headers = headers;
-      return true;
-    };
-    sink.on_body = [&](std::string_view bytes) {
-      response.body.append(bytes);
-      return true;
-    };
-    if (!Stream(request, sink, reason, state)) return std::nullopt;
-    return response;
-  }
-
-  bool Stream(const ClientRequest& request, const ResponseSink& sink, HttpReason* reason,
-              ExchangeState* state) override {
-    const std::string host = HostOf(request.url);
-    std::unique_ptr<Transfer> transfer = Take(host);
-    const bool whole = transfer->Run(request, sink, reason, state);
-    // A transfer that broke may hold a connection that has gone silent, so it is not used again.
-    if (whole) Keep(host, std::move(transfer));
-    return whole;
-  }
-
- private:
   std::unique_ptr<Transfer> Take(const std::string& host) {
     const std::lock_guard<std::mutex> lock(mutex_);
     auto& idle = idle_[host];
@@ -236,10 +237,69 @@
     if (idle.size() < kIdleHandlesPerHost) idle.push_back(std::move(transfer));
   }
 
+ private:
   std::mutex mutex_;
   std::unordered_map<std::string, std::vector<std::unique_ptr<Transfer>>> idle_;
 };
 
+class CurlExchange final : public Exchange {
+ public:
+  CurlExchange(TransferPool* pool, const ClientRequest& request)
+      : pool_(pool), host_(HostOf(request.url)), transfer_(pool->Take(host_)) {
+    transfer_->Begin(request);
+  }
+  ~CurlExchange() override {
+    // A transfer that broke may hold a connection that has gone silent, so only whole ones are used again.
+    if (!transfer_->whole()) return;
+    transfer_->Detach();
+    pool_->Keep(host_, std::move(transfer_));
+  }
+
+  ExchangeEvent Next(std::chrono::milliseconds limit) override { return transfer_->Next(limit); }
+  ExchangeState state() const override { return transfer_->state(); }
+
+ private:
+  TransferPool* pool_;
+  const std::string host_;
+  std::unique_ptr<Transfer> transfer_;
+};
+
+class CurlClient final : public Client {
+ public:
+  std::unique_ptr<Exchange> Open(const ClientRequest& request) override {
+    return std::make_unique<CurlExchange>(&pool_, request);
+  }
+
+  std::optional<Response> Send(const ClientRequest& request, HttpReason* reason,
+                               ExchangeState* state) override {
+    const auto exchange = Open(request);
+    Response response;
+    while (true) {
+      ExchangeEvent event = exchange->Next(kSendStep);
+      if (state != nullptr) *state = exchange->state();
+      switch (event.kind) {
+        case ExchangeEvent::Kind::kHead:
+          response.status = event.status;
+          response.headers = std::move(event.headers);
+          break;
+        case ExchangeEvent::Kind::kData:
+          response.body += event.data;
+          break;
+        case ExchangeEvent::Kind::kEnd:
+          return response;
+        case ExchangeEvent::Kind::kFailed:
+          base::SetReason(reason, event.reason.code, event.reason.detail);
+          return std::nullopt;
+        case ExchangeEvent::Kind::kNothing:
+          break;
+      }
+    }
+  }
+
+ private:
+  TransferPool pool_;
+};
+
 }  // namespace
 
 std::unique_ptr<Client> Client::Create() {
--- a/libs/http/internal/client.h
+++ b/libs/http/internal/client.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include <atomic>
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "libs/http/internal/message.h"
 #include "libs/http/internal/server.h"
@@ -24,13 +21,6 @@
   /// A fresh connection that is not used again. Required for calls that must not be repeated, because libcurl
   /// resends a request when a reused connection turns out to be closed.
   bool single_use_connection = false;
-  const std::atomic<bool>* cancel = nullptr;  // checked at least every 100 ms
-};
-
-/// Receives a response while it arrives. Returning false from either stops the exchange (kAborted).
-struct ResponseSink {
-  std::function<bool(int status, const Headers& headers)> on_head;
-  std::function<bool(std::string_view bytes)> on_body;
 };
 
 /// What is known of an exchange that failed.
@@ -39,18 +29,43 @@
   bool head_seen = false;  // the response's header arrived
 };
 
-/// An HTTP/1.1 client with a pool of kept connections. Thread-safe; calls block.
+/// One step of an exchange.
+struct ExchangeEvent {
+  enum class Kind {
+    kHead,     // `status` and `headers` are set
+    kData,     // `data` is set
+    kEnd,      // the response arrived whole
+    kFailed,   // `reason` is set; nothing follows
+    kNothing,  // nothing happened in the given time
+  };
+  Kind kind = Kind::kNothing;
+  int status = 0;
+  Headers headers;
+  std::string data;
+  HttpReason reason;
+};
+
+/// A request in progress. The caller's thread drives it, so that a slow consumer slows the upstream and a
+/// stream needs no thread of its own. Destroying it closes the connection unless the response arrived whole.
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+  /// Waits at most `limit` for the next event.
+  virtual ExchangeEvent Next(std::chrono::milliseconds limit) = 0;
+  virtual ExchangeState state() const = 0;
+};
+
+/// An HTTP/1.1 client with a pool of kept connections. Thread-safe.
 class Client {
  public:
   static std::unique_ptr<Client> Create();
   virtual ~Client() = default;
 
-  /// Sends the request and returns the whole response.
+  /// Starts a request. Nothing is sent before the first call of Next. The client must outlive the exchange.
+  virtual std::unique_ptr<Exchange> Open(const ClientRequest& request) = 0;
+  /// Sends the request, blocks and returns the whole response. `reason` and `state` may be null.
   virtual std::optional<Response> Send(const ClientRequest& request, HttpReason* reason,
                                        ExchangeState* state) = 0;
-  /// Sends the request and hands the response to `sink` as it arrives. True when it arrived whole.
-  virtual bool Stream(const ClientRequest& request, const ResponseSink& sink, HttpReason* reason,
-                      ExchangeState* state) = 0;
 };
 
 }  // namespace cornelplank::http
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -86,22 +86,20 @@
 
 // Guards against a broken or silent stream that looks like a whole one.
 TEST_P(StreamEndTest, TellsHowAStreamEnded) {
+  const auto exchange = client_->Open({.url = Url(GetParam().path), .progress_timeout = milliseconds{200}});
   std::string body;
-  ResponseSink sink;
-  sink.on_body = [&](std::string_view bytes) {
-    body.append(bytes);
-    return true;
-  };
-  HttpReason reason{HttpCode::kInvalid, ""};
-  ExchangeState state;
-  const bool whole = client_->Stream({.url = Url(GetParam().path), .progress_timeout = milliseconds{200}},
-                                     sink, &reason, &state);
+  ExchangeEvent event;
+  do {
+    event = exchange->Next(milliseconds{5000});
+    body += event.data;
+  } while (event.kind == ExchangeEvent::Kind::kHead || event.kind == ExchangeEvent::Kind::kData);
+  const bool whole = event.kind == ExchangeEvent::Kind::kEnd;
   EXPECT_EQ(whole, GetParam().whole);
   EXPECT_EQ(body, "abcabc");
-  EXPECT_TRUE(state.connected);
-  EXPECT_TRUE(state.head_seen);
+  EXPECT_TRUE(exchange->state().connected);
+  EXPECT_TRUE(exchange->state().head_seen);
   if (!whole) {
-    EXPECT_EQ(reason.code, GetParam().code);
+    EXPECT_EQ(event.reason.code, GetParam().code);
   }
   EXPECT_TRUE(server_->WaitIdle(milliseconds{2000}));
 }
