Add the RPC library: streamed hops between VMs over Cap'n Proto

Each connection proves the shared key by a challenge, pings while calls are outstanding and is replaced after 2 s of silence with a second look of 100 ms, so that a paused process does not blame its peer.

--- /dev/null
+++ b/libs/rpc/internal/outgoing.cc
@@ -0,0 +1,181 @@
+#include "libs/rpc/internal/outgoing.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+#include "libs/rpc/internal/codec.h"
+#include "libs/rpc/internal/proof.h"
+
+namespace cornelplank::rpc {
+namespace {
+
+constexpr auto kWatchStep = 500 * kj::MILLISECONDS;
+// After a pause of this process the timer fires before the answers that wait in the socket are read, so a
+// silence is believed only when this second wait brings nothing either.
+constexpr auto kSecondLook = 100 * kj::MILLISECONDS;
+
+kj::Duration ToKj(std::chrono::milliseconds time) { return time.count() * kj::MILLISECONDS; }
+
+class SinkServer final : public wire::AnswerSink::Server {
+ public:
+  explicit SinkServer(std::shared_ptr<CallState> state) : state_(std::move(state)) {}
+
+  kj::Promise<void> head(HeadContext context) override {
+    ForwardEvent event;
+    event.kind = ForwardEvent::Kind::kHead;
+    event.status = context.getParams().getStatus();
+    event.headers = DecodeHeaders(context.getParams().getHeaders());
+    state_->Push(std::move(event));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> data(DataContext context) override {
+    ForwardEvent event;
+    event.kind = ForwardEvent::Kind::kData;
+    event.data = ToString(context.getParams().getBytes());
+    state_->Push(std::move(event));
+    return state_->Room();
+  }
+
+  kj::Promise<void> end(EndContext context) override {
+    state_->Finish(Decode(context.getParams().getEnd()));
+    return kj::READY_NOW;
+  }
+
+ private:
+  std::shared_ptr<CallState> state_;
+};
+
+}  // namespace
+
+struct PeerLink::Connection : kj::Refcounted {
+  explicit Connection(kj::Own<kj::AsyncIoStream> socket)
+      : stream(kj::mv(socket)), client(kj::heap<capnp::TwoPartyClient>(*stream)), silence(nullptr) {}
+
+  kj::Own<Connection> addRef() { return kj::addRef(*this); }
+
+  kj::Own<kj::AsyncIoStream> stream;
+  kj::Own<capnp::TwoPartyClient> client;
+  kj::Maybe<wire::Peer::Client> peer;
+  size_t outstanding = 0;
+  bool broken = false;
+  kj::Promise<void> silence;
+  kj::Canceler calls;
+};
+
+kj::Promise<kj::Own<PeerLink::Connection>> PeerLink::Connected() {
+  KJ_IF_MAYBE (connecting, connecting_) {
+    return connecting->addBranch();
+  }
+  auto forked = Connect().fork();
+  auto branch = forked.addBranch();
+  connecting_ = kj::mv(forked);
+  return branch.catch_([this](kj::Exception&& exception) -> kj::Own<Connection> {
+    connecting_ = nullptr;
+    kj::throwFatalException(kj::mv(exception));
+  });
+}
+
+kj::Promise<kj::Own<PeerLink::Connection>> PeerLink::Connect() {
+  auto login = io_.getNetwork()
+                   .parseAddress(address_)
+                   .then([](kj::Own<kj::NetworkAddress>&& address) {
+                     auto promise = address->connect();
+                     return promise.attach(kj::mv(address));
+                   })
+                   .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+                     auto connection = kj::refcounted<Connection>(kj::mv(stream));
+                     auto door = connection->client->bootstrap().castAs<wire::Door>();
+                     return door.challengeRequest()
+                         .send()
+                         .then([this, door](auto&& challenge) mutable {
+                           const std::string nonce = ToString(challenge.getNonce());
+                           auto request = door.loginRequest();
+                           request.setVm(options_.vm);
+                           request.setIncarnation(options_.incarnation);
+                           request.setNonce(ToData(nonce));
+                           request.setProof(ToData(LoginProof(options_.shared_key, nonce, options_.vm)));
+                           return request.send();
+                         })
+                         .then([this, connection = kj::mv(connection)](auto&& response) mutable {
+                           connection->peer = response.getPeer();
+                           connection->silence =
+                               WatchSilence(*connection).eagerlyEvaluate([](kj::Exception&&) {});
+                           return kj::mv(connection);
+                         });
+                   });
+  return io_.getTimer().timeoutAfter(ToKj(options_.connect_timeout), kj::mv(login));
+}
+
+/// Pings while calls are outstanding. A connection on which nothing comes back has been lost by something
+/// between the two ends; it is dropped, and the next call makes a new one.
+kj::Promise<void> PeerLink::WatchSilence(Connection& connection) {
+  return io_.getTimer().afterDelay(kWatchStep).then([this, &connection]() -> kj::Promise<void> {
+    if (connection.broken) return kj::READY_NOW;
+    if (connection.outstanding == 0) return WatchSilence(connection);
+    auto answered =
+        KJ_ASSERT_NONNULL(connection.peer).pingRequest().send().ignoreResult().then([] { return true; });
+    auto silent = io_.getTimer()
+                      .afterDelay(ToKj(options_.silence_limit))
+                      .then([this] { return io_.getTimer().afterDelay(kSecondLook); })
+                      .then([] { return false; });
+    return answered.exclusiveJoin(kj::mv(silent))
+        .then(
+            [this, &connection](bool alive) -> kj::Promise<void> {
+              if (alive) return WatchSilence(connection);
+              CP_LOG(WARNING, "rpc") << "The connection to " << address_ << " is silent and is replaced.";
+              Drop(&connection);
+              return kj::READY_NOW;
+            },
+            [this, &connection](kj::Exception&&) -> kj::Promise<void> {
+              Drop(&connection);
+              return kj::READY_NOW;
+            });
+  });
+}
+
+void PeerLink::Drop(const Connection* connection) {
+  auto* mutable_connection = const_cast<Connection*>(connection);
+  if (mutable_connection->broken) return;
+  mutable_connection->broken = true;
+  connecting_ = nullptr;
+  mutable_connection->calls.cancel(KJ_EXCEPTION(DISCONNECTED, "the connection broke or went silent"));
+}
+
+kj::Promise<void> PeerLink::Forward(const ForwardRequest& request, std::shared_ptr<CallState> state) {
+  return Connected().then([this, request, state](kj::Own<Connection>&& connection) mutable {
+    auto call = KJ_ASSERT_NONNULL(connection->peer).forwardRequest();
+    Encode(request, call.initRequest());
+    call.setSink(kj::heap<SinkServer>(state));
+    state->MarkSent();
+    ++connection->outstanding;
+    auto* raw = connection.get();
+    return raw->calls.wrap(call.send().ignoreResult())
+        .catch_([this, raw](kj::Exception&& exception) {
+          if (exception.getType() == kj::Exception::Type::DISCONNECTED) Drop(raw);
+          kj::throwFatalException(kj::mv(exception));
+        })
+        .attach(kj::defer([connection = kj::mv(connection)]() mutable { --connection->outstanding; }));
+  });
+}
+
+kj::Promise<std::string> PeerLink::Control(uint16_t kind, const std::string& payload,
+                                           std::chrono::milliseconds timeout) {
+  auto exchange = Connected().then([this, kind, payload](kj::Own<Connection>&& connection) mutable {
+    auto call = KJ_ASSERT_NONNULL(connection->peer).controlRequest();
+    call.setKind(kind);
+    call.setPayload(ToData(payload));
+    ++connection->outstanding;
+    auto* raw = connection.get();
+    return raw->calls.wrap(call.send().then([](auto&& response) { return ToString(response.getPayload()); }))
+        .catch_([this, raw](kj::Exception&& exception) -> std::string {
+          if (exception.getType() == kj::Exception::Type::DISCONNECTED) Drop(raw);
+          kj::throwFatalException(kj::mv(exception));
+        })
+        .attach(kj::defer([connection = kj::mv(connection)]() mutable { --connection->outstanding; }));
+  });
+  return io_.getTimer().timeoutAfter(ToKj(timeout), kj::mv(exchange));
+}
+
+}  // namespace cornelplank::rpc
--- /dev/null
+++ b/tests/rpc/node_test.cc
@@ -0,0 +1,128 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "libs/rpc/rpc.h"
+
+namespace cornelplank::rpc {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kToken(100, 't');
+
+class TestHandler final : public NodeHandler {
+ public:
+  ForwardEnd OnForward(const ForwardRequest& request, AnswerWriter& writer) override {
+    last_remaining = request.remaining;
+    writer.Head(200, {{"Served-By", request.target}});
+    for (int i = 0; i < static_cast<int>(request.path.size()) && writer.Data(kToken); ++i) ++written;
+    if (request.method == "WAIT") {
+      while (!writer.cancelled()) std::this_thread::sleep_for(milliseconds{1});
+      ++cancelled;
+    }
+    return {true, "", "", base::Outcome::kRan};
+  }
+  std::string OnControl(uint16_t kind, std::string_view payload) override {
+    return std::to_string(kind) + std::string(payload);
+  }
+
+  milliseconds last_remaining{0};
+  std::atomic<int> written{0};
+  std::atomic<int> cancelled{0};
+};
+
+class NodeTest : public testing::Test {
+ protected:
+  NodeTest() {
+    NodeOptions options{.vm = "b", .incarnation = 2, .shared_key = "secret"};
+    receiver_ = Node::Start(options, &handler_, nullptr);
+    options.vm = "a";
+    sender_ = Node::Start(options, &handler_, nullptr);
+    address_ = "127.0.0.1:" + std::to_string(receiver_->port());
+  }
+
+  TestHandler handler_;
+  std::unique_ptr<Node> receiver_;
+  std::unique_ptr<Node> sender_;
+  std::string address_;
+};
+
+ForwardEvent Last(ForwardCall& call, std::string* data, int* status) {
+  while (true) {
+    ForwardEvent event = call.Next(milliseconds{5000});
+    if (event.kind == ForwardEvent::Kind::kHead) *status = event.status;
+    if (event.kind == ForwardEvent::Kind::kData) *data += event.data;
+    if (event.kind == ForwardEvent::Kind::kEnd || event.kind == ForwardEvent::Kind::kNothing) return event;
+  }
+}
+
+// Guards against parts of an answer that are lost or reordered on a hop.
+TEST_F(NodeTest, CarriesRequestAndStreamedAnswer) {
+  const auto call = sender_->Forward(
+      address_, {.remaining = milliseconds{1234}, .target = "x", .path = std::string(1000, 'p')});
+  std::string data;
+  int status = 0;
+  const ForwardEvent last = Last(*call, &data, &status);
+  EXPECT_EQ(status, 200);
+  EXPECT_TRUE(last.end.whole);
+  EXPECT_EQ(data.size(), 1000 * kToken.size());
+  EXPECT_EQ(handler_.last_remaining, milliseconds{1234});
+  EXPECT_TRUE(call->sent());
+}
+
+// Guards against a caller that leaves while its work goes on.
+TEST_F(NodeTest, CancelReachesTheReceiver) {
+  auto call = sender_->Forward(address_, {.method = "WAIT"});
+  EXPECT_EQ(call->Next(milliseconds{5000}).kind, ForwardEvent::Kind::kHead);
+  call.reset();
+  for (int i = 0; i < 1000 && handler_.cancelled == 0; ++i) std::this_thread::sleep_for(milliseconds{5});
+  EXPECT_EQ(handler_.cancelled, 1);
+}
+
+// Guards against unbounded memory when the consumer is slow.
+TEST_F(NodeTest, HoldsTheSenderBackWhenTheConsumerIsSlow) {
+  constexpr int kTokens = 200000;  // 20 MB, well above the queues and the socket buffers
+  const auto call = sender_->Forward(address_, {.path = std::string(kTokens, 'p')});
+  std::this_thread::sleep_for(milliseconds{300});
+  EXPECT_LT(handler_.written, kTokens);
+  std::string data;
+  int status = 0;
+  EXPECT_TRUE(Last(*call, &data, &status).end.whole);
+  EXPECT_EQ(handler_.written, kTokens);
+}
+
+// Guards against a refusal as not-run after the request may have left, and against the opposite.
+TEST_F(NodeTest, AnUnreachablePeerIsNotRun) {
+  receiver_.reset();
+  const auto call = sender_->Forward(address_, {});
+  const ForwardEvent event = call->Next(milliseconds{5000});
+  ASSERT_EQ(event.kind, ForwardEvent::Kind::kEnd);
+  EXPECT_EQ(event.end.outcome, base::Outcome::kNotRun);
+  EXPECT_FALSE(call->sent());
+}
+
+// Guards against strangers on the peers' listener.
+TEST_F(NodeTest, RefusesAPeerWithoutTheSharedKey) {
+  const auto stranger = Node::Start({.vm = "c", .shared_key = "wrong"}, &handler_, nullptr);
+  const auto call = stranger->Forward(address_, {});
+  const ForwardEvent event = call->Next(milliseconds{5000});
+  ASSERT_EQ(event.kind, ForwardEvent::Kind::kEnd);
+  EXPECT_EQ(event.end.outcome, base::Outcome::kNotRun);
+}
+
+// Guards against control messages that block the sender or lose their answer.
+TEST_F(NodeTest, ExchangesControlMessages) {
+  std::atomic<bool> done{false};
+  std::optional<std::string> answer;
+  sender_->Control(address_, 7, "x", milliseconds{2000}, [&](std::optional<std::string> value) {
+    answer = std::move(value);
+    done = true;
+  });
+  while (!done) std::this_thread::sleep_for(milliseconds{1});
+  EXPECT_EQ(answer, "7x");
+}
+
+}  // namespace
+}  // namespace cornelplank::rpc
