--- a/libs/rpc/internal/node.cc
+++ b/libs/rpc/internal/node.cc
@@ -46,7 +46,7 @@
     if (found != calls_.end()) found->second->cancel("cancelled");
   }
 
-  void Control(const std::string& address, uint16_t kind, std::string payload,
+  void Control(const std::string& address, uint16_t kind, const std::string& payload,
                std::chrono::milliseconds timeout, ControlCallback callback) {
     auto shared = std::make_shared<ControlCallback>(std::move(callback));
     tasks_.add(Link(address)
