Add the replica table and the routers

The gateway needs upstream state and a routing decision to link against.

Small zones: a zone of fewer than four replicas ejects none, since one of three would exceed the 30% bound; failing replicas are suspect there and are used last.

Quality of the decisions is not measured yet.

--- /dev/null
+++ b/libs/routing/internal/estimate.cc
@@ -0,0 +1,62 @@
+#include "libs/routing/internal/estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelplank::routing {
+namespace {
+
+constexpr double kTokensPerPrice = 1000;
+// A batch that is nearly full slows the prefill of a new request; also breaks ties between idle replicas.
+constexpr double kBusyMs = 50;
+
+}  // namespace
+
+double EstimateLoad(const upstreams::ReplicaCell& cell, double slots, double mean_share, base::TimePoint now,
+                    const ScoreOptions& options) {
+  const double own = cell.InFlight();
+  const upstreams::LoadView load = cell.Load();
+  if (load.measured == base::TimePoint{}) return own + mean_share * slots;
+  const double reported = static_cast<double>(load.running) + load.queued;
+  const double others = std::max(reported - load.own_included, 0.0);
+  const double age = std::max(Milliseconds(now - load.measured), 0.0);
+  const double half_life = static_cast<double>(options.report_half_life.count());
+  const double weight = half_life / (half_life + age);
+  return own + weight * others + (1 - weight) * mean_share * slots;
+}
+
+double ReplicaQueue(double load, double slots, const ScoreOptions& options) {
+  const double slot_time = static_cast<double>(options.slot_time.count());
+  const double busy = kBusyMs * std::min(load / slots, 1.0);
+  return busy + std::max(load + 1 - slots, 0.0) * slot_time / slots;
+}
+
+double ZoneQueue(double load, double slots, const ScoreOptions& options) {
+  if (slots <= 0) return static_cast<double>(options.slot_time.count());
+  const double slot_time = static_cast<double>(options.slot_time.count());
+  const double use = load / slots;
+  // Sakasegawa's approximation of the mean wait of a queue with many servers, continued linearly where the
+  // queue would grow without bound.
+  const double capped = std::min(use, 0.98);
+  const double exponent = std::sqrt(2 * (slots + 1)) - 1;
+  const double steady = slot_time / slots * std::pow(capped, exponent) / (1 - capped);
+  return kBusyMs * std::min(use, 1.0) + steady + std::max(use - 0.98, 0.0) * slot_time;
+}
+
+void AddScore(const RouteRequest& request, const World& world, Index region, double price,
+              const ScoreOptions& options, RouteTerms* terms) {
+  const PartnerPolicy* policy = world.Policy(request.partner);
+  const bool cost_first = policy == nullptr || policy->objective == config::Objective::kCost;
+  const ObjectiveWeights& weights = cost_first ? options.cost : options.latency;
+  const double tokens =
+      static_cast<double>(request.prompt_tokens) - terms->cached_tokens + request.output_tokens;
+  terms->price = request.service != kNone ? price : price * std::max(tokens, 0.0) / kTokensPerPrice;
+  const Index home = request.home == kNone ? world.OwnRegion() : request.home;
+  terms->away = policy != nullptr && region != home ? policy->away_penalty : 0;
+  const double first_token = FirstToken(*terms);
+  const double late = std::max(first_token - static_cast<double>(options.target.count()), 0.0);
+  terms->total =
+      weights.per_ms * first_token + weights.late * late + weights.per_cost * terms->price + terms->away;
+}
+
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/libs/routing/internal/estimate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "libs/routing/internal/decision.h"
+#include "libs/routing/internal/request.h"
+#include "libs/routing/internal/world.h"
+
+namespace cornelplank::routing {
+
+/// Weights of one objective. A score unit is worth one millisecond of first token under `latency`.
+struct ObjectiveWeights {
+  double per_ms = 1;    // score units per millisecond to the first token
+  double per_cost = 0;  // score units per cost unit
+  double late = 0;      // further score units per millisecond beyond the first-token target
+};
+
+struct ScoreOptions {
+  ObjectiveWeights cost{0.2, 1000, 2};
+  ObjectiveWeights latency{1, 50, 2};
+  /// The p95 target of the first token; the `late` weight applies beyond it.
+  std::chrono::milliseconds target{1400};
+  /// Time that a request holds its slot: 232 tokens at 62 ms.
+  std::chrono::milliseconds slot_time{14400};
+  /// Prefill time of one prompt token that is not cached.
+  std::chrono::nanoseconds prefill_per_token{100000};
+  /// A report of this age counts half; the rest is the mean of the zone.
+  std::chrono::milliseconds report_half_life{2000};
+  std::chrono::milliseconds sum_half_life{10000};
+  /// Tokens that the prefix owner is taken to have cached when its cache is not known.
+  double unknown_owner_share = 0.5;
+  uint32_t choices = 4;
+  double owner_load_bound = 1.25;
+  /// Classes that wait take a replica or zone only below this share of its slots.
+  double spare_share = 0.8;
+};
+
+/// Load of a replica in requests: own requests, and the ones of other nodes by the report, which counts less
+/// the older it is. `mean_share` is the zone's mean load per slot and stands in for what is not known.
+double EstimateLoad(const upstreams::ReplicaCell& cell, double slots, double mean_share, base::TimePoint now,
+                    const ScoreOptions& options);
+
+/// Time in milliseconds until a new request gets a slot at a replica with `slots` slots (may be fractional
+/// during a ramp).
+double ReplicaQueue(double load, double slots, const ScoreOptions& options);
+
+/// The same for a whole zone, which is busy before every slot is taken.
+double ZoneQueue(double load, double slots, const ScoreOptions& options);
+
+/// Completes `terms` with the price and the weighted total.
+void AddScore(const RouteRequest& request, const World& world, Index region, double price,
+              const ScoreOptions& options, RouteTerms* terms);
+
+/// Estimated time to the first token, in milliseconds.
+inline double FirstToken(const RouteTerms& terms) {
+  return terms.queue_ms + terms.prefill_ms + terms.distance_ms + terms.link_ms;
+}
+
+inline double Milliseconds(base::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/libs/routing/internal/scored_router.cc
@@ -0,0 +1,231 @@
+#include "libs/routing/internal/scored_router.h"
+
+#include <algorithm>
+
+#include "libs/routing/internal/zone_scan.h"
+
+namespace cornelplank::routing {
+namespace {
+
+// Shortest and longest pause after which a waiting class is offered again.
+constexpr std::chrono::milliseconds kShortestWait{50};
+constexpr std::chrono::milliseconds kLongestWait{2000};
+// A waiting request goes ahead this long before its deadline, besides the estimated time to its first token.
+constexpr std::chrono::seconds kWaitMargin{5};
+constexpr double kUnknownZoneUse = 0.7;
+
+/// One decision in progress.
+class Search {
+ public:
+  Search(const RouteRequest& request, const World& world, const ScoreOptions& options, base::Random& random)
+      : request_(request),
+        world_(world),
+        options_(options),
+        random_(random),
+        allowed_(world.Allowed(request)) {}
+
+  void OwnZone() {
+    if ((allowed_ & RegionBit(world_.OwnRegion())) == 0) {
+      ++rejections_.residency;
+      return;
+    }
+    const ZoneScan scan(request_, world_, options_, random_, &rejections_);
+    if (scan.Probe()) {
+      OfferProbe(*scan.Probe());
+      return;
+    }
+    if (scan.Size() == 0) return;
+    const size_t owner =
+        request_.prefix != 0 ? scan.PrefixOwner(request_.prefix, options_.owner_load_bound) : scan.Size();
+    if (owner < scan.Size()) OfferReplica(scan, owner, true);
+    for (uint32_t i = 0; i < options_.choices; ++i) {
+      const size_t position = scan.Pick(random_);
+      OfferReplica(scan, position, position == owner);
+    }
+  }
+
+  void OtherZones() {
+    if (probing_) return;
+    for (Index zone = 0; zone < world_.Names().ZoneCount(); ++zone) {
+      if (!MayForwardTo(request_, world_, allowed_, zone, &rejections_)) continue;
+      const upstreams::Replica* able = FindAble(request_, world_, zone, &rejections_);
+      if (able != nullptr) OfferZone(zone, *able);
+    }
+  }
+
+  std::optional<RouteDecision> Finish(RouteReason* reason) {
+    if (considered_ == 0) return Refuse(reason, CodeOf(rejections_, request_, world_), base::Duration{0});
+    best_.terms.considered = considered_;
+    best_.terms.rejections = rejections_;
+    const double first_token = FirstToken(best_.terms);
+    best_.first_token =
+        std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, std::milli>(first_token));
+    best_.cost = best_.terms.price;
+    if (probing_) return best_;
+    const double left = request_.deadline == base::TimePoint::max()
+                            ? first_token + 1
+                            : Milliseconds(request_.deadline - request_.now);
+    if (first_token > left) return Refuse(reason, RouteCode::kDeadline, Pause(best_.terms.queue_ms));
+    const double margin = Milliseconds(kWaitMargin);
+    if (request_.may_wait && !best_spare_ && left > first_token + margin) {
+      return Refuse(reason, RouteCode::kWaitForSpare,
+                    Pause(std::min(best_.terms.queue_ms, left - first_token - margin)));
+    }
+    return best_;
+  }
+
+ private:
+  static base::Duration Pause(double milliseconds) {
+    const auto pause = std::chrono::duration<double, std::milli>(milliseconds);
+    return std::clamp<base::Duration>(std::chrono::duration_cast<base::Duration>(pause), kShortestWait,
+                                      kLongestWait);
+  }
+
+  std::optional<RouteDecision> Refuse(RouteReason* reason, RouteCode code, base::Duration retry_after) {
+    if (reason != nullptr) {
+      reason->code = code;
+      reason->detail.clear();
+      reason->retry_after = retry_after;
+      reason->rejections = rejections_;
+    }
+    return std::nullopt;
+  }
+
+  void Offer(const RouteDecision& decision, bool spare) {
+    ++considered_;
+    if (considered_ > 1 && decision.terms.total >= best_.terms.total) return;
+    best_ = decision;
+    best_spare_ = spare;
+  }
+
+  double Prefill(uint32_t cached_tokens) const {
+    const uint32_t missing = request_.prompt_tokens - std::min(cached_tokens, request_.prompt_tokens);
+    return missing * Milliseconds(options_.prefill_per_token);
+  }
+
+  uint32_t CachedTokens(const upstreams::ReplicaCell& cell, bool owner) const {
+    if (request_.prefix == 0) return 0;
+    const upstreams::PrefixCache* cache = cell.Cache();
+    const uint32_t known = cache == nullptr ? 0 : cache->Tokens(request_.prefix);
+    if (known > 0) return std::min(known, request_.prefix_tokens);
+    const bool complete = cache != nullptr && cache->Complete();
+    return owner && !complete ? static_cast<uint32_t>(request_.prefix_tokens * options_.unknown_owner_share)
+                              : 0;
+  }
+
+  void OfferReplica(const ZoneScan& scan, size_t position, bool owner) {
+    const ZoneScan::Candidate& candidate = scan.At(position);
+    const upstreams::Replica& replica = world_.Replicas().Replicas()[candidate.replica];
+    const bool borrowed = replica.partner != request_.partner;
+    const bool spare = candidate.load + 1 <= candidate.slots * options_.spare_share;
+    // Lent capacity is never queued for: the owner's requests would wait behind it.
+    if (borrowed && candidate.load + 1 > candidate.slots) {
+      ++rejections_.share;
+      return;
+    }
+    RouteDecision decision = OwnZoneDecision(candidate.replica);
+    decision.terms.queue_ms = ReplicaQueue(candidate.load, candidate.slots, options_);
+    decision.terms.cached_tokens = CachedTokens(*replica.cell, owner);
+    decision.terms.prefill_ms = Prefill(decision.terms.cached_tokens);
+    decision.terms.prefix_owner = owner;
+    decision.terms.borrowed = borrowed;
+    decision.terms.suspect = scan.OnlySuspects();
+    AddScore(request_, world_, world_.OwnRegion(), replica.price, options_, &decision.terms);
+    Offer(decision, spare);
+  }
+
+  RouteDecision OwnZoneDecision(uint32_t replica) const {
+    RouteDecision decision;
+    decision.target = RouteTarget::kUpstream;
+    decision.upstream = replica;
+    decision.zone = world_.OwnZone();
+    decision.region = world_.OwnRegion();
+    return decision;
+  }
+
+  void OfferProbe(uint32_t index) {
+    const upstreams::Replica& replica = world_.Replicas().Replicas()[index];
+    RouteDecision decision = OwnZoneDecision(index);
+    decision.terms.probe = true;
+    decision.terms.borrowed = replica.partner != request_.partner;
+    decision.terms.prefill_ms = Prefill(0);
+    AddScore(request_, world_, world_.OwnRegion(), replica.price, options_, &decision.terms);
+    Offer(decision, true);
+    probing_ = true;
+  }
+
+  double ZoneLoad(const upstreams::ZoneCell& cell, const upstreams::ZoneSum& sum, double slots) const {
+    const double own = cell.InFlight();
+    if (sum.measured == base::TimePoint{}) return own + kUnknownZoneUse * slots;
+    const double age = std::max(Milliseconds(request_.now - sum.measured), 0.0);
+    const double half_life = static_cast<double>(options_.sum_half_life.count());
+    const double weight = half_life / (half_life + age);
+    const double reported = static_cast<double>(sum.running) + sum.queued;
+    // Other nodes of the region see the same sums and forward as this one does.
+    const double since = (own - sum.own_included) * world_.Node().nodes_in_region;
+    return std::max(weight * reported + (1 - weight) * kUnknownZoneUse * slots + since, own);
+  }
+
+  void OfferZone(Index zone, const upstreams::Replica& able) {
+    const upstreams::ZoneCell& cell = *world_.Replicas().Forwarded(zone);
+    const upstreams::ZoneSum sum = cell.Sum();
+    const ZoneOffer& offer = world_.Offer(zone, request_.model, request_.service, able.partner);
+    const double slots = sum.measured == base::TimePoint{} ? std::max(offer.slots, 1U) : sum.slots;
+    const double load = ZoneLoad(cell, sum, slots);
+    const bool borrowed = able.partner != request_.partner;
+    if (borrowed && load + 1 > slots) {
+      ++rejections_.share;
+      return;
+    }
+    RouteDecision decision;
+    decision.target = RouteTarget::kZone;
+    decision.zone = zone;
+    decision.region = world_.Region(zone);
+    RouteTerms& terms = decision.terms;
+    if (world_.NeedsLink(zone)) {
+      const base::Duration delay = world_.Links().Delay(decision.region, request_.request_bytes,
+                                                        request_.response_bytes, request_.now);
+      if (delay == base::Duration::max()) {
+        ++rejections_.unreachable;
+        return;
+      }
+      terms.link_ms = Milliseconds(delay);
+    }
+    terms.queue_ms = ZoneQueue(load, slots, options_);
+    terms.distance_ms = 2 * Milliseconds(*world_.Distance(zone));
+    terms.prefill_ms = Prefill(0);
+    terms.borrowed = borrowed;
+    AddScore(request_, world_, decision.region, offer.slots > 0 ? offer.price : able.price, options_, &terms);
+    Offer(decision, load + 1 <= slots * options_.spare_share);
+  }
+
+  const RouteRequest& request_;
+  const World& world_;
+  const ScoreOptions& options_;
+  base::Random& random_;
+  RegionMask allowed_;
+  Rejections rejections_;
+  RouteDecision best_;
+  uint32_t considered_ = 0;
+  bool best_spare_ = false;
+  bool probing_ = false;
+};
+
+}  // namespace
+
+std::optional<RouteDecision> ScoredRouter::Choose(const RouteRequest& request, const World& world,
+                                                  base::Random& random, RouteReason* reason) const {
+  if (const auto refused = RefuseAtEntry(request, world)) {
+    if (reason != nullptr) {
+      *reason = RouteReason{};
+      reason->code = *refused;
+    }
+    return std::nullopt;
+  }
+  Search search(request, world, options_, random);
+  search.OwnZone();
+  search.OtherZones();
+  return search.Finish(reason);
+}
+
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/libs/routing/internal/world.cc
@@ -0,0 +1,167 @@
+#include "libs/routing/internal/world.h"
+
+#include <algorithm>
+
+namespace cornelplank::routing {
+namespace {
+
+// Zones of one region are close; the configuration names only links between regions.
+constexpr std::chrono::milliseconds kZoneDistance{1};
+
+}  // namespace
+
+std::unique_ptr<const World> World::Build(const config::Document& document,
+                                          std::shared_ptr<const upstreams::Snapshot> replicas,
+                                          const NodeView& node, std::shared_ptr<LinkBudget> links) {
+  auto world = std::make_unique<World>();
+  world->replicas_ = std::move(replicas);
+  world->node_ = node;
+  world->links_ = std::move(links);
+  world->own_zone_ = world->Names().Zone(node.region, node.zone);
+  world->own_region_ = world->Names().Region(node.region);
+  if (world->own_zone_ == kNone || world->own_region_ == kNone) return nullptr;
+  for (const std::string& rule : world->Names().ResidencyRules()) {
+    world->residency_.push_back(MaskOf(document.residency.at(rule), world->Names()));
+  }
+  world->SetPolicies(document);
+  world->SetDistances(document);
+  world->SetOffers();
+  return world;
+}
+
+void World::SetPolicies(const config::Document& document) {
+  for (const std::string& name : Names().Partners()) {
+    const config::Partner& partner = document.partners.at(name);
+    PartnerPolicy policy{partner.objective, partner.away_penalty,
+                         std::vector<double>(Names().Partners().size(), 0.0)};
+    for (const auto& [borrower, share] : partner.lends) {
+      const Index index = Names().Partner(borrower);
+      if (index != kNone) policy.lends[index] = share;
+    }
+    partners_.push_back(std::move(policy));
+  }
+}
+
+void World::SetDistances(const config::Document& document) {
+  const size_t regions = Names().Regions().size();
+  std::vector<std::optional<base::Duration>> to_region(regions);
+  std::vector<double> rates(regions, 0.0);
+  for (const config::Link& link : document.links) {
+    if (link.a != node_.region && link.b != node_.region) continue;
+    const Index other = Names().Region(link.a == node_.region ? link.b : link.a);
+    if (other == kNone || other == own_region_) continue;
+    to_region[other] = base::Duration{link.one_way};
+    rates[other] = link.mbit_s;
+  }
+  for (size_t region = 0; region < regions; ++region) {
+    if (region != own_region_) links_->Configure(region, rates[region], node_.nodes_in_region);
+  }
+  for (Index zone = 0; zone < Names().ZoneCount(); ++zone) {
+    if (zone == own_zone_) {
+      distances_.emplace_back(base::Duration{0});
+    } else if (Region(zone) == own_region_) {
+      distances_.emplace_back(base::Duration{kZoneDistance});
+    } else {
+      distances_.push_back(to_region[Region(zone)]);
+    }
+  }
+}
+
+size_t World::OfferPosition(Index zone, size_t target, Index owner) const {
+  const size_t targets = Names().Models().size() + Names().Services().size();
+  return (zone * targets + target) * Names().Partners().size() + owner;
+}
+
+void World::SetOffers() {
+  const size_t models = Names().Models().size();
+  offers_.resize(OfferPosition(Names().ZoneCount(), 0, 0));
+  for (const upstreams::Replica& replica : replicas_->Replicas()) {
+    if (replica.partner == kNone) continue;
+    const auto add = [&](size_t target) {
+      ZoneOffer& offer = offers_[OfferPosition(replica.zone, target, replica.partner)];
+      offer.price =
+          (offer.price * offer.slots + replica.price * replica.slots) / (offer.slots + replica.slots);
+      offer.slots += replica.slots;
+    };
+    if (replica.service != kNone) {
+      add(models + replica.service);
+      continue;
+    }
+    for (size_t model = 0; model < models; ++model) {
+      if ((replica.cell->ModelMask() >> model & 1U) != 0) add(model);
+    }
+  }
+}
+
+const ZoneOffer& World::Offer(Index zone, Index model, Index service, Index owner) const {
+  const size_t models = Names().Models().size();
+  const bool known = service != kNone ? service < Names().Services().size() : model < models;
+  if (!known || owner >= partners_.size()) return no_offer_;
+  return offers_[OfferPosition(zone, service != kNone ? models + service : model, owner)];
+}
+
+RouteRequest World::Resolve(const RequestNames& names) const {
+  RouteRequest request;
+  request.topology = Names().Identity();
+  request.partner = Names().Partner(names.partner);
+  request.model = names.model.empty() ? kNone : Names().Model(names.model);
+  request.service = names.service.empty() ? kNone : Names().Service(names.service);
+  request.residency = Names().Residency(names.residency);
+  request.home = names.home.empty() ? kNone : Names().Region(names.home);
+  return request;
+}
+
+RegionMask World::AllowedByResidency(const RouteRequest& request) const {
+  if (request.residency >= residency_.size()) return 0;
+  return residency_[request.residency].Allowed(request.home);
+}
+
+RegionMask World::Allowed(const RouteRequest& request) const {
+  const RegionMask allowed = AllowedByResidency(request);
+  return HomeOnly() ? allowed & RegionBit(request.home) : allowed;
+}
+
+const PartnerPolicy* World::Policy(Index partner) const {
+  return partner < partners_.size() ? &partners_[partner] : nullptr;
+}
+
+double World::Lent(Index owner, Index borrower) const {
+  if (owner >= partners_.size() || borrower >= partners_.size()) return 0;
+  if (owner == borrower) return 1;
+  return HomeOnly() ? 0 : partners_[owner].lends[borrower];
+}
+
+std::optional<base::Duration> World::Distance(Index zone) const { return distances_[zone]; }
+
+std::optional<Forward> World::BeginForward(const RouteRequest& request, Index zone) const {
+  const auto& cell = replicas_->Forwarded(zone);
+  if (!cell->Reachable()) return std::nullopt;
+  return Forward(cell, NeedsLink(zone) ? links_ : nullptr, Region(zone), request);
+}
+
+Forward::Forward(std::shared_ptr<upstreams::ZoneCell> zone, std::shared_ptr<LinkBudget> links, Index region,
+                 const RouteRequest& request)
+    : zone_(std::move(zone)),
+      links_(std::move(links)),
+      region_(region),
+      request_bytes_(request.request_bytes),
+      response_bytes_(request.response_bytes) {
+  zone_->BeginForward();
+  if (links_) links_->Take(region_, request_bytes_, response_bytes_, request.now);
+}
+
+Forward::~Forward() {
+  if (zone_) zone_->EndForward();
+}
+
+void Forward::Finish(uint64_t received_bytes, base::TimePoint now) {
+  if (links_) links_->Settle(region_, response_bytes_, received_bytes, now);
+  links_ = nullptr;
+}
+
+void Forward::Cancel() {
+  if (links_) links_->Cancel(region_, request_bytes_, response_bytes_);
+  links_ = nullptr;
+}
+
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/libs/routing/internal/zone_scan.cc
@@ -0,0 +1,103 @@
+#include "libs/routing/internal/zone_scan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelplank::routing {
+namespace {
+
+uint64_t Mix(uint64_t value) {
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31U);
+}
+
+// Weighted rendezvous hashing: the candidate with the highest -slots/ln(u) wins, so that a replica owns
+// prefixes in proportion to its slots.
+double OwnerWeight(uint64_t prefix, uint64_t key, double slots) {
+  const double unit = (static_cast<double>(Mix(prefix ^ Mix(key)) >> 11U) + 0.5) * 0x1.0p-53;
+  return -slots / std::log(unit);
+}
+
+}  // namespace
+
+ZoneScan::ZoneScan(const RouteRequest& request, const World& world, const ScoreOptions& options,
+                   base::Random& random, Rejections* rejections)
+    : request_(request), world_(world), options_(options) {
+  const upstreams::ZoneRange range = world.Replicas().Zone(world.OwnZone());
+  const uint32_t count = range.end - range.begin;
+  const uint32_t start = count > kCapacity ? static_cast<uint32_t>(random.Below(count)) : 0;
+  Collect(Eligibility::kEligible, start, rejections);
+  if (size_ == 0) {
+    Rejections counted_before;
+    Collect(Eligibility::kSuspect, start, &counted_before);
+    only_suspects_ = size_ > 0;
+  }
+  EstimateLoads();
+}
+
+void ZoneScan::Collect(Eligibility wanted, uint32_t start, Rejections* rejections) {
+  const upstreams::ZoneRange range = world_.Replicas().Zone(world_.OwnZone());
+  const uint32_t count = range.end - range.begin;
+  for (uint32_t i = 0; i < count && size_ < kCapacity; ++i) {
+    const uint32_t index = range.begin + (start + i) % count;
+    const upstreams::Replica& replica = world_.Replicas().Replicas()[index];
+    const Eligibility eligibility = Judge(request_, world_, replica);
+    if (eligibility == Eligibility::kProbeDue) probe_ = index;
+    if (eligibility != wanted) {
+      Count(eligibility, rejections);
+      continue;
+    }
+    const double slots = std::max(replica.slots * replica.cell->RampShare(request_.now), 1.0);
+    candidates_[size_++] = Candidate{index, 0, slots, total_slots_};
+    total_slots_ += slots;
+  }
+}
+
+void ZoneScan::EstimateLoads() {
+  const auto& replicas = world_.Replicas().Replicas();
+  double reported = 0;
+  double reporting_slots = 0;
+  for (size_t i = 0; i < size_; ++i) {
+    const upstreams::LoadView load = replicas[candidates_[i].replica].cell->Load();
+    if (load.measured == base::TimePoint{}) continue;
+    reported += std::max(static_cast<double>(load.running) + load.queued - load.own_included, 0.0);
+    reporting_slots += candidates_[i].slots;
+  }
+  const double mean_share = reporting_slots > 0 ? reported / reporting_slots : 0;
+  for (size_t i = 0; i < size_; ++i) {
+    Candidate& candidate = candidates_[i];
+    candidate.load =
+        EstimateLoad(*replicas[candidate.replica].cell, candidate.slots, mean_share, request_.now, options_);
+    total_load_ += candidate.load;
+  }
+}
+
+size_t ZoneScan::Pick(base::Random& random) const {
+  const double point = random.Unit() * total_slots_;
+  const auto* const end = candidates_.begin() + size_;
+  const auto* const above = std::upper_bound(
+      candidates_.begin(), end, point,
+      [](double value, const Candidate& candidate) { return value < candidate.slots_before; });
+  return static_cast<size_t>(above - candidates_.begin()) - 1;
+}
+
+size_t ZoneScan::PrefixOwner(uint64_t prefix, double bound) const {
+  const auto& replicas = world_.Replicas().Replicas();
+  size_t best = size_;
+  double best_weight = -1;
+  for (size_t i = 0; i < size_; ++i) {
+    const Candidate& candidate = candidates_[i];
+    // The new request counts too, rounded up, so that an idle zone has an owner.
+    const double limit = std::ceil(bound * (total_load_ + 1) * candidate.slots / total_slots_);
+    if (candidate.load + 1 > limit) continue;
+    const double weight = OwnerWeight(prefix, replicas[candidate.replica].key, candidate.slots);
+    if (weight > best_weight) {
+      best = i;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/libs/routing/internal/zone_scan.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <array>
+
+#include "libs/routing/internal/eligibility.h"
+#include "libs/routing/internal/estimate.h"
+
+namespace cornelplank::routing {
+
+/// The replicas of the own zone that may serve one request, with their loads. It lives on the stack of a
+/// decision. Of zones with more than `kCapacity` replicas a random stretch of that many is considered.
+class ZoneScan {
+ public:
+  static constexpr size_t kCapacity = 512;
+
+  struct Candidate {
+    uint32_t replica = 0;
+    double load = 0;          // requests
+    double slots = 0;         // less during a ramp
+    double slots_before = 0;  // sum of the slots of the candidates before it, for weighted picks
+  };
+
+  ZoneScan(const RouteRequest& request, const World& world, const ScoreOptions& options, base::Random& random,
+           Rejections* rejections);
+
+  size_t Size() const { return size_; }
+  const Candidate& At(size_t position) const { return candidates_[position]; }
+  /// An ejected replica whose probe is due.
+  std::optional<uint32_t> Probe() const { return probe_; }
+  bool OnlySuspects() const { return only_suspects_; }
+
+  /// Position of a random candidate, with a chance in proportion to its slots.
+  size_t Pick(base::Random& random) const;
+
+  /// Position of the first candidate in the prefix' rendezvous order whose load stays within the bound, which
+  /// is `bound` times the mean load per slot.
+  size_t PrefixOwner(uint64_t prefix, double bound) const;
+
+ private:
+  void Collect(Eligibility wanted, uint32_t start, Rejections* rejections);
+  void EstimateLoads();
+
+  const RouteRequest& request_;
+  const World& world_;
+  const ScoreOptions& options_;
+  std::array<Candidate, kCapacity> candidates_;
+  size_t size_ = 0;
+  double total_slots_ = 0;
+  double total_load_ = 0;
+  std::optional<uint32_t> probe_;
+  bool only_suspects_ = false;
+};
+
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/libs/routing/routing.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "libs/routing/internal/decision.h"
+#include "libs/routing/internal/link_budget.h"
+#include "libs/routing/internal/naive_router.h"
+#include "libs/routing/internal/request.h"
+#include "libs/routing/internal/residency.h"
+#include "libs/routing/internal/route_guard.h"
+#include "libs/routing/internal/router.h"
+#include "libs/routing/internal/scored_router.h"
+#include "libs/routing/internal/world.h"
--- /dev/null
+++ b/libs/upstreams/upstreams.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "libs/upstreams/internal/load_report.h"
+#include "libs/upstreams/internal/outlier.h"
+#include "libs/upstreams/internal/prefix_cache.h"
+#include "libs/upstreams/internal/replica_cell.h"
+#include "libs/upstreams/internal/replica_table.h"
+#include "libs/upstreams/internal/snapshot.h"
+#include "libs/upstreams/internal/topology.h"
--- /dev/null
+++ b/tests/routing/router_test.cc
@@ -0,0 +1,103 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "tests/routing/world_fixture.h"
+
+namespace cornelplank::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+enum class Kind { kScored, kNaive };
+
+class HardRuleTest : public testing::TestWithParam<Kind> {
+ protected:
+  std::optional<RouteDecision> Choose(const WorldFixture& fixture, const RouteRequest& request) {
+    if (GetParam() == Kind::kScored) return ScoredRouter().Choose(request, *fixture.world, random_, &reason_);
+    return NaiveRouter().Choose(request, *fixture.world, random_, &reason_);
+  }
+
+  base::Random random_{7};
+  RouteReason reason_;
+};
+
+// Guards against data that leaves the allowed regions when those regions are full.
+TEST_P(HardRuleTest, ResidencyHoldsWhenHomeIsFull) {
+  WorldFixture fixture(MakeDocument(2, 1, 1));
+  fixture.Report("r0/z0/e0", 8, 100);
+  const auto decision = Choose(fixture, fixture.Request("r0", "home"));
+  ASSERT_TRUE(decision.has_value());
+  EXPECT_EQ(decision->target, RouteTarget::kUpstream);
+  EXPECT_FALSE(Choose(fixture, fixture.Request("", "home")).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kResidency);
+  EXPECT_FALSE(Choose(fixture, fixture.Request("r0", "missing")).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kResidency);
+}
+
+// Guards against a second hop and against serving a request that came back to its first zone.
+TEST_P(HardRuleTest, ForwardedRequestStaysInTheZoneOrIsRefused) {
+  WorldFixture fixture(MakeDocument(2, 1, 1));
+  RouteRequest request = fixture.Request();
+  request.route = *Route{}.Extend(fixture.world->Names().Zone("r1", "z0"));
+  fixture.Report("r0/z0/e0", 8, 1000);
+  const auto decision = Choose(fixture, request);
+  ASSERT_TRUE(decision.has_value());
+  EXPECT_EQ(decision->target, RouteTarget::kUpstream);
+  fixture.table.OnLeavingResponse("r0/z0/e0", fixture.now);
+  EXPECT_FALSE(Choose(fixture, request).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kLeaving);
+  request.route = *Route{}.Extend(fixture.world->OwnZone());
+  EXPECT_FALSE(Choose(fixture, request).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kLoop);
+  EXPECT_FALSE(request.route.Extend(0).has_value());
+}
+
+// Guards against work for a leaving replica that an older snapshot still lists.
+TEST_P(HardRuleTest, LeavingReplicaGetsNoWorkAtOnce) {
+  WorldFixture fixture(MakeDocument(1, 1, 2));
+  fixture.table.OnLeavingResponse("r0/z0/e0", fixture.now);
+  for (int i = 0; i < 20; ++i) {
+    const auto decision = Choose(fixture, fixture.Request());
+    ASSERT_TRUE(decision.has_value());
+    EXPECT_EQ(fixture.world->Replicas().Replicas()[decision->upstream].id, "r0/z0/e1");
+  }
+}
+
+// Guards against borrowing or leaving home with a configuration that may be old.
+TEST_P(HardRuleTest, HomeOnlyModeKeepsRequestsAtHome) {
+  WorldFixture fixture(MakeDocument(2, 1, 1));
+  fixture.node.home_only = true;
+  fixture.Rebuild();
+  fixture.Report("r0/z0/e0", 8, 500);
+  EXPECT_EQ(Choose(fixture, fixture.Request("r0"))->region, 0);
+  EXPECT_EQ(Choose(fixture, fixture.Request("r1"))->region, 1);
+  fixture.table.OnZoneReachable("r1", "z0", false);
+  EXPECT_FALSE(Choose(fixture, fixture.Request("r1")).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kUnreachable);
+}
+
+// Guards against a retry on the replica that has just failed, and against indices of an older configuration.
+TEST_P(HardRuleTest, RetryAvoidsTriedReplicasAndStaleNames) {
+  WorldFixture fixture(MakeDocument(1, 1, 2));
+  RouteRequest request = fixture.Request();
+  const auto first = Choose(fixture, request);
+  request.excluded.AddReplica(fixture.world->Replicas().Replicas()[first->upstream].key);
+  const auto second = Choose(fixture, request);
+  EXPECT_NE(first->upstream, second->upstream);
+  request.excluded.AddReplica(fixture.world->Replicas().Replicas()[second->upstream].key);
+  EXPECT_FALSE(Choose(fixture, request).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kExcluded);
+  fixture.document.regions["a"] = {"p0", {"z0"}};
+  fixture.table.Configure(fixture.document, fixture.now);
+  fixture.Rebuild();
+  EXPECT_FALSE(Choose(fixture, request).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kStaleNames);
+}
+
+INSTANTIATE_TEST_SUITE_P(Routers, HardRuleTest, testing::Values(Kind::kScored, Kind::kNaive),
+                         [](const auto& info) { return info.param == Kind::kScored ? "Scored" : "Naive"; });
+
+}  // namespace
+}  // namespace cornelplank::routing
--- /dev/null
+++ b/tests/upstreams/replica_table_test.cc
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+
+#include "libs/upstreams/upstreams.h"
+
+namespace cornelplank::upstreams {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string EngineId(int number) {
+  std::string id = "e";
+  id += std::to_string(number);
+  return id;
+}
+
+config::Document MakeDocument(int replicas) {
+  config::Document document;
+  document.regions["ost"] = {"p", {"a"}};
+  document.partners["p"] = {};
+  document.models["m"] = {"p", "1", 1, 1};
+  for (int i = 0; i < replicas; ++i) {
+    config::Upstream upstream;
+    upstream.partner = "p";
+    upstream.region = "ost";
+    upstream.zone = "a";
+    upstream.slots = 8;
+    upstream.models = {"m"};
+    document.upstreams[EngineId(i)] = upstream;
+  }
+  return document;
+}
+
+class ReplicaTableTest : public testing::Test {
+ protected:
+  void Configure(int replicas) { table_.Configure(MakeDocument(replicas), now_); }
+  ReplicaCell& Cell(std::string_view id) { return *table_.TakeSnapshot()->Find(id)->cell; }
+  Update Report(uint64_t incarnation, EngineState state, base::Duration age, uint32_t running = 0) {
+    return table_.OnLoadReport({"e0", incarnation, state, running, 0, {"m"}, age}, now_);
+  }
+  void Fail(const std::string& id, int times) {
+    for (int i = 0; i < times; ++i) table_.OnResult(id, Result::kFailure, false, now_);
+  }
+
+  base::TimePoint now_{std::chrono::hours{1}};
+  ReplicaTable table_;
+};
+
+// Guards against late and repeated reports that overwrite younger ones.
+TEST_F(ReplicaTableTest, YoungestReportWins) {
+  Configure(1);
+  EXPECT_EQ(Report(1, EngineState::kReady, milliseconds{100}, 5), Update::kApplied);
+  EXPECT_EQ(Report(1, EngineState::kReady, milliseconds{200}, 7), Update::kStale);
+  EXPECT_EQ(Report(1, EngineState::kReady, milliseconds{100}, 7), Update::kStale);
+  EXPECT_EQ(Cell("e0").Load().running, 5U);
+  EXPECT_EQ(table_.OnLoadHeader("e0", "running=3, queued=1, slots=8, cached=20", now_), Update::kApplied);
+  EXPECT_EQ(Cell("e0").Load().queued, 1U);
+  EXPECT_EQ(table_.OnLoadHeader("e0", "running=x", now_), Update::kMalformed);
+}
+
+// Guards against a leaving replica that an older ready report brings back.
+TEST_F(ReplicaTableTest, LeavingFromAnySourceLastsForTheIncarnation) {
+  Configure(1);
+  Report(1, EngineState::kReady, seconds{1});
+  const auto snapshot = table_.TakeSnapshot();
+  EXPECT_EQ(Report(1, EngineState::kLeaving, seconds{5}), Update::kStale);
+  EXPECT_TRUE(snapshot->Find("e0")->cell->Leaving());
+  EXPECT_FALSE(InFlight::Begin(snapshot->Find("e0")->cell, now_, nullptr).has_value());
+  now_ += seconds{10};
+  Report(1, EngineState::kReady, seconds{0});
+  EXPECT_TRUE(Cell("e0").Leaving());
+  Report(2, EngineState::kReady, seconds{0});
+  EXPECT_FALSE(Cell("e0").Leaving());
+  EXPECT_DOUBLE_EQ(Cell("e0").RampShare(now_), 0.1);
+  EXPECT_DOUBLE_EQ(Cell("e0").RampShare(now_ + seconds{15}), 0.5);
+  EXPECT_EQ(Report(1, EngineState::kLeaving, seconds{0}), Update::kStale);
+  EXPECT_FALSE(Cell("e0").Leaving());
+}
+
+// Guards against ejecting so much of a zone that the rest is overloaded.
+TEST_F(ReplicaTableTest, EjectsAtMostThirtyPercentOfAZone) {
+  Configure(10);
+  for (int i = 0; i < 10; ++i) Fail(EngineId(i), 5);
+  EXPECT_EQ(table_.EjectedInZone(0), 3U);
+  EXPECT_TRUE(Cell("e5").Suspect(now_));
+  Configure(4);
+  EXPECT_EQ(table_.EjectedInZone(0), 1U);
+  Configure(3);
+  EXPECT_EQ(table_.EjectedInZone(0), 0U);
+}
+
+// Guards against more than one request to a replica that is probably still broken.
+TEST_F(ReplicaTableTest, OneProbeWithDoublingBackOff) {
+  Configure(10);
+  Fail("e0", 5);
+  const auto cell = table_.TakeSnapshot()->Find("e0")->cell;
+  for (const int pause : {1, 2, 4, 8, 16, 30, 30}) {
+    BeginFailure failure{};
+    EXPECT_FALSE(InFlight::Begin(cell, now_ + seconds{pause} - milliseconds{1}, &failure).has_value())
+        << pause;
+    EXPECT_EQ(failure, BeginFailure::kEjected);
+    now_ += seconds{pause};
+    const auto probe = InFlight::Begin(cell, now_, nullptr);
+    ASSERT_TRUE(probe.has_value() && probe->IsProbe());
+    EXPECT_FALSE(InFlight::Begin(cell, now_, nullptr).has_value());
+    table_.OnResult("e0", Result::kFailure, true, now_);
+  }
+  now_ += seconds{30};
+  table_.OnResult("e0", Result::kSuccess, false, now_);
+  EXPECT_TRUE(cell->Ejected());
+  table_.OnResult("e0", Result::kSuccess, true, now_);
+  EXPECT_FALSE(cell->Ejected());
+}
+
+// Guards against a replica that fails most requests but never five in a row.
+TEST_F(ReplicaTableTest, EjectsSuccessRateFarBelowPeers) {
+  Configure(10);
+  for (int round = 0; round < 25; ++round) {
+    for (int i = 0; i < 10; ++i) {
+      const bool fails = i == 4 && round % 3 != 0;
+      table_.OnResult(EngineId(i), fails ? Result::kFailure : Result::kSuccess, false, now_);
+    }
+  }
+  table_.Tick(now_);
+  EXPECT_TRUE(Cell("e4").Ejected());
+  EXPECT_EQ(table_.EjectedInZone(0), 1U);
+}
+
+// Guards against a cache summary that is trusted after lost evictions.
+TEST_F(ReplicaTableTest, CacheGapClearsTheSummary) {
+  Configure(1);
+  const std::vector<CacheEvent> events{{1, CacheOperation::kAdd, 77, 500}, {2, CacheOperation::kAdd, 78, 9}};
+  EXPECT_EQ(table_.OnCacheEvents("e0", 1, events), Update::kApplied);
+  EXPECT_EQ(table_.OnCacheEvents("e0", 1, events), Update::kStale);
+  EXPECT_TRUE(Cell("e0").Cache()->Complete());
+  const std::vector<CacheEvent> later{{5, CacheOperation::kEvict, 78, 0}, {6, CacheOperation::kAdd, 79, 40}};
+  EXPECT_EQ(table_.OnCacheEvents("e0", 1, later), Update::kGap);
+  EXPECT_FALSE(Cell("e0").Cache()->Complete());
+  EXPECT_EQ(Cell("e0").Cache()->Tokens(77), 0U);
+  EXPECT_EQ(Cell("e0").Cache()->Tokens(79), 40U);
+  EXPECT_EQ(table_.CacheCursor("e0"), 6U);
+}
+
+}  // namespace
+}  // namespace cornelplank::upstreams
