--- /dev/null
+++ b/libs/retry/internal/attempt_tracker.cc
@@ -0,0 +1,98 @@
+#include "libs/retry/internal/attempt_tracker.h"
+
+#include <algorithm>
+
+namespace cornelplank::retry {
+
+std::optional<AttemptId> AttemptTracker::Start(uint64_t replica, AttemptKind kind, base::TimePoint now) {
+  if (ended_) return std::nullopt;
+  if (!idempotent_ && !records_.empty()) return std::nullopt;
+  // A running winner needs no further attempt: its response would be dropped.
+  if (winner_ != 0) return std::nullopt;
+  const AttemptId id{request_, static_cast<uint32_t>(records_.size()) + 1};
+  records_.push_back(Record{Attempt{id, kind, replica, now}, State::kOpen, false});
+  return id;
+}
+
+Disposition AttemptTracker::OnPart(AttemptId id) {
+  const Record* record = Get(id);
+  const Disposition disposition = Judge(record);
+  if (disposition == Disposition::kAccept && winner_ == 0) {
+    winner_ = id.number;
+    LoseOthers(id.number);
+  }
+  return disposition;
+}
+
+Disposition AttemptTracker::OnEnd(AttemptId id) {
+  const Disposition disposition = OnPart(id);
+  if (disposition == Disposition::kAccept) {
+    Get(id)->state = State::kEnded;
+    ended_ = true;
+  }
+  return disposition;
+}
+
+Disposition AttemptTracker::OnFailure(AttemptId id) {
+  Record* record = Get(id);
+  const Disposition disposition = Judge(record);
+  if (disposition != Disposition::kAccept) return disposition;
+  record->state = State::kFailed;
+  if (winner_ == id.number) winner_ = 0;
+  return disposition;
+}
+
+void AttemptTracker::Close() {
+  LoseOthers(0);
+  ended_ = true;
+}
+
+std::vector<Attempt> AttemptTracker::TakeLosers() {
+  std::vector<Attempt> losers;
+  for (Record& record : records_) {
+    if (record.state != State::kLost || record.cancel_taken) continue;
+    record.cancel_taken = true;
+    losers.push_back(record.attempt);
+  }
+  return losers;
+}
+
+uint32_t AttemptTracker::open() const {
+  return static_cast<uint32_t>(std::count_if(
+      records_.begin(), records_.end(), [](const Record& record) { return record.state == State::kOpen; }));
+}
+
+std::optional<AttemptId> AttemptTracker::winner() const {
+  if (winner_ == 0) return std::nullopt;
+  return AttemptId{request_, winner_};
+}
+
+const Attempt* AttemptTracker::Find(AttemptId id) const {
+  if (id.request != request_ || id.number == 0 || id.number > records_.size()) return nullptr;
+  return &records_[id.number - 1].attempt;
+}
+
+uint32_t AttemptTracker::Tried(uint64_t replica) const {
+  return static_cast<uint32_t>(std::count_if(records_.begin(), records_.end(), [&](const Record& record) {
+    return record.attempt.replica == replica;
+  }));
+}
+
+AttemptTracker::Record* AttemptTracker::Get(AttemptId id) {
+  if (id.request != request_ || id.number == 0 || id.number > records_.size()) return nullptr;
+  return &records_[id.number - 1];
+}
+
+Disposition AttemptTracker::Judge(const Record* record) const {
+  if (record == nullptr) return Disposition::kCrossed;
+  if (record->state == State::kEnded) return Disposition::kDuplicate;
+  return record->state == State::kOpen ? Disposition::kAccept : Disposition::kLate;
+}
+
+void AttemptTracker::LoseOthers(uint32_t winner) {
+  for (Record& record : records_) {
+    if (record.state == State::kOpen && record.attempt.id.number != winner) record.state = State::kLost;
+  }
+}
+
+}  // namespace cornelplank::retry
--- /dev/null
+++ b/libs/retry/internal/budget.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <algorithm>
+
+namespace cornelplank::retry {
+
+/// A token bucket that is filled by requests and not by time, so that extra attempts stay a fixed part of the
+/// load at any rate. Over any run of R requests at most `ratio` * R + `burst` extra attempts are granted. Not
+/// thread-safe.
+class TokenBudget {
+ public:
+  /// `ratio`: tokens per request. `burst`: greatest and first filling, in attempts.
+  TokenBudget(double ratio, double burst) : ratio_(ratio), burst_(burst), tokens_(burst) {}
+
+  /// Counts one first attempt.
+  void OnRequest() { tokens_ = std::min(burst_, tokens_ + ratio_); }
+  bool CanTake() const { return tokens_ >= 1; }
+  /// Takes one extra attempt; false when the budget is used up.
+  bool Take() {
+    if (!CanTake()) return false;
+    tokens_ -= 1;
+    return true;
+  }
+  /// Returns an attempt that was taken and not started.
+  void GiveBack() { tokens_ = std::min(burst_, tokens_ + 1); }
+  double tokens() const { return tokens_; }
+
+ private:
+  double ratio_;
+  double burst_;
+  double tokens_;
+};
+
+/// Retries and resumptions: 10% of the requests.
+class RetryBudget : public TokenBudget {
+ public:
+  explicit RetryBudget(double ratio = 0.10, double burst = 10) : TokenBudget(ratio, burst) {}
+};
+
+/// Hedges: 5% of the requests. A separate bucket, so that hedging can't use up what retries need.
+class HedgeBudget : public TokenBudget {
+ public:
+  explicit HedgeBudget(double ratio = 0.05, double burst = 5) : TokenBudget(ratio, burst) {}
+};
+
+}  // namespace cornelplank::retry
--- /dev/null
+++ b/libs/retry/internal/retry_policy.cc
@@ -0,0 +1,69 @@
+#include "libs/retry/internal/retry_policy.h"
+
+#include <algorithm>
+
+namespace cornelplank::retry {
+namespace {
+
+std::nullopt_t Refuse(RetryReason* reason, RetryCode code, const char* detail) {
+  base::SetReason(reason, code, detail);
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<RetryDecision> RetryPolicy::Decide(const RetryQuery& query, RetryBudget* budget,
+                                                 RetryReason* reason) const {
+  if (!query.entry_vm) return Refuse(reason, RetryCode::kNotEntry, "only the entry VM repeats");
+  if (!query.idempotent) return Refuse(reason, RetryCode::kNotIdempotent, "the call must not be repeated");
+  if (query.outcome == base::Outcome::kRan) return Refuse(reason, RetryCode::kAnswered, "it was answered");
+  if (query.part_passed_on && !query.resumable) {
+    return Refuse(reason, RetryCode::kNotResumable, "a part of the response was passed on");
+  }
+  if (query.attempts >= limits_.max_attempts) return Refuse(reason, RetryCode::kAttempts, "attempts used up");
+  if (query.candidates.empty()) return Refuse(reason, RetryCode::kNoReplica, "no replica can serve it");
+
+  // Least tried first, so that every other replica has its turn before one is repeated. Among equals the
+  // router's order holds. A replica that could not answer in time is passed over.
+  const RetryCandidate* chosen = nullptr;
+  for (const RetryCandidate& candidate : query.candidates) {
+    if (query.now + Backoff(candidate.tried) + candidate.first_token >= query.deadline) continue;
+    if (chosen == nullptr || candidate.tried < chosen->tried) chosen = &candidate;
+  }
+  if (chosen == nullptr) return Refuse(reason, RetryCode::kDeadline, "no replica can answer in time");
+  if (!budget->Take()) return Refuse(reason, RetryCode::kBudget, "the retry budget is used up");
+  return RetryDecision{chosen->replica, Backoff(chosen->tried)};
+}
+
+std::optional<uint64_t> RetryPolicy::DecideHedge(const HedgeQuery& query, HedgeBudget* budget,
+                                                 RetryReason* reason) const {
+  if (!query.entry_vm) return Refuse(reason, RetryCode::kNotEntry, "only the entry VM hedges");
+  if (!query.idempotent) return Refuse(reason, RetryCode::kNotIdempotent, "the call must not be repeated");
+  if (!query.class_hedges) return Refuse(reason, RetryCode::kNotHedged, "the class does not hedge");
+  if (query.token_passed) return Refuse(reason, RetryCode::kTokenPassed, "the response has begun");
+  if (query.attempts_open != 1) return Refuse(reason, RetryCode::kAttempts, "one hedge at a time");
+  if (!query.delay || query.now < query.started + *query.delay) {
+    return Refuse(reason, RetryCode::kNotYet, "the hedge delay has not passed");
+  }
+  const RetryCandidate* chosen = nullptr;
+  bool other = false;
+  for (const RetryCandidate& candidate : query.candidates) {
+    if (candidate.tried > 0) continue;
+    other = true;
+    if (query.now + candidate.first_token >= query.deadline) continue;
+    chosen = &candidate;
+    break;
+  }
+  if (!other) return Refuse(reason, RetryCode::kNoReplica, "no other replica");
+  if (chosen == nullptr) return Refuse(reason, RetryCode::kDeadline, "no replica can answer in time");
+  if (!budget->Take()) return Refuse(reason, RetryCode::kBudget, "the hedge budget is used up");
+  return chosen->replica;
+}
+
+base::Duration RetryPolicy::Backoff(uint32_t tried) const {
+  if (tried == 0) return base::Duration{0};
+  const uint32_t doublings = std::min<uint32_t>(tried - 1, 20);
+  return std::min(limits_.max_backoff, limits_.base_backoff * (int64_t{1} << doublings));
+}
+
+}  // namespace cornelplank::retry
