Add the first version of the admission library

Ruled out: a plain deficit round robin between clients. Requests hold a slot for about 14 s, so a light client would wait for a heavy client's request to end.

--- /dev/null
+++ b/libs/admission/internal/client_queues.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "libs/admission/internal/demand_tree.h"
+#include "libs/admission/internal/occupancy.h"
+#include "libs/base/base.h"
+
+namespace cornelplank::admission {
+
+/// The waiting requests of one class, one queue per client, and the clients' running counts.
+///
+/// Clients whose whole demand fits under the max-min fair level ("light") are served by deficit round robin
+/// before the others ("heavy"). A heavy client gets a slot beyond its equal part only while enough slots stay
+/// free for the usual variation of the light ones: requests hold a slot for seconds, so a light client would
+/// otherwise wait for a heavy client's request to end.
+class ClientQueues {
+ public:
+  void Push(uint64_t id, const std::string& client, double cost, base::TimePoint now);
+  /// Removes a waiting item; false when it does not wait here.
+  bool Remove(uint64_t id, const std::string& client, base::TimePoint now);
+  /// True when an item may start, where `limit` is the number of slots that the class may use in all.
+  bool CanPop(double limit, base::TimePoint now) { return Peek(limit, now) != nullptr; }
+  /// The next item under `limit`, which becomes running, or nothing.
+  std::optional<uint64_t> Pop(double limit, base::TimePoint now);
+  void OnFinish(const std::string& client, base::TimePoint now);
+  /// The newest item of the client with the most waiting items, for refusal when the queue is full.
+  uint64_t NewestOfLongest() const;
+
+  size_t waiting() const { return waiting_; }
+  size_t running() const { return running_; }
+  size_t waiting_of(const std::string& client) const;
+  /// Clients with waiting items.
+  size_t waiting_clients() const { return by_length_.size(); }
+
+ private:
+  enum class Ring { kNone, kLight, kHeavy };
+  struct Item {
+    uint64_t id = 0;
+    double cost = 1;
+  };
+  struct Client {
+    std::string name;
+    std::deque<Item> items;
+    size_t running = 0;
+    double deficit = 0;
+    Ring ring = Ring::kNone;
+    std::list<Client*>::iterator place;
+    size_t demand() const { return items.size() + running; }
+  };
+
+  Client* Get(const std::string& name);
+  void Changed(Client* client, size_t old_demand, size_t old_length);
+  void Enter(Client* client, Ring ring);
+  void Leave(Client* client);
+  bool IsHeavy(const Client& client, double limit) const;
+  bool HeavyMayStart(double limit) const;
+  Client* Peek(double limit, base::TimePoint now);
+  static Client* Turn(std::list<Client*>* ring);
+  uint64_t Take(Client* client);
+  void Observe(base::TimePoint now);
+
+  std::unordered_map<std::string, Client> clients_;  // clients with demand
+  std::set<std::pair<size_t, Client*>> by_length_;   // clients with waiting items
+  std::list<Client*> light_;
+  std::list<Client*> heavy_;
+  DemandTree demand_;
+  DemandTree::Level fair_;
+  Occupancy light_use_;
+  size_t waiting_ = 0;
+  size_t running_ = 0;
+};
+
+}  // namespace cornelplank::admission
--- /dev/null
+++ b/libs/admission/internal/displacement_ledger.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "libs/base/base.h"
+
+namespace cornelplank::admission {
+
+/// Work of one class of one partner.
+struct FlowKey {
+  std::string partner;
+  std::string priority_class;
+  bool operator==(const FlowKey&) const = default;
+  bool operator<(const FlowKey& other) const {
+    return std::tie(partner, priority_class) < std::tie(other.partner, other.priority_class);
+  }
+};
+
+enum class Displacement { kRefused, kDelayed, kCancelled };
+inline constexpr size_t kDisplacementKinds = 3;
+
+/// Counts every refusal, wait and cancellation against the flow that caused it and the flow that bore it. A
+/// flow that is held back by its own load is both. Counts only grow.
+class DisplacementLedger {
+ public:
+  struct Key {
+    FlowKey cause;
+    FlowKey bearer;
+    bool operator==(const Key&) const = default;
+    bool operator<(const Key& other) const {
+      return std::tie(cause, bearer) < std::tie(other.cause, other.bearer);
+    }
+  };
+  struct Counts {
+    std::array<uint64_t, kDisplacementKinds> by_kind{};  // indexed by Displacement
+    base::Duration delay{0};                             // sum of the waits of kDelayed
+
+    uint64_t of(Displacement kind) const { return by_kind[static_cast<size_t>(kind)]; }
+  };
+
+  void Add(const FlowKey& cause, const FlowKey& bearer, Displacement kind, base::Duration delay = {}) {
+    Counts& counts = entries_[Key{cause, bearer}];
+    ++counts.by_kind[static_cast<size_t>(kind)];
+    counts.delay += delay;
+  }
+  const std::map<Key, Counts>& entries() const { return entries_; }
+
+ private:
+  std::map<Key, Counts> entries_;
+};
+
+}  // namespace cornelplank::admission
--- /dev/null
+++ b/libs/admission/internal/pool.cc
@@ -0,0 +1,202 @@
+#include "libs/admission/internal/pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace cornelplank::admission {
+namespace {
+
+// Shares are products of floating point numbers; 3 slots must not become 2.9999.
+constexpr double kRounding = 1e-6;
+
+double Whole(double slots) { return std::floor(slots + kRounding); }
+double WholeUp(double slots) { return std::ceil(slots - kRounding); }
+
+}  // namespace
+
+void Pool::Configure(const Terms& terms, const std::string& owner, double node_slots, bool home_only) {
+  // A node that has any part of a pool can run at least one request.
+  slots_ = node_slots > 0 ? static_cast<size_t>(std::max(1.0, Whole(node_slots))) : 0;
+  const auto capacity = static_cast<double>(slots_);
+  for (auto& [key, flow] : flows_) {
+    flow.configured = false;
+    flow.guaranteed = 0;
+    flow.greatest = 0;
+  }
+  const auto lender = terms.partners.find(owner);
+  for (const auto& [partner, partner_terms] : terms.partners) {
+    double lent = partner == owner ? 1 : 0;
+    if (partner != owner && !home_only && lender != terms.partners.end()) {
+      const auto found = lender->second.lends.find(partner);
+      if (found != lender->second.lends.end()) lent = std::clamp(found->second, 0.0, 1.0);
+    }
+    double promised = 0;
+    for (const auto& [name, class_terms] : partner_terms.classes) promised += class_terms.guaranteed;
+    for (const auto& [name, class_terms] : partner_terms.classes) {
+      Flow& flow = flows_[FlowKey{partner, name}];
+      flow.key = FlowKey{partner, name};
+      flow.terms = class_terms;
+      flow.configured = true;
+      flow.owner = partner == owner;
+      flow.guaranteed = flow.owner ? capacity * class_terms.guaranteed / std::max(1.0, promised) : 0;
+      flow.greatest = Whole(capacity * lent);
+    }
+  }
+}
+
+Flow* Pool::FindFlow(const FlowKey& key) {
+  const auto found = flows_.find(key);
+  return found == flows_.end() || !found->second.configured ? nullptr : &found->second;
+}
+
+std::optional<std::pair<Flow*, uint64_t>> Pool::PopNext(base::TimePoint now) {
+  // Guaranteed slots first: whole ones by priority, then parts of a slot by the least used. Spare slots go to
+  // the owner's classes before the borrowers', each by priority.
+  using Rank = std::tuple<int, double, int, double>;
+  std::optional<Rank> best;
+  Flow* chosen = nullptr;
+  double chosen_limit = 0;
+  const bool full = running_ >= slots_;
+  for (auto& [key, flow] : flows_) {
+    const bool waits = flow.queues.waiting() > 0;
+    if (!waits || (full && !flow.entitled())) {
+      flow.starved_since.reset();
+      continue;
+    }
+    const double limit = Limit(flow);
+    if (!flow.queues.CanPop(limit, now)) {
+      flow.starved_since.reset();
+      continue;
+    }
+    if (full) {
+      if (!flow.starved_since) flow.starved_since = now;
+      continue;
+    }
+    const auto used = static_cast<double>(flow.running());
+    Rank rank;
+    if (used + 1 <= Whole(flow.guaranteed)) {
+      rank = {0, 0, flow.terms.priority, used / flow.guaranteed};
+    } else if (flow.entitled()) {
+      rank = {1, used / flow.guaranteed, flow.terms.priority, 0};
+    } else {
+      rank = {flow.owner ? 2 : 3, 0, flow.terms.priority, used};
+    }
+    if (best && *best <= rank) continue;
+    best = rank;
+    chosen = &flow;
+    chosen_limit = limit;
+  }
+  if (chosen == nullptr) return std::nullopt;
+  const auto id = chosen->queues.Pop(chosen_limit, now);
+  if (!id) return std::nullopt;
+  ++running_;
+  return std::make_pair(chosen, *id);
+}
+
+void Pool::OnStart(Flow* flow, uint64_t id, uint64_t order, bool cancellable) {
+  if (cancellable) flow->cancellable[order] = id;
+}
+
+void Pool::OnFinish(Flow* flow, const std::string& client, uint64_t order, bool cancelling,
+                    base::Duration held, base::TimePoint now) {
+  flow->queues.OnFinish(client, now);
+  flow->cancellable.erase(order);
+  if (cancelling) --flow->cancelling;
+  --running_;
+  if (cancelling) return;  // a cancelled item says nothing about how long items take
+  const double seconds = std::chrono::duration<double>(held).count();
+  held_s_ = held_s_ == 0 ? seconds : held_s_ + 0.05 * (seconds - held_s_);
+}
+
+std::vector<Pool::Victim> Pool::Reclaim(base::Duration after, base::TimePoint now) {
+  std::vector<Victim> victims;
+  size_t pending = 0;
+  for (const auto& [key, flow] : flows_) pending += flow.cancelling;
+  for (auto& [key, flow] : flows_) {
+    if (!flow.starved_since || now - *flow.starved_since < after) continue;
+    const double missing = WholeUp(flow.guaranteed) - static_cast<double>(flow.running());
+    auto need = static_cast<size_t>(std::clamp(missing, 0.0, static_cast<double>(flow.queues.waiting())));
+    // Slots that are already on their way back serve the first flows that need them.
+    const size_t coming = std::min(pending, need);
+    pending -= coming;
+    for (need -= coming; need > 0; --need) {
+      Flow* loser = PickVictimFlow();
+      if (loser == nullptr) return victims;
+      const auto newest = std::prev(loser->cancellable.end());
+      victims.push_back(Victim{loser, newest->second, &flow});
+      loser->cancellable.erase(newest);
+      ++loser->cancelling;
+    }
+  }
+  return victims;
+}
+
+const FlowKey& Pool::Cause(const Flow& bearer) const {
+  const Flow* cause = &bearer;
+  double most = 0;
+  for (const auto& [key, flow] : flows_) {
+    if (&flow == &bearer) continue;
+    const auto used = static_cast<double>(flow.running());
+    // Held back from guaranteed slots: by who uses most beyond its own. From spare ones: by who uses most.
+    const double weight = bearer.entitled() ? used - flow.guaranteed : used;
+    const double floor = bearer.entitled() ? 0 : static_cast<double>(bearer.running());
+    if (weight <= floor || weight <= most) continue;
+    most = weight;
+    cause = &flow;
+  }
+  return cause->key;
+}
+
+base::Duration Pool::EstimateWait(const Flow& flow, const std::string& client) const {
+  const ClientQueues& queues = flow.queues;
+  const size_t ahead = std::min(queues.waiting(), queues.waiting_of(client) * queues.waiting_clients());
+  const double served = std::max({1.0, static_cast<double>(queues.running()), Whole(flow.guaranteed)});
+  const std::chrono::duration<double> wait(static_cast<double>(ahead) * held_s_ / served);
+  return std::chrono::duration_cast<base::Duration>(wait);
+}
+
+void Pool::Observe(base::TimePoint now) {
+  for (auto& [key, flow] : flows_) {
+    if (flow.guaranteed <= 0) continue;
+    const auto wanted = static_cast<double>(flow.running() + flow.queues.waiting());
+    flow.demand.Observe(std::min(wanted, flow.guaranteed), now);
+  }
+}
+
+// The slots that the flow may use in all: its guaranteed ones, or more while the other flows' slots that are
+// in use, or are kept ready for their usual load, leave room.
+double Pool::Limit(const Flow& flow) const {
+  double spare = static_cast<double>(slots_);
+  for (const auto& [key, other] : flows_) {
+    if (&other == &flow) continue;
+    const double ready = Whole(std::min(other.guaranteed, other.demand.Cover()));
+    spare -= std::max(static_cast<double>(other.running()), ready);
+  }
+  const auto used = static_cast<double>(flow.running());
+  if (!flow.owner) spare = std::min(spare, flow.greatest - (PartnerRunning(flow.key.partner) - used));
+  return std::max(WholeUp(flow.guaranteed), spare);
+}
+
+double Pool::PartnerRunning(const std::string& partner) const {
+  double sum = 0;
+  for (const auto& [key, flow] : flows_) {
+    if (key.partner == partner) sum += static_cast<double>(flow.running());
+  }
+  return sum;
+}
+
+// Borrowers give back first, then the owner's class of the lowest priority that is beyond its guarantee.
+Flow* Pool::PickVictimFlow() {
+  Flow* chosen = nullptr;
+  for (auto& [key, flow] : flows_) {
+    const auto used = static_cast<double>(flow.running()) - static_cast<double>(flow.cancelling);
+    if (flow.cancellable.empty() || used <= WholeUp(flow.guaranteed)) continue;
+    const bool better = chosen == nullptr || std::make_pair(!flow.owner, flow.terms.priority) >
+                                                 std::make_pair(!chosen->owner, chosen->terms.priority);
+    if (better) chosen = &flow;
+  }
+  return chosen;
+}
+
+}  // namespace cornelplank::admission
