Add the membership library

Cause: the gateway needs one view of the VMs, the choice of readers, pollers and planners, and the gossip. Change: VmTable, EntryOrder, ReaderSelector, ReadSchedule, ReplicaPollerSelector, GossipState, Confirmation and ConnectionHealth as pure, clock-injected types, with tests. Ruled out: flooding gossip (each entry crosses a zone many times); ages from incoming calls for the confirmed rule (a call may have waited in a silent connection).

--- /dev/null
+++ b/libs/membership/internal/gossip_exchange.cc
@@ -0,0 +1,205 @@
+// Building and merging of gossip messages; calls and views are in gossip_state.cc.
+#include <algorithm>
+#include <cstdlib>
+#include <limits>
+#include <utility>
+
+#include "libs/membership/internal/gossip_state.h"
+
+namespace cornelplank::membership {
+namespace {
+
+uint16_t Saturated(uint64_t value) {
+  return static_cast<uint16_t>(std::min<uint64_t>(value, std::numeric_limits<uint16_t>::max()));
+}
+
+bool SumDiffers(const ZoneSum& a, const ZoneSum& b) {
+  const auto differs = [](int x, int y, int base) { return std::abs(x - y) > std::max(4, base / 10); };
+  if (differs(a.slots, b.slots, a.slots) || differs(a.running, b.running, a.slots)) return true;
+  for (size_t i = 0; i < kSumClasses; ++i) {
+    if (differs(a.queued[i], b.queued[i], a.slots)) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+bool GossipState::NamesMatch(const VmListEntry& from, const GossipMessage& message) const {
+  return message.names_hash == (InZone(from) ? names_.zone_hash : names_.global_hash);
+}
+
+GossipMessage GossipState::MessageFor(const Vm& vm, const VmTable& table, const GossipMessage* asked,
+                                      base::TimePoint now) {
+  const VmListEntry& peer = vm.entry;
+  GossipMessage message;
+  message.config = config_;
+  message.names_hash = InZone(peer) ? names_.zone_hash : names_.global_hash;
+  if (confirmation_.head_seq() >= config_.seq) {
+    message.head_lead = Saturated(confirmation_.head_seq() - config_.seq);
+    message.head_age = EncodeAge(confirmation_.HeadAge(now));
+  }
+  message.leaving = table.own().entry.state == VmState::kLeaving;
+  for (size_t i = 0; i < names_.regions.size(); ++i) {
+    message.region_ages.push_back(EncodeAge(confirmation_.RegionAge(i, now)));
+  }
+  if (InZone(peer)) {
+    const Peer& state = PeerOf(peer);
+    AddZoneParts(message, peer, state, table, asked, now);
+    message.seen = state.seen;
+    message.version = version_;
+  } else {
+    AddCrossSums(message, now);
+  }
+  return message;
+}
+
+void GossipState::AddZoneParts(GossipMessage& message, const VmListEntry& peer, const Peer& state,
+                               const VmTable& table, const GossipMessage* asked, base::TimePoint now) {
+  // Requests for stale entries are bounded, since during a failure every node asks each round.
+  constexpr size_t kMaxAsked = 8;
+  const auto wanted = [&](const auto& list, size_t i) {
+    return asked != nullptr && std::find(list.begin(), list.end(), i) != list.end();
+  };
+  for (size_t i = 0; i < loads_.size(); ++i) {
+    const LoadEntry& entry = loads_[i];
+    const base::Duration age =
+        entry.as_of == base::TimePoint::min() ? base::Duration::max() : now - entry.as_of;
+    const bool push = entry.own && entry.version > state.acked;
+    const bool relay = age < settings_.stale_after && asked != nullptr && wanted(asked->stale_replicas, i);
+    if (push || relay) message.loads.push_back(Aged(entry, now));
+    if (age >= settings_.stale_after && message.stale_replicas.size() < kMaxAsked) {
+      message.stale_replicas.push_back(static_cast<uint16_t>(i));
+    }
+  }
+  for (size_t i = 0; i < sums_.size(); ++i) {
+    if (names_.zones[i] == zone_) continue;
+    const SumEntry& entry = sums_[i];
+    const base::Duration age =
+        entry.as_of == base::TimePoint::min() ? base::Duration::max() : now - entry.as_of;
+    const base::Duration stale = 2 * settings_.stale_after;
+    const bool push = entry.own && entry.version > state.acked;
+    const bool relay = age < stale && asked != nullptr && wanted(asked->stale_zones, i);
+    if (push || relay) message.sums.push_back(Aged(entry, now));
+    if (age >= stale && message.stale_zones.size() < kMaxAsked) {
+      message.stale_zones.push_back(static_cast<uint8_t>(i));
+    }
+  }
+  if (demand_version_ > state.acked) message.demand = published_demand_;
+  AddVmChanges(message, peer, state, table, now);
+}
+
+void GossipState::AddVmChanges(GossipMessage& message, const VmListEntry& peer, const Peer& state,
+                               const VmTable& table, base::TimePoint now) {
+  for (const Vm* vm : table.InZone(zone_)) {
+    if (vm->entry.id == own_id_ || vm->entry.id == peer.id || vm->entry.incarnation == 0) continue;
+    Published& published = published_vms_[vm->entry.id];
+    if (published.change != vm->change) published = {vm->change, ++version_};
+    if (published.version <= state.acked) continue;
+    const base::Duration age =
+        vm->last_heard == base::TimePoint{} ? base::Duration::max() : now - vm->last_heard;
+    message.vms.push_back({vm->entry, EncodeAge(age)});
+  }
+}
+
+void GossipState::AddCrossSums(GossipMessage& message, base::TimePoint now) const {
+  std::vector<const SumEntry*> young;
+  for (const SumEntry& entry : sums_) {
+    if (entry.as_of != base::TimePoint::min() && now - entry.as_of < settings_.stale_after) {
+      young.push_back(&entry);
+    }
+  }
+  std::sort(young.begin(), young.end(),
+            [](const SumEntry* a, const SumEntry* b) { return a->as_of > b->as_of; });
+  if (young.size() > settings_.max_sums) young.resize(settings_.max_sums);
+  message.sums.push_back(OwnSum());
+  for (const SumEntry* entry : young) message.sums.push_back(Aged(*entry, now));
+}
+
+void GossipState::MergeCall(const VmListEntry& from, const GossipMessage& message, VmTable& table,
+                            base::TimePoint now) {
+  VmListEntry entry = from;
+  if (message.leaving) entry.state = VmState::kLeaving;
+  table.HeartbeatReceived(entry, now);
+  Merge(entry, message, table, now);
+}
+
+void GossipState::MergeAnswer(const VmListEntry& from, const GossipMessage& message,
+                              base::TimePoint call_started, VmTable& table, base::TimePoint now) {
+  if (const auto found = peers_.find(from.id); found != peers_.end()) found->second.calling = false;
+  table.Answered(from.id, from.incarnation, message.leaving ? VmState::kLeaving : from.state, now);
+  const Vm* vm = table.Find(from.id);
+  if (vm == nullptr || vm->entry.incarnation != from.incarnation) return;
+  MergeFreshness(from, message, call_started, now);
+  Merge(from, message, table, now);
+}
+
+void GossipState::MergeFreshness(const VmListEntry& from, const GossipMessage& message,
+                                 base::TimePoint call_started, base::TimePoint now) {
+  if (message.head_age != kNoAge) {
+    confirmation_.HeadConfirmed(message.config.seq + message.head_lead,
+                                call_started - DecodeAge(message.head_age), now);
+  }
+  if (NamesMatch(from, message)) {
+    for (size_t i = 0; i < message.region_ages.size(); ++i) {
+      if (message.region_ages[i] == kNoAge) continue;
+      confirmation_.RegionContact(i, call_started - DecodeAge(message.region_ages[i]));
+    }
+  }
+  confirmation_.RegionContact(RegionIndex(from.region), call_started);
+}
+
+void GossipState::Merge(const VmListEntry& from, const GossipMessage& message, VmTable& table,
+                        base::TimePoint now) {
+  const Vm* vm = table.Find(from.id);
+  if (vm == nullptr || vm->entry.incarnation != from.incarnation) return;
+  Peer& peer = PeerOf(from);
+  peer.last_contact = now;
+  if (message.config.seq > config_.seq && (!lead_ || lead_->seq <= message.config.seq)) {
+    lead_ = Lead{from.id, message.config.seq};
+  }
+  if (message.config.seq == config_.seq && message.config.digest != config_.digest) ++digest_conflicts_;
+  for (const VmChange& change : message.vms) {
+    table.LearnFromPeer(change.entry, DecodeAge(change.age), now);
+  }
+  const bool match = NamesMatch(from, message);
+  if (match) MergeLoads(message, now);
+  if (match) MergeSums(from, message, now);
+  if (match && !message.demand.empty()) peer.demand = message.demand;
+  if (!InZone(from)) return;
+  peer.acked = std::min(message.seen, version_);
+  // A message whose entries could not be used must be sent again after the names agree.
+  if (match) peer.seen = std::max(peer.seen, message.version);
+}
+
+void GossipState::MergeLoads(const GossipMessage& message, base::TimePoint now) {
+  for (const ReplicaLoad& load : message.loads) {
+    if (load.index >= loads_.size() || load.age == kNoAge) continue;
+    LoadEntry& entry = loads_[load.index];
+    const base::TimePoint as_of = now - DecodeAge(load.age);
+    if (as_of <= entry.as_of) continue;
+    entry.load = load;
+    entry.as_of = as_of;
+    entry.own = false;
+  }
+}
+
+void GossipState::MergeSums(const VmListEntry& from, const GossipMessage& message, base::TimePoint now) {
+  for (const ZoneSum& sum : message.sums) {
+    if (sum.zone >= sums_.size() || sum.age == kNoAge || names_.zones[sum.zone] == zone_) continue;
+    SumEntry& entry = sums_[sum.zone];
+    const base::TimePoint as_of = now - DecodeAge(sum.age);
+    if (as_of <= entry.as_of) continue;
+    entry.sum = sum;
+    entry.as_of = as_of;
+    // Only news that matters to the peers of the zone is passed on to them.
+    const bool matters = entry.told_as_of == base::TimePoint::min() ||
+                         as_of - entry.told_as_of >= settings_.sum_refresh || SumDiffers(entry.told, sum);
+    if (!InZone(from) && !matters) continue;
+    entry.told = sum;
+    entry.told_as_of = as_of;
+    entry.own = !InZone(from);
+    if (entry.own) entry.version = ++version_;
+  }
+}
+
+}  // namespace cornelplank::membership
--- /dev/null
+++ b/libs/membership/internal/gossip_state.cc
@@ -0,0 +1,206 @@
+#include "libs/membership/internal/gossip_state.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <limits>
+#include <utility>
+
+namespace cornelplank::membership {
+namespace {
+
+constexpr uint16_t kMax16 = std::numeric_limits<uint16_t>::max();
+
+uint16_t Saturated(uint64_t value) { return static_cast<uint16_t>(std::min<uint64_t>(value, kMax16)); }
+
+/// Whether a peer should be told of the change from `a` to `b`.
+bool Differs(int a, int b, double limit) { return std::abs(a - b) > limit; }
+
+bool DemandDiffers(const std::vector<ClassDemand>& a, const std::vector<ClassDemand>& b) {
+  if (a.size() != b.size()) return true;
+  for (size_t i = 0; i < a.size(); ++i) {
+    const double limit = std::max(1.0, 0.2 * (a[i].rate + a[i].queued));
+    if (Differs(a[i].rate, b[i].rate, limit) || Differs(a[i].queued, b[i].queued, limit)) return true;
+  }
+  return false;
+}
+
+size_t PositionOf(const std::vector<std::string>& names, std::string_view name) {
+  return static_cast<size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+}  // namespace
+
+GossipState::GossipState(GossipSettings settings, NameIndex names, const VmTable& table, uint64_t seed,
+                         base::TimePoint now)
+    : settings_(settings),
+      own_id_(table.own().entry.id),
+      zone_(table.own().entry.zone),
+      region_(table.own().entry.region),
+      random_(seed),
+      confirmation_(0, 0),
+      next_round_(now) {
+  SetNames(std::move(names), table);
+  next_round_ += Jitter(settings_.round);
+  next_cross_ = now + Jitter(settings_.cross_round);
+}
+
+base::Duration GossipState::Jitter(base::Duration span) {
+  return base::Duration{static_cast<base::Duration::rep>(random_.Below(static_cast<uint64_t>(span.count())))};
+}
+
+size_t GossipState::RegionIndex(std::string_view region) const { return PositionOf(names_.regions, region); }
+size_t GossipState::ZoneIndex(std::string_view zone) const { return PositionOf(names_.zones, zone); }
+
+void GossipState::SetNames(NameIndex names, const VmTable& table) {
+  region_ = table.own().entry.region;
+  if (names.regions != names_.regions || confirmation_.regions() == 0) {
+    confirmation_.SetRegions(names.regions.size(), PositionOf(names.regions, region_));
+  }
+  std::vector<LoadEntry> loads(names.replicas.size());
+  for (size_t i = 0; i < loads.size(); ++i) {
+    const size_t old = PositionOf(names_.replicas, names.replicas[i]);
+    if (old < loads_.size()) loads[i] = loads_[old];
+    loads[i].load.index = static_cast<uint16_t>(i);
+    // Peers may have dropped an entry that they got under other indices, so all are sent once more.
+    if (loads[i].own) loads[i].version = ++version_;
+  }
+  std::vector<SumEntry> sums(names.zones.size());
+  for (size_t i = 0; i < sums.size(); ++i) {
+    const size_t old = PositionOf(names_.zones, names.zones[i]);
+    if (old < sums_.size()) sums[i] = sums_[old];
+    sums[i].sum.zone = static_cast<uint8_t>(i);
+    if (sums[i].own) sums[i].version = ++version_;
+  }
+  loads_ = std::move(loads);
+  sums_ = std::move(sums);
+  if (names.classes != names_.classes) {
+    demand_.clear();
+    for (auto& [id, peer] : peers_) peer.demand.clear();
+  }
+  names_ = std::move(names);
+}
+
+void GossipState::SetConfig(ConfigMark mark, base::TimePoint now) {
+  if (mark.seq < config_.seq) return;
+  config_ = mark;
+  confirmation_.SetOwnSeq(mark.seq, now);
+  if (lead_ && lead_->seq <= mark.seq) lead_.reset();
+}
+
+void GossipState::PlatformConfirmed(uint64_t head_seq, base::TimePoint asked_at, base::TimePoint now) {
+  confirmation_.HeadConfirmed(head_seq, asked_at, now);
+}
+
+void GossipState::SetOwnLoad(uint16_t index, uint16_t running, uint16_t queued, ReplicaState state,
+                             base::TimePoint now) {
+  if (index >= loads_.size()) return;
+  LoadEntry& entry = loads_[index];
+  const ReplicaState old_state = entry.load.state;
+  const bool known = entry.as_of != base::TimePoint::min();
+  entry.load = {index, running, queued, state, 0};
+  entry.as_of = now;
+  const int told = entry.published.running + entry.published.queued;
+  const double limit = std::max(2.0, settings_.load_threshold * names_.slots[index]);
+  const bool changed = entry.published.state != state || Differs(told, running + queued, limit);
+  if (entry.own && !changed && now - entry.published_at < settings_.refresh) return;
+  entry.own = true;
+  entry.published = entry.load;
+  entry.published_at = now;
+  entry.version = ++version_;
+  // Peers must stop sending new work to a leaving replica within 3 s, so they are told at once.
+  if (known && old_state != state && state == ReplicaState::kLeaving) urgent_ = true;
+}
+
+void GossipState::SetOwnDemand(std::vector<ClassDemand> demand, base::TimePoint now) {
+  demand.resize(names_.classes.size());
+  demand_ = std::move(demand);
+  const bool refresh = demand_version_ == 0 || now - demand_published_at_ >= settings_.refresh;
+  if (!refresh && !DemandDiffers(published_demand_, demand_)) return;
+  published_demand_ = demand_;
+  demand_published_at_ = now;
+  demand_version_ = ++version_;
+}
+
+GossipState::Peer& GossipState::PeerOf(const VmListEntry& entry) {
+  Peer& peer = peers_[entry.id];
+  if (peer.incarnation != entry.incarnation) {
+    const base::TimePoint last_call = peer.last_call;
+    peer = Peer{};
+    peer.incarnation = entry.incarnation;
+    peer.last_call = last_call;
+  }
+  return peer;
+}
+
+bool GossipState::Confirmed(const VmTable& table, base::TimePoint now) const {
+  return confirmation_.Confirmed(RequiredRegions(table), now);
+}
+
+std::vector<bool> GossipState::RequiredRegions(const VmTable& table) const {
+  std::vector<bool> required(names_.regions.size(), false);
+  for (const auto& [id, vm] : table.vms()) {
+    const size_t region = RegionIndex(vm.entry.region);
+    if (region < required.size()) required[region] = true;
+  }
+  return required;
+}
+
+std::optional<ReplicaLoad> GossipState::LoadOf(uint16_t index, base::TimePoint now) const {
+  if (index >= loads_.size() || loads_[index].as_of == base::TimePoint::min()) return std::nullopt;
+  return Aged(loads_[index], now);
+}
+
+std::optional<ZoneSum> GossipState::SumOf(uint8_t zone, base::TimePoint now) const {
+  if (zone >= sums_.size()) return std::nullopt;
+  if (names_.zones[zone] == zone_) return OwnSum();
+  if (sums_[zone].as_of == base::TimePoint::min()) return std::nullopt;
+  return Aged(sums_[zone], now);
+}
+
+std::map<std::string, std::vector<ClassDemand>> GossipState::Demand() const {
+  std::map<std::string, std::vector<ClassDemand>> demand;
+  if (!demand_.empty()) demand[own_id_] = demand_;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer.demand.empty()) demand[id] = peer.demand;
+  }
+  return demand;
+}
+
+ReplicaLoad GossipState::Aged(const LoadEntry& entry, base::TimePoint now) {
+  ReplicaLoad load = entry.load;
+  load.age = EncodeAge(now - entry.as_of);
+  return load;
+}
+
+ZoneSum GossipState::Aged(const SumEntry& entry, base::TimePoint now) {
+  ZoneSum sum = entry.sum;
+  sum.age = EncodeAge(now - entry.as_of);
+  return sum;
+}
+
+ZoneSum GossipState::OwnSum() const {
+  ZoneSum sum;
+  sum.zone = static_cast<uint8_t>(PositionOf(names_.zones, zone_));
+  uint64_t slots = 0;
+  uint64_t running = 0;
+  for (size_t i = 0; i < loads_.size(); ++i) {
+    const LoadEntry& entry = loads_[i];
+    if (entry.as_of == base::TimePoint::min() || entry.load.state != ReplicaState::kReady) continue;
+    slots += names_.slots[i];
+    running += entry.load.running;
+  }
+  sum.slots = Saturated(slots);
+  sum.running = Saturated(running);
+  sum.age = 0;
+  std::array<uint64_t, kSumClasses> queued{};
+  const auto add = [&](const std::vector<ClassDemand>& demand) {
+    for (size_t i = 0; i < demand.size(); ++i) queued[std::min(i, kSumClasses - 1)] += demand[i].queued;
+  };
+  add(demand_);
+  for (const auto& [id, peer] : peers_) add(peer.demand);
+  for (size_t i = 0; i < kSumClasses; ++i) sum.queued[i] = Saturated(queued[i]);
+  return sum;
+}
+
+}  // namespace cornelplank::membership
--- /dev/null
+++ b/libs/membership/internal/gossip_state.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libs/membership/internal/confirmation.h"
+#include "libs/membership/internal/gossip_message.h"
+#include "libs/membership/internal/vm_table.h"
+
+namespace cornelplank::membership {
+
+/// Rates and thresholds of the gossip. The defaults are worked out in docs/membership.md.
+struct GossipSettings {
+  base::Duration round = std::chrono::seconds{1};
+  /// Peers called each round; one in a zone of more than `small_zone` VMs, which halves the largest part of
+  /// the control traffic (the calls themselves) and doubles the time until each pair has met.
+  int fanout = 2;
+  size_t small_zone = 4;
+  base::Duration suspected_round = std::chrono::seconds{4};  // between two calls to a suspected VM
+  base::Duration refresh = std::chrono::seconds{5};          // of an unchanged load or demand entry
+  base::Duration stale_after = std::chrono::seconds{10};     // age at which an entry is asked for
+  double load_threshold = 0.1;  // change that counts, as a share of the replica's slots; at least 2 requests
+  base::Duration cross_round = std::chrono::seconds{2};  // calls of a zone: `cross_calls` each such time
+  int cross_calls = 2;
+  base::Duration sum_refresh = std::chrono::seconds{6};  // of an unchanged zone sum within the zone
+  size_t max_sums = 12;                                  // youngest zone sums in one message between zones
+};
+
+/// What a node sends to its peers and merges from them. Not thread-safe.
+///
+/// Within the zone each node pushes only what it measured itself, once to each peer and only when it changed;
+/// answers carry the other direction. A node that misses an entry (partial partition) asks any peer for it.
+/// So in a healthy zone each change crosses each pair once, without the redundancy of a flooding gossip.
+class GossipState {
+ public:
+  GossipState(GossipSettings settings, NameIndex names, const VmTable& table, uint64_t seed,
+              base::TimePoint now);
+
+  // Facts of this node.
+  /// Replaces the names after a change of the configuration. Entries keep their names where they still exist.
+  void SetNames(NameIndex names, const VmTable& table);
+  void SetConfig(ConfigMark mark, base::TimePoint now);
+  /// The platform answered a read or a watch that started at `asked_at`.
+  void PlatformConfirmed(uint64_t head_seq, base::TimePoint asked_at, base::TimePoint now);
+  void SetOwnLoad(uint16_t index, uint16_t running, uint16_t queued, ReplicaState state, base::TimePoint now);
+  void SetOwnDemand(std::vector<ClassDemand> demand, base::TimePoint now);
+  /// The next round is due at once and calls every peer of the zone. Use it for a leaving VM; a replica that
+  /// starts to leave does it by itself.
+  void MarkUrgent() { urgent_ = true; }
+
+  // Calls.
+  /// Peers of the zone to call now. Call it every 100 to 250 ms.
+  std::vector<std::string> ZoneCallsDue(const VmTable& table, base::TimePoint now);
+  /// A VM of another zone to call now, if any.
+  std::optional<std::string> CrossCallDue(const VmTable& table, base::TimePoint now);
+  /// The message for a call to `peer` or for the answer to its call (`asked`: its message).
+  GossipMessage MessageFor(const Vm& peer, const VmTable& table, const GossipMessage* asked,
+                           base::TimePoint now);
+  void MergeCall(const VmListEntry& from, const GossipMessage& message, VmTable& table, base::TimePoint now);
+  /// `call_started`: when the own call was sent; ages in the answer count from there.
+  void MergeAnswer(const VmListEntry& from, const GossipMessage& message, base::TimePoint call_started,
+                   VmTable& table, base::TimePoint now);
+  void CallFailed(const std::string& peer, VmTable& table, base::TimePoint now);
+
+  // View.
+  bool Confirmed(const VmTable& table, base::TimePoint now) const;
+  const Confirmation& confirmation() const { return confirmation_; }
+  /// A peer whose configuration is ahead of the own one, to pull entries from.
+  struct Lead {
+    std::string peer;
+    uint64_t seq = 0;
+  };
+  const std::optional<Lead>& lead() const { return lead_; }
+  /// Number of messages that showed the own sequence number with a different digest.
+  uint64_t digest_conflicts() const { return digest_conflicts_; }
+  /// Load of a replica with its current age; nothing when unknown.
+  std::optional<ReplicaLoad> LoadOf(uint16_t index, base::TimePoint now) const;
+  std::optional<ZoneSum> SumOf(uint8_t zone, base::TimePoint now) const;
+  /// Demand by VM, also the own; only VMs that sent some.
+  std::map<std::string, std::vector<ClassDemand>> Demand() const;
+  const NameIndex& names() const { return names_; }
+
+ private:
+  struct LoadEntry {
+    ReplicaLoad load;
+    base::TimePoint as_of = base::TimePoint::min();
+    bool own = false;       // measured by this node
+    ReplicaLoad published;  // what peers were last told
+    base::TimePoint published_at = base::TimePoint::min();
+    uint32_t version = 0;
+  };
+  struct SumEntry {
+    ZoneSum sum;
+    base::TimePoint as_of = base::TimePoint::min();
+    ZoneSum told;  // what the peers of the zone know, from this node or from another
+    base::TimePoint told_as_of = base::TimePoint::min();
+    bool own = false;  // `told` comes from this node's own contact with another zone
+    uint32_t version = 0;
+  };
+  struct Peer {
+    uint64_t incarnation = 0;
+    uint32_t acked = 0;  // own version that the peer has merged
+    uint32_t seen = 0;   // the peer's version that this node has merged
+    base::TimePoint last_contact = base::TimePoint::min();
+    base::TimePoint last_call = base::TimePoint::min();
+    bool calling = false;
+    std::vector<ClassDemand> demand;
+  };
+  struct Published {
+    uint64_t change = 0;
+    uint32_t version = 0;
+  };
+
+  Peer& PeerOf(const VmListEntry& entry);
+  bool ProbeDue(const Vm& vm, const Peer& peer, base::TimePoint now) const;
+  base::Duration NewsAge(const VmListEntry& entry, bool by_region, base::TimePoint now) const;
+  bool InZone(const VmListEntry& entry) const { return entry.zone == zone_; }
+  void AddZoneParts(GossipMessage& message, const VmListEntry& peer, const Peer& state, const VmTable& table,
+                    const GossipMessage* asked, base::TimePoint now);
+  void AddVmChanges(GossipMessage& message, const VmListEntry& peer, const Peer& state, const VmTable& table,
+                    base::TimePoint now);
+  void AddCrossSums(GossipMessage& message, base::TimePoint now) const;
+  ZoneSum OwnSum() const;
+  static ReplicaLoad Aged(const LoadEntry& entry, base::TimePoint now);
+  static ZoneSum Aged(const SumEntry& entry, base::TimePoint now);
+  void Merge(const VmListEntry& from, const GossipMessage& message, VmTable& table, base::TimePoint now);
+  void MergeFreshness(const VmListEntry& from, const GossipMessage& message, base::TimePoint call_started,
+                      base::TimePoint now);
+  void MergeLoads(const GossipMessage& message, base::TimePoint now);
+  void MergeSums(const VmListEntry& from, const GossipMessage& message, base::TimePoint now);
+  bool NamesMatch(const VmListEntry& from, const GossipMessage& message) const;
+  size_t RegionIndex(std::string_view region) const;
+  size_t ZoneIndex(std::string_view zone) const;
+  std::vector<bool> RequiredRegions(const VmTable& table) const;
+  base::Duration Jitter(base::Duration span);
+
+  GossipSettings settings_;
+  NameIndex names_;
+  std::string own_id_;
+  std::string zone_;
+  std::string region_;
+  base::Random random_;
+  Confirmation confirmation_;
+  ConfigMark config_;
+  uint32_t version_ = 0;
+  std::vector<LoadEntry> loads_;  // by NameIndex::replicas
+  std::vector<SumEntry> sums_;    // by NameIndex::zones
+  std::vector<ClassDemand> demand_;
+  std::vector<ClassDemand> published_demand_;
+  base::TimePoint demand_published_at_ = base::TimePoint::min();
+  uint32_t demand_version_ = 0;
+  std::map<std::string, Peer, std::less<>> peers_;
+  std::map<std::string, Published, std::less<>> published_vms_;
+  std::map<std::string, base::TimePoint, std::less<>> zone_tried_at_;
+  base::TimePoint next_round_;
+  base::TimePoint next_cross_;
+  bool urgent_ = false;
+  std::optional<Lead> lead_;
+  uint64_t digest_conflicts_ = 0;
+};
+
+}  // namespace cornelplank::membership
--- /dev/null
+++ b/libs/membership/internal/read_schedule.cc
@@ -0,0 +1,44 @@
+#include "libs/membership/internal/read_schedule.h"
+
+#include <algorithm>
+
+namespace cornelplank::membership {
+
+ReadSchedule::ReadSchedule(uint64_t seed, base::TimePoint now)
+    : random_(seed), last_start_(now - kFallbackInterval), last_end_(now - kFallbackInterval) {
+  Draw();
+}
+
+void ReadSchedule::Draw() {
+  fraction_ = random_.Unit();
+  threshold_ = kFallbackAfter + std::chrono::duration_cast<base::Duration>(kFallbackAfter * random_.Unit());
+}
+
+base::Duration ReadSchedule::Wait(bool is_reader) const {
+  if (failures_ == 0) return is_reader ? base::Duration{0} : kFallbackInterval;
+  const base::Duration first = is_reader ? kReaderBackoff : kFallbackInterval;
+  const base::Duration longest = is_reader ? kReaderMaxBackoff : kMaxBackoff;
+  const base::Duration wait = std::min(longest, first * (1 << std::min(failures_ - 1, 8)));
+  // Half of the wait is random, so that nodes that failed together don't return together.
+  return wait / 2 + std::chrono::duration_cast<base::Duration>(wait / 2 * fraction_);
+}
+
+bool ReadSchedule::Due(bool is_reader, base::Duration confirmed_age, base::TimePoint now) const {
+  if (running_ || now - last_end_ < Wait(is_reader)) return false;
+  if (is_reader) return now - last_start_ >= kReaderSpacing;
+  return now - last_start_ >= kFallbackInterval && confirmed_age >= threshold_;
+}
+
+void ReadSchedule::Started(base::TimePoint now) {
+  running_ = true;
+  last_start_ = now;
+}
+
+void ReadSchedule::Ended(bool answered, base::TimePoint now) {
+  running_ = false;
+  last_end_ = now;
+  failures_ = answered ? 0 : failures_ + 1;
+  Draw();
+}
+
+}  // namespace cornelplank::membership
--- /dev/null
+++ b/libs/membership/internal/vm_table.cc
@@ -0,0 +1,171 @@
+#include "libs/membership/internal/vm_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelplank::membership {
+
+VmTable::VmTable(const VmListEntry& own, base::TimePoint now)
+    : own_id_(own.id), last_now_(now), last_tick_(now) {
+  Vm& vm = vms_[own_id_];
+  Replace(vm, own, now);
+}
+
+base::TimePoint VmTable::Forward(base::TimePoint now) {
+  last_now_ = std::max(last_now_, now);
+  return last_now_;
+}
+
+void VmTable::Replace(Vm& vm, const VmListEntry& entry, base::TimePoint now) {
+  vm.entry = entry;
+  vm.suspected = false;
+  vm.doubted = false;
+  vm.misses = 0;
+  vm.answers = 0;
+  vm.last_answer = now;
+  vm.change = ++change_;
+}
+
+Vm* VmTable::Merge(const VmListEntry& entry, base::TimePoint now) {
+  if (entry.id.empty()) return nullptr;
+  const auto found = vms_.find(entry.id);
+  if (found == vms_.end()) {
+    if (vms_.size() >= kMaxVms) return nullptr;
+    VmListEntry merged = entry;
+    if (const auto tomb = tombstones_.find(entry.id); tomb != tombstones_.end()) {
+      if (entry.incarnation < tomb->second.incarnation) return nullptr;
+      const bool same = entry.incarnation == tomb->second.incarnation;
+      if (same && tomb->second.state == VmState::kLeaving) merged.state = VmState::kLeaving;
+      tombstones_.erase(tomb);
+    }
+    Vm& vm = vms_[entry.id];
+    Replace(vm, merged, now);
+    return &vm;
+  }
+  Vm& vm = found->second;
+  if (entry.incarnation < vm.entry.incarnation) return nullptr;
+  if (entry.id == own_id_) return &vm;  // nobody knows better than the VM itself
+  if (entry.incarnation > vm.entry.incarnation) {
+    Replace(vm, entry, now);
+    vm.last_heard = base::TimePoint{};
+    return &vm;
+  }
+  if (entry.state == VmState::kLeaving && vm.entry.state != VmState::kLeaving) {
+    vm.entry.state = VmState::kLeaving;
+    vm.change = ++change_;
+  }
+  return &vm;
+}
+
+void VmTable::ApplyVmList(const std::vector<VmListEntry>& list, base::Duration age, base::TimePoint now) {
+  now = Forward(now);
+  const base::TimePoint produced_at = now - std::max(age, base::Duration{0});
+  if (produced_at < list_produced_at_) return;
+  list_produced_at_ = produced_at;
+  for (auto& [id, vm] : vms_) vm.listed = false;
+  for (const VmListEntry& entry : list) {
+    const bool known = vms_.contains(entry.id);
+    Vm* vm = Merge(entry, now);
+    if (vm != nullptr && !known) vm->last_heard = produced_at;
+    // An entry with an older incarnation still shows that the platform counts the VM.
+    if (const auto found = vms_.find(entry.id); found != vms_.end()) found->second.listed = true;
+  }
+}
+
+void VmTable::HeartbeatReceived(const VmListEntry& from, base::TimePoint now) {
+  now = Forward(now);
+  if (Vm* vm = Merge(from, now); vm != nullptr) vm->last_heard = now;
+}
+
+void VmTable::LearnFromPeer(const VmListEntry& entry, base::Duration age, base::TimePoint now) {
+  now = Forward(now);
+  age = std::max(age, base::Duration{0});
+  // Peers that repeat each other must not keep a dead VM alive, so old news adds no VM.
+  if (age >= kRemovalSilence && !vms_.contains(entry.id)) return;
+  if (Vm* vm = Merge(entry, now); vm != nullptr) vm->last_heard = std::max(vm->last_heard, now - age);
+}
+
+void VmTable::SetSuspected(Vm& vm, bool suspected) {
+  if (vm.suspected == suspected) return;
+  vm.suspected = suspected;
+  ++change_;
+}
+
+void VmTable::Answered(std::string_view id, uint64_t incarnation, VmState state, base::TimePoint now) {
+  now = Forward(now);
+  const auto found = vms_.find(id);
+  if (found == vms_.end() || found->first == own_id_) return;
+  Vm& vm = found->second;
+  if (incarnation != 0) {
+    if (incarnation < vm.entry.incarnation) return;
+    VmListEntry entry = vm.entry;
+    entry.incarnation = incarnation;
+    entry.state = state;
+    Merge(entry, now);
+  }
+  vm.last_answer = now;
+  vm.last_heard = now;
+  vm.misses = 0;
+  vm.doubted = false;
+  vm.answers = std::min(vm.answers + 1, kObservations);
+  if (vm.answers >= kObservations) SetSuspected(vm, false);
+}
+
+void VmTable::Missed(std::string_view id, base::TimePoint now) {
+  now = Forward(now);
+  const auto found = vms_.find(id);
+  if (found == vms_.end() || found->first == own_id_) return;
+  Vm& vm = found->second;
+  vm.answers = 0;
+  vm.doubted = true;
+  vm.misses = std::min(vm.misses + 1, kObservations);
+  if (vm.misses >= kObservations && now - vm.last_answer >= kSuspicionDelay) SetSuspected(vm, true);
+}
+
+bool VmTable::Removable(const Vm& vm, base::TimePoint now) const {
+  return vm.entry.id != own_id_ && !vm.listed && list_produced_at_ >= vm.last_heard &&
+         now - vm.last_heard >= kRemovalSilence && now - vm.last_answer >= kRemovalSilence;
+}
+
+void VmTable::Tick(base::TimePoint now) {
+  now = Forward(now);
+  const bool paused = now - last_tick_ > kPauseGap;
+  last_tick_ = now;
+  for (auto it = vms_.begin(); it != vms_.end();) {
+    Vm& vm = it->second;
+    if (paused && !vm.suspected) {
+      vm.misses = 0;
+      vm.last_answer = now;
+    }
+    if (!Removable(vm, now)) {
+      ++it;
+      continue;
+    }
+    tombstones_[it->first] = {vm.entry.incarnation, vm.entry.state, now};
+    ++change_;
+    it = vms_.erase(it);
+  }
+  std::erase_if(tombstones_, [&](const auto& item) { return now - item.second.since >= kTombstoneAge; });
+}
+
+void VmTable::SetOwnLeaving() {
+  Vm& vm = vms_.at(own_id_);
+  if (vm.entry.state == VmState::kLeaving) return;
+  vm.entry.state = VmState::kLeaving;
+  vm.change = ++change_;
+}
+
+const Vm* VmTable::Find(std::string_view id) const {
+  const auto found = vms_.find(id);
+  return found == vms_.end() ? nullptr : &found->second;
+}
+
+std::vector<const Vm*> VmTable::InZone(std::string_view zone) const {
+  std::vector<const Vm*> result;
+  for (const auto& [id, vm] : vms_) {
+    if (vm.entry.zone == zone) result.push_back(&vm);
+  }
+  return result;
+}
+
+}  // namespace cornelplank::membership
--- /dev/null
+++ b/tests/membership/gossip_test.cc
@@ -0,0 +1,158 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/membership/membership.h"
+
+namespace cornelplank::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::TimePoint kStart{std::chrono::hours{1}};
+
+NameIndex Names() {
+  NameIndex names;
+  names.regions = {"nord", "ost"};
+  names.zones = {"nord-1", "ost-1"};
+  names.replicas = {"r0", "r1", "r2"};
+  names.slots = {16, 16, 16};
+  names.classes = {"p/desk"};
+  return names;
+}
+
+struct Node {
+  Node(const std::string& id, const std::string& region, uint64_t seed)
+      : table({id, "p", region, region + "-1", "", "", 1, VmState::kLive}, kStart),
+        gossip(GossipSettings{}, Names(), table, seed, kStart) {}
+  VmTable table;
+  GossipState gossip;
+};
+
+/// One call from `a` to `b` with its answer. Returns the sizes of both messages.
+size_t Exchange(Node& a, Node& b, base::TimePoint now) {
+  a.table.HeartbeatReceived(b.table.own().entry, now);
+  const GossipMessage call =
+      a.gossip.MessageFor(*a.table.Find(b.table.own().entry.id), a.table, nullptr, now);
+  b.gossip.MergeCall(a.table.own().entry, call, b.table, now);
+  const GossipMessage answer =
+      b.gossip.MessageFor(*b.table.Find(a.table.own().entry.id), b.table, &call, now);
+  a.gossip.MergeAnswer(b.table.own().entry, answer, now - milliseconds{10}, a.table, now);
+  return EncodedBytes(call) + EncodedBytes(answer);
+}
+
+// Guards against entries that are sent again although the peer has them, or that never reach it.
+TEST(GossipTest, SendsEachChangeOnceAndAnswersStaleEntries) {
+  Node a("a", "ost", 1);
+  Node b("b", "ost", 2);
+  Node c("c", "ost", 3);
+  base::TimePoint now = kStart;
+  Exchange(a, b, now);
+  Exchange(a, b, now);
+  const size_t idle = Exchange(a, b, now);
+  a.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kReady, now);
+  EXPECT_EQ(Exchange(a, b, now), idle + 16);
+  ASSERT_TRUE(b.gossip.LoadOf(0, now));
+  EXPECT_EQ(b.gossip.LoadOf(0, now)->running, 5);
+  EXPECT_FALSE(b.gossip.LoadOf(1, now));
+  Exchange(a, b, now);
+  EXPECT_EQ(Exchange(a, b, now), idle);
+  now += seconds{1};
+  a.gossip.SetOwnLoad(0, 6, 1, ReplicaState::kReady, now);
+  EXPECT_EQ(Exchange(a, b, now), idle) << "a small change waits for the refresh";
+  // c can't reach a, so it gets the entry from b by asking.
+  Exchange(c, b, now);
+  ASSERT_TRUE(c.gossip.LoadOf(0, now));
+  EXPECT_EQ(c.gossip.LoadOf(0, now)->running, 5);
+  EXPECT_EQ(c.gossip.LoadOf(0, now)->age, 10);
+}
+
+// Guards against an entry with a higher age that replaces a younger one, as with reordered messages.
+TEST(GossipTest, YoungestEntryWins) {
+  Node a("a", "ost", 1);
+  Node b("b", "ost", 2);
+  b.table.HeartbeatReceived(a.table.own().entry, kStart);
+  GossipMessage young;
+  young.loads = {{1, 9, 0, ReplicaState::kLeaving, 2}};
+  GossipMessage old;
+  old.loads = {{1, 3, 0, ReplicaState::kReady, 20}};
+  b.gossip.MergeCall(a.table.own().entry, young, b.table, kStart + seconds{1});
+  b.gossip.MergeCall(a.table.own().entry, old, b.table, kStart + seconds{2});
+  EXPECT_EQ(b.gossip.LoadOf(1, kStart + seconds{2})->state, ReplicaState::kLeaving);
+}
+
+// Guards against a replica that starts to leave and whose peers learn it only in their turn.
+TEST(GossipTest, LeavingReplicaCallsAllPeersAtOnce) {
+  Node a("a", "ost", 1);
+  for (int i = 0; i < 9; ++i) {
+    a.table.HeartbeatReceived({std::to_string(i), "p", "ost", "ost-1", "", "", 1, VmState::kLive}, kStart);
+  }
+  a.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kReady, kStart);
+  EXPECT_LE(a.gossip.ZoneCallsDue(a.table, kStart + seconds{1}).size(), 1U);
+  a.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kLeaving, kStart);
+  EXPECT_GE(a.gossip.ZoneCallsDue(a.table, kStart + milliseconds{1100}).size(), 8U);
+}
+
+// Guards against a node that counts as confirmed through old, stale or one-way news, or that has seen a newer
+// head which it can't reach.
+TEST(ConfirmationTest, NeedsYoungNewsFromPlatformOrAllRegions) {
+  Confirmation confirmation(2, 0);
+  const std::vector<bool> all{true, true};
+  EXPECT_FALSE(confirmation.Confirmed(all, kStart));
+  EXPECT_TRUE(confirmation.Confirmed({true, false}, kStart)) << "a region without VMs holds no version";
+  confirmation.SetOwnSeq(5, kStart);
+  confirmation.HeadConfirmed(5, kStart, kStart);
+  EXPECT_TRUE(confirmation.Confirmed(all, kStart + seconds{13}));
+  EXPECT_FALSE(confirmation.Confirmed(all, kStart + seconds{14}));
+  confirmation.HeadConfirmed(4, kStart + seconds{14}, kStart + seconds{14});
+  EXPECT_FALSE(confirmation.Confirmed(all, kStart + seconds{14})) << "a stale platform confirms nothing";
+  confirmation.RegionContact(1, kStart + seconds{10});
+  EXPECT_TRUE(confirmation.Confirmed(all, kStart + seconds{20}));
+  confirmation.HeadConfirmed(7, kStart + seconds{20}, kStart + seconds{20});
+  confirmation.RegionContact(1, kStart + seconds{40});
+  EXPECT_FALSE(confirmation.Confirmed(all, kStart + seconds{40})) << "a newer head is known but not reached";
+  confirmation.SetOwnSeq(7, kStart + seconds{41});
+  EXPECT_TRUE(confirmation.Confirmed(all, kStart + seconds{41}));
+}
+
+// Guards against ages that are taken from incoming calls, which may have waited in a silent connection.
+TEST(ConfirmationTest, IncomingCallsConfirmNothing) {
+  Node a("a", "ost", 1);
+  Node n("n", "nord", 2);
+  Exchange(n, a, kStart);
+  EXPECT_FALSE(a.gossip.Confirmed(a.table, kStart));
+  EXPECT_TRUE(n.gossip.Confirmed(n.table, kStart));
+}
+
+// Guards against a burst of calls when a platform outage ends, and against more calls than the budget.
+TEST(ReadScheduleTest, NoBurstAfterAnOutage) {
+  std::vector<ReadSchedule> nodes;
+  for (uint64_t i = 0; i < 370; ++i) nodes.emplace_back(i, kStart);
+  const auto fallback_calls_in_second = [&](int second, bool answered) {
+    int calls = 0;
+    for (int tenth = 0; tenth < 10; ++tenth) {
+      const base::TimePoint now = kStart + seconds{second} + milliseconds{100 * tenth};
+      for (size_t i = 0; i < nodes.size(); ++i) {
+        if (!nodes[i].Due(i < 52, seconds{second}, now)) continue;
+        nodes[i].Started(now);
+        nodes[i].Ended(answered, now);
+        if (i >= 52) ++calls;
+      }
+    }
+    return calls;
+  };
+  for (int second = 0; second < 600; ++second) fallback_calls_in_second(second, false);
+  int most = 0;
+  for (int second = 600; second < 630; ++second) {
+    most = std::max(most, fallback_calls_in_second(second, second % 2 == 1));
+  }
+  EXPECT_LE(most, 318 / 5) << "even the busiest second keeps to one call per 5 s and fall-back node";
+  EXPECT_FALSE(nodes[300].Due(false, seconds{4}, kStart + seconds{700})) << "5 s must pass first";
+}
+
+}  // namespace
+}  // namespace cornelplank::membership
