--- /dev/null
+++ b/standins/engine/core/engine_core.cc
@@ -0,0 +1,286 @@
+#include "standins/engine/core/engine_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "standins/engine/core/tokens.h"
+
+namespace cornelplank::standins::engine {
+namespace {
+
+constexpr size_t kMaxLogRecords = 200000;
+// Keeps the clock of the simulation moving when a test asks for a time per token of zero.
+constexpr base::Duration kShortestStep = std::chrono::microseconds{10};
+
+base::Duration Microseconds(double count) { return base::Duration{static_cast<int64_t>(count * 1000)}; }
+
+bool IsOpen(RequestState state) { return state == RequestState::kQueued || state == RequestState::kRunning; }
+
+int64_t MillisecondsBetween(base::TimePoint from, base::TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+}  // namespace
+
+std::string_view StateName(RequestState state) {
+  switch (state) {
+    case RequestState::kQueued:
+      return "queued";
+    case RequestState::kRunning:
+      return "running";
+    case RequestState::kFinished:
+      return "complete";
+    case RequestState::kCancelled:
+      return "cancelled";
+    case RequestState::kTimedOut:
+      return "timed-out";
+    case RequestState::kDisconnected:
+      return "disconnected";
+  }
+  return "unknown";
+}
+
+EngineCore::EngineCore(EngineOptions options, base::TimePoint start)
+    : options_(std::move(options)), start_(start), cache_(options_.cache_tokens), orders_(options_.orders) {
+  RecordLoad(start);
+}
+
+std::optional<uint64_t> EngineCore::Submit(EngineRequest request, base::TimePoint now,
+                                           base::Reason<RefusalCode>* reason) {
+  AdvanceTo(now);
+  const auto refuse = [&](RefusalCode code, std::string detail) {
+    LogRecord record{request.id, "refused", request.model, request.priority, request.resume_tokens};
+    record.submitted_ms = record.ended_ms = MillisecondsBetween(start_, now);
+    log_.push_back(std::move(record));
+    base::SetReason(reason, code, std::move(detail));
+    return std::nullopt;
+  };
+  if (options_.leaving) return refuse(RefusalCode::kLeaving, "the engine is leaving");
+  if (fault_ == FaultKind::kReject) {
+    if (fault_count_ > 0 && --fault_count_ == 0) fault_ = FaultKind::kNone;
+    return refuse(RefusalCode::kRejected, "the engine refuses requests by a fault switch");
+  }
+  if (!orders_.HasModel(request.model)) return refuse(RefusalCode::kUnknownModel, "the model is not loaded");
+  const bool must_wait = batch_.size() >= options_.slots;
+  if (must_wait && queue_.size() >= options_.max_queue) {
+    return refuse(RefusalCode::kQueueFull, "the queue is full");
+  }
+  const uint64_t handle = next_handle_++;
+  Active active;
+  active.chain = PrefixChain(request.model, request.prompt);
+  active.prompt_hash = PromptHash(request.prompt);
+  active.produced = std::min(request.resume_tokens, request.max_tokens);
+  active.submitted = now;
+  queue_.emplace(request.priority, handle);
+  active.request = std::move(request);
+  requests_.emplace(handle, std::move(active));
+  Admit(now);
+  RecordLoad(now);
+  return handle;
+}
+
+base::Duration EngineCore::StepTime() const {
+  const double others = batch_.empty() ? 0 : static_cast<double>(batch_.size() - 1);
+  double time_us = options_.ms_per_token * 1000 * (1 + options_.batch_slowdown * others);
+  if (fault_ == FaultKind::kSlow) time_us *= static_cast<double>(std::max<uint64_t>(fault_count_, 1));
+  return std::max(Microseconds(time_us), kShortestStep);
+}
+
+std::optional<base::TimePoint> EngineCore::NextEvent() const {
+  std::optional<base::TimePoint> next = orders_.NextEvent();
+  const auto consider = [&next](base::TimePoint at) {
+    if (!next || at < *next) next = at;
+  };
+  if (step_end_ && !stalled_) consider(*step_end_);
+  for (const auto& [handle, active] : requests_) {
+    if (IsOpen(active.state) && active.request.deadline) consider(*active.request.deadline);
+  }
+  return next;
+}
+
+void EngineCore::AdvanceTo(base::TimePoint now) {
+  for (auto next = NextEvent(); next && *next <= now && !dead_; next = NextEvent()) {
+    const base::TimePoint at = *next;
+    orders_.AdvanceTo(at);
+    ExpireDeadlines(at);
+    if (step_end_ && *step_end_ <= at && !stalled_) RunStep(at);
+    Admit(at);
+    RecordLoad(at);
+  }
+}
+
+void EngineCore::RunStep(base::TimePoint at) {
+  step_end_.reset();
+  const std::vector<uint64_t> batch = batch_;
+  for (const uint64_t handle : batch) {
+    Active& active = requests_.at(handle);
+    if (active.prefilled > at) continue;
+    if (!ProduceToken(active, at)) return;
+    if (active.produced >= active.request.max_tokens) End(handle, RequestState::kFinished, at);
+  }
+  if (!batch_.empty()) step_end_ = at + StepTime();
+}
+
+bool EngineCore::ProduceToken(Active& active, base::TimePoint at) {
+  if (fault_ == FaultKind::kDieAfterTokens || fault_ == FaultKind::kStallAfterTokens) {
+    if (fault_count_ == 0) {
+      (fault_ == FaultKind::kDieAfterTokens ? dead_ : stalled_) = true;
+      return false;
+    }
+    --fault_count_;
+  }
+  if (!active.cached) {
+    active.cached = true;
+    cache_.Add(active.chain, at);
+  }
+  if (active.produced < active.request.max_tokens) ++active.produced;
+  return true;
+}
+
+void EngineCore::End(uint64_t handle, RequestState state, base::TimePoint at) {
+  Active& active = requests_.at(handle);
+  queue_.erase({active.request.priority, handle});
+  std::erase(batch_, handle);
+  active.state = state;
+  active.ended = at;
+}
+
+void EngineCore::ExpireDeadlines(base::TimePoint at) {
+  for (auto& [handle, active] : requests_) {
+    if (IsOpen(active.state) && active.request.deadline && *active.request.deadline <= at) {
+      End(handle, RequestState::kTimedOut, at);
+    }
+  }
+}
+
+void EngineCore::Admit(base::TimePoint at) {
+  if (stalled_) return;
+  while (!queue_.empty() && batch_.size() < options_.slots) {
+    const uint64_t handle = queue_.begin()->second;
+    queue_.erase(queue_.begin());
+    Start(handle, at);
+  }
+  if (!batch_.empty() && !step_end_) step_end_ = at + StepTime();
+}
+
+void EngineCore::Start(uint64_t handle, base::TimePoint at) {
+  Active& active = requests_.at(handle);
+  active.state = RequestState::kRunning;
+  active.started = true;
+  active.cached_tokens = cache_.Use(active.chain) * kTokensPerBlock;
+  // A resumed request computes the tokens that the caller already has once more.
+  const uint64_t missing = PromptTokens(active.request.prompt) - active.cached_tokens + active.produced;
+  active.prefilled = at + Microseconds(options_.prefill_us_per_token * static_cast<double>(missing));
+  batch_.push_back(handle);
+}
+
+RequestView EngineCore::View(uint64_t handle) const {
+  const Active& active = requests_.at(handle);
+  return {active.state, active.started, active.produced, active.cached_tokens};
+}
+
+size_t EngineCore::Cancel(const std::string& id, base::TimePoint now) {
+  AdvanceTo(now);
+  size_t count = 0;
+  for (auto& [handle, active] : requests_) {
+    if (active.request.id != id || !IsOpen(active.state)) continue;
+    End(handle, RequestState::kCancelled, now);
+    ++count;
+  }
+  Admit(now);
+  RecordLoad(now);
+  return count;
+}
+
+void EngineCore::Close(uint64_t handle, bool delivered, base::TimePoint now) {
+  AdvanceTo(now);
+  Active& active = requests_.at(handle);
+  if (IsOpen(active.state)) {
+    End(handle, RequestState::kDisconnected, now);
+  } else if (active.state == RequestState::kFinished && !delivered) {
+    active.state = RequestState::kDisconnected;
+  }
+  log_.push_back(RecordOf(active, std::string(StateName(active.state))));
+  if (log_.size() > kMaxLogRecords) log_.pop_front();
+  requests_.erase(handle);
+  Admit(now);
+  RecordLoad(now);
+}
+
+LogRecord EngineCore::RecordOf(const Active& active, std::string outcome) const {
+  LogRecord record{active.request.id,       std::move(outcome),           active.request.model,
+                   active.request.priority, active.request.resume_tokens, active.produced,
+                   active.prompt_hash,      active.request.streamed};
+  record.submitted_ms = MillisecondsBetween(start_, active.submitted);
+  record.ended_ms = IsOpen(active.state) ? -1 : MillisecondsBetween(start_, active.ended);
+  return record;
+}
+
+std::vector<LogRecord> EngineCore::OpenRecords() const {
+  std::vector<LogRecord> records;
+  records.reserve(requests_.size());
+  for (const auto& [handle, active] : requests_) {
+    records.push_back(RecordOf(active, std::string(StateName(active.state))));
+  }
+  return records;
+}
+
+void EngineCore::RecordLoad(base::TimePoint at) {
+  LoadReport report{at, "ready", running(), queued(), orders_.Models()};
+  if (options_.leaving) {
+    report.state = "leaving";
+  } else if (report.models.empty() && orders_.loading()) {
+    report.state = "loading";
+  }
+  if (!reports_.empty() && reports_.back().at == at) reports_.pop_back();
+  reports_.push_back(std::move(report));
+  // The newest report that is older than the lag stays.
+  while (reports_.size() > 1 && reports_[1].at + options_.report_lag <= at) reports_.pop_front();
+}
+
+LoadReport EngineCore::Report(base::TimePoint now) const {
+  LoadReport visible = reports_.front();
+  for (const LoadReport& report : reports_) {
+    if (report.at + options_.report_lag <= now) visible = report;
+  }
+  return visible;
+}
+
+std::vector<CacheEvent> EngineCore::CacheEventsAfter(uint64_t after, base::TimePoint now) const {
+  std::vector<CacheEvent> visible;
+  for (const CacheEvent& event : cache_.events()) {
+    if (event.seq <= after || event.at + options_.cache_event_lag > now) continue;
+    if (base::Random(options_.seed + event.seq).Unit() >= options_.cache_event_loss) visible.push_back(event);
+  }
+  return visible;
+}
+
+void EngineCore::ImportPrefix(const std::vector<uint64_t>& chain, base::TimePoint now) {
+  AdvanceTo(now);
+  cache_.Add(chain, now);
+}
+
+std::optional<std::string> EngineCore::TakeOrder(const Order& order, base::TimePoint now,
+                                                 base::Reason<OrderCode>* reason) {
+  AdvanceTo(now);
+  auto status = orders_.Take(order, now, reason);
+  RecordLoad(now);
+  return status;
+}
+
+void EngineCore::Leave(base::TimePoint now) {
+  AdvanceTo(now);
+  options_.leaving = true;
+  RecordLoad(now);
+}
+
+void EngineCore::SetFault(FaultKind kind, uint64_t n, base::TimePoint now) {
+  AdvanceTo(now);
+  fault_ = kind;
+  fault_count_ = n;
+  stalled_ = false;
+  step_end_.reset();
+  Admit(now);
+}
+
+}  // namespace cornelplank::standins::engine
--- /dev/null
+++ b/standins/engine/engine_app.cc
@@ -0,0 +1,288 @@
+#include "standins/engine/engine_app.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <utility>
+
+#include "standins/common/reply.h"
+#include "standins/engine/core/tokens.h"
+#include "standins/engine/token_stream.h"
+
+namespace cornelplank::standins::engine {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kRequests = "/v1/requests/";
+constexpr std::string_view kKv = "/kv/";
+constexpr unsigned kDefaultPriority = 4;
+constexpr unsigned kLowestPriority = 7;
+constexpr uint64_t kDefaultMaxTokens = 64;
+constexpr auto kLongestSleep = std::chrono::milliseconds{500};
+
+uint64_t MemberNumber(const json& object, const char* name, uint64_t fallback) {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_number_unsigned() ? found->get<uint64_t>() : fallback;
+}
+
+std::string MemberText(const json& object, const char* name) {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+// The urgency of an RFC 9218 Priority header, "u=N".
+unsigned Urgency(std::string_view header) {
+  const size_t at = header.find("u=");
+  if (at == std::string_view::npos || at + 2 >= header.size()) return kDefaultPriority;
+  const unsigned digit = static_cast<unsigned>(header[at + 2]) - '0';
+  return digit <= kLowestPriority ? digit : kDefaultPriority;
+}
+
+EngineRequest ParseChat(const http::Request& request, const json& body, base::TimePoint now) {
+  EngineRequest parsed;
+  parsed.id = http::HeaderValue(request.headers, "Request-Id");
+  parsed.model = MemberText(body, "model");
+  parsed.prompt = PromptText(body);
+  parsed.priority = Urgency(http::HeaderValue(request.headers, "Priority"));
+  parsed.seed = MemberNumber(body, "seed", 0);
+  parsed.max_tokens = MemberNumber(body, "max_tokens", kDefaultMaxTokens);
+  parsed.resume_tokens = MemberNumber(body, "resume_tokens", 0);
+  const auto stream = body.find("stream");
+  parsed.streamed = stream != body.end() && stream->is_boolean() && stream->get<bool>();
+  const uint64_t timeout = NumberOr(http::HeaderValue(request.headers, "Request-Timeout-Ms"), 0);
+  if (timeout > 0) parsed.deadline = now + std::chrono::milliseconds{timeout};
+  return parsed;
+}
+
+}  // namespace
+
+EngineApp::EngineApp(EngineOptions options, uint64_t kv_bytes_per_token)
+    : incarnation_(base::EntropySeed()),
+      kv_bytes_per_token_(kv_bytes_per_token),
+      core_(std::move(options), clock_.Now()),
+      clock_thread_([this] { RunClock(); }) {}
+
+EngineApp::~EngineApp() {
+  Stop();
+  clock_thread_.join();
+}
+
+void EngineApp::RunClock() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_) {
+    core_.AdvanceTo(clock_.Now());
+    if (core_.dead()) std::_Exit(3);  // the fault "die-after-tokens": the process ends without a farewell
+    changed_.notify_all();
+    const auto next = core_.NextEvent();
+    const base::Duration sleep = next ? *next - clock_.Now() : base::Duration{kLongestSleep};
+    changed_.wait_for(lock, std::clamp<base::Duration>(sleep, base::Duration{0}, kLongestSleep));
+  }
+}
+
+void EngineApp::Leave() {
+  WithCore([](EngineCore& core, base::TimePoint now) {
+    core.Leave(now);
+    return true;
+  });
+}
+
+void EngineApp::Stop() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  stopping_ = true;
+  changed_.notify_all();
+}
+
+http::Response EngineApp::Handle(const http::Request& request) {
+  const std::string_view path = request.path;
+  if (path == "/v1/chat/completions" && request.method == "POST") return Chat(request);
+  if (path.starts_with(kRequests) && request.method == "DELETE") {
+    return Cancel(std::string(path.substr(kRequests.size())));
+  }
+  if (path == "/load") return Load();
+  if (path == "/cache-events") return CacheEvents(request);
+  if (path.starts_with(kKv)) return Kv(request, std::string(path.substr(kKv.size())));
+  if (path == "/orders") return request.method == "POST" ? TakeOrder(request) : ListOrders();
+  if (path.starts_with("/standin/")) return Standin(request);
+  return ProblemReply(404, "unknown-path", "there is no such path", "not-run");
+}
+
+http::Response EngineApp::Standin(const http::Request& request) {
+  if (request.path == "/standin/log") return Log();
+  if (request.path == "/standin/fault" && request.method == "POST") return SetFault(request);
+  if (request.path == "/standin/leave" && request.method == "POST") {
+    Leave();
+    return JsonReply(200, {{"state", "leaving"}});
+  }
+  return ProblemReply(404, "unknown-path", "there is no such path", "not-run");
+}
+
+void EngineApp::AddLoadHeader(http::Response& response, uint64_t cached_tokens) {
+  response.headers["Engine-Load"] =
+      "running=" + std::to_string(core_.running()) + ", queued=" + std::to_string(core_.queued()) +
+      ", slots=" + std::to_string(core_.options().slots) + ", cached=" + std::to_string(cached_tokens);
+}
+
+http::Response EngineApp::Refusal(const base::Reason<RefusalCode>& reason) {
+  http::Response response;
+  switch (reason.code) {
+    case RefusalCode::kLeaving:
+      response = ProblemReply(503, "leaving", reason.detail, "not-run");
+      response.headers["Engine-State"] = "leaving";
+      break;
+    case RefusalCode::kRejected:
+      response = ProblemReply(503, "rejected", reason.detail, "not-run");
+      break;
+    case RefusalCode::kUnknownModel:
+      response = ProblemReply(404, "unknown-model", reason.detail, "not-run");
+      break;
+    case RefusalCode::kQueueFull:
+      response = ProblemReply(503, "queue-full", reason.detail, "not-run");
+      response.headers["Retry-After"] = "1";
+      break;
+  }
+  AddLoadHeader(response, 0);
+  return response;
+}
+
+http::Response EngineApp::Chat(const http::Request& request) {
+  const auto body = ParseObject(request.body);
+  if (!body) return ProblemReply(400, "invalid-body", "the body is no JSON object", "not-run");
+  std::unique_lock<std::mutex> lock(mutex_);
+  EngineRequest parsed = ParseChat(request, *body, clock_.Now());
+  const uint64_t seed = parsed.seed;
+  base::Reason<RefusalCode> reason;
+  const auto handle = core_.Submit(std::move(parsed), clock_.Now(), &reason);
+  if (!handle) return Refusal(reason);
+  changed_.notify_all();
+  const bool streamed = core_.RequestOf(*handle).streamed;
+  // The head of a stream is sent when the request has left the queue; that of a whole answer at its end.
+  changed_.wait(lock, [&] {
+    const RequestState state = core_.View(*handle).state;
+    return stopping_ || (state != RequestState::kQueued && (streamed || state != RequestState::kRunning));
+  });
+  return Answer(*handle, seed);
+}
+
+http::Response EngineApp::Answer(uint64_t handle, uint64_t answer_seed) {
+  const RequestView view = core_.View(handle);
+  const EngineRequest request = core_.RequestOf(handle);
+  const uint64_t prompt_hash = PromptHash(request.prompt);
+  const bool completed = view.state == RequestState::kFinished;
+  http::Response response;
+  if (request.streamed && (view.state == RequestState::kRunning || completed)) {
+    response.headers["Content-Type"] = "text/event-stream";
+    response.stream = std::make_unique<TokenStream>(*this, handle, request, prompt_hash);
+    AddLoadHeader(response, view.cached_tokens);
+    return response;
+  }
+  if (completed) {
+    std::string content;
+    const uint64_t first = std::min(request.resume_tokens, request.max_tokens);
+    for (uint64_t index = first; index < request.max_tokens; ++index) {
+      content += TokenText(prompt_hash, answer_seed, index);
+    }
+    const uint64_t prompt_tokens = PromptTokens(request.prompt);
+    response =
+        JsonReply(200, {{"id", request.id},
+                        {"object", "chat.completion"},
+                        {"model", request.model},
+                        {"choices", json::array({{{"index", 0},
+                                                  {"message", {{"role", "assistant"}, {"content", content}}},
+                                                  {"finish_reason", "stop"}}})},
+                        {"usage",
+                         {{"prompt_tokens", prompt_tokens},
+                          {"completion_tokens", request.max_tokens},
+                          {"total_tokens", prompt_tokens + request.max_tokens}}}});
+  } else {
+    const std::string outcome = view.started ? "ran" : "not-run";
+    const bool timed_out = view.state == RequestState::kTimedOut;
+    response = ProblemReply(timed_out ? 504 : 499, timed_out ? "deadline" : "cancelled",
+                            "the request ended before its answer", outcome);
+  }
+  AddLoadHeader(response, view.cached_tokens);
+  core_.Close(handle, completed, clock_.Now());
+  return response;
+}
+
+http::Response EngineApp::Cancel(const std::string& id) {
+  const size_t count = WithCore([&](EngineCore& core, base::TimePoint now) { return core.Cancel(id, now); });
+  if (count == 0) return ProblemReply(404, "unknown-request", "no such request is in progress", "not-run");
+  return JsonReply(200, {{"cancelled", count}});
+}
+
+http::Response EngineApp::Load() {
+  return WithCore([&](EngineCore& core, base::TimePoint now) {
+    core.AdvanceTo(now);
+    const LoadReport report = core.Report(now);
+    json models = json::array();
+    for (const ModelVersion& model : report.models) {
+      models.push_back({{"model", model.model}, {"version", model.version}});
+    }
+    const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(core.options().report_lag);
+    return JsonReply(200, {{"engine", core.options().name},
+                           {"incarnation", std::to_string(incarnation_)},
+                           {"state", report.state},
+                           {"slots", core.options().slots},
+                           {"running", report.running},
+                           {"queued", report.queued},
+                           {"models", models},
+                           {"age_ms", lag.count()}});
+  });
+}
+
+http::Response EngineApp::CacheEvents(const http::Request& request) {
+  const uint64_t after = QueryNumber(request, "after", 0);
+  return WithCore([&](EngineCore& core, base::TimePoint now) {
+    core.AdvanceTo(now);
+    json events = json::array();
+    for (const CacheEvent& event : core.CacheEventsAfter(after, now)) {
+      events.push_back({{"seq", event.seq},
+                        {"op", event.added ? "add" : "evict"},
+                        {"prefix", PrefixName(event.prefix)},
+                        {"tokens", event.tokens}});
+    }
+    return JsonReply(200, {{"events", events}});
+  });
+}
+
+http::Response EngineApp::TakeOrder(const http::Request& request) {
+  const auto body = ParseObject(request.body);
+  if (!body) return ProblemReply(400, "invalid-body", "the body is no JSON object", "not-run");
+  const Order order{MemberText(*body, "order_id"), MemberNumber(*body, "fence", 0),
+                    MemberText(*body, "orderer"),  MemberText(*body, "action"),
+                    MemberText(*body, "model"),    MemberText(*body, "version"),
+                    MemberText(*body, "role")};
+  return WithCore([&](EngineCore& core, base::TimePoint now) {
+    base::Reason<OrderCode> reason;
+    const auto status = core.TakeOrder(order, now, &reason);
+    if (status) return JsonReply(200, {{"status", *status}});
+    const int code = reason.code == OrderCode::kOldFence  ? 409
+                     : reason.code == OrderCode::kOrderer ? 403
+                                                          : 400;
+    const char* name = code == 409 ? "old-fence" : code == 403 ? "orderer" : "invalid-order";
+    return ProblemReply(code, name, reason.detail, "not-run");
+  });
+}
+
+http::Response EngineApp::ListOrders() {
+  return WithCore([&](EngineCore& core, base::TimePoint now) {
+    core.AdvanceTo(now);
+    json orders = json::array();
+    for (const OrderRecord& record : core.orders().records()) {
+      orders.push_back({{"order_id", record.order.id},
+                        {"fence", record.order.fence},
+                        {"orderer", record.order.orderer},
+                        {"action", record.order.action},
+                        {"model", record.order.model},
+                        {"version", record.order.version},
+                        {"role", record.order.role},
+                        {"status", record.status},
+                        {"times", record.times}});
+    }
+    return JsonReply(200,
+                     {{"fence", core.orders().fence()}, {"role", core.orders().role()}, {"orders", orders}});
+  });
+}
+
+}  // namespace cornelplank::standins::engine
