Add the stand-in engine, service and platform

Each stand-in has a deterministic core that gets the time passed in, and an HTTP shell on libs/http.

--- a/standins/common/reply.cc
+++ b/standins/common/reply.cc
@@ -35,6 +35,18 @@
   return value;
 }
 
+std::string MemberText(const nlohmann::json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_string()) return {};
+  return found->get<std::string>();
+}
+
+uint64_t MemberNumber(const nlohmann::json& object, const char* name, uint64_t fallback) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_number_unsigned()) return fallback;
+  return found->get<uint64_t>();
+}
+
 uint64_t NumberOr(std::string_view text, uint64_t fallback) {
   uint64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
--- a/standins/engine/engine_app.cc
+++ b/standins/engine/engine_app.cc
@@ -21,16 +21,6 @@
 constexpr uint64_t kDefaultMaxTokens = 64;
 constexpr auto kLongestSleep = std::chrono::milliseconds{500};
 
-uint64_t MemberNumber(const json& object, const char* name, uint64_t fallback) {
-  const auto found = object.find(name);
-  return found != object.end() && found->is_number_unsigned() ? found->get<uint64_t>() : fallback;
-}
-
-std::string MemberText(const json& object, const char* name) {
-  const auto found = object.find(name);
-  return found != object.end() && found->is_string() ? found->get<std::string>() : "";
-}
-
 // The urgency of an RFC 9218 Priority header, "u=N".
 unsigned Urgency(std::string_view header) {
   const size_t at = header.find("u=");
--- a/standins/engine/engine_app.h
+++ b/standins/engine/engine_app.h
@@ -5,6 +5,9 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
 
 #include "libs/http/http.h"
 #include "standins/engine/core/engine_core.h"
--- a/standins/engine/engine_controls.cc
+++ b/standins/engine/engine_controls.cc
@@ -79,19 +79,15 @@
 }
 
 http::Response EngineApp::SetFault(const http::Request& request) {
-  static const std::map<std::string, FaultKind> kKinds = {
-      {"none", FaultKind::kNone},
-      {"die-after-tokens", FaultKind::kDieAfterTokens},
-      {"stall-after-tokens", FaultKind::kStallAfterTokens},
-      {"reject", FaultKind::kReject},
-      {"slow", FaultKind::kSlow}};
+  static const std::map<std::string, FaultKind> kinds = {{"none", FaultKind::kNone},
+                                                         {"die-after-tokens", FaultKind::kDieAfterTokens},
+                                                         {"stall-after-tokens", FaultKind::kStallAfterTokens},
+                                                         {"reject", FaultKind::kReject},
+                                                         {"slow", FaultKind::kSlow}};
   const auto body = ParseObject(request.body);
-  const auto kind = body && body->contains("kind") && (*body)["kind"].is_string()
-                        ? kKinds.find((*body)["kind"].get<std::string>())
-                        : kKinds.end();
-  if (kind == kKinds.end()) return ProblemReply(400, "invalid-fault", "the kind is unknown", "not-run");
-  const auto count = body->find("n");
-  const uint64_t n = count != body->end() && count->is_number_unsigned() ? count->get<uint64_t>() : 0;
+  const auto kind = body ? kinds.find(MemberText(*body, "kind")) : kinds.end();
+  if (kind == kinds.end()) return ProblemReply(400, "invalid-fault", "the kind is unknown", "not-run");
+  const uint64_t n = MemberNumber(*body, "n", 0);
   return WithCore([&](EngineCore& core, base::TimePoint now) {
     core.SetFault(kind->second, n, now);
     return JsonReply(200, {{"kind", kind->first}, {"n", n}});
--- /dev/null
+++ b/standins/platform/core/platform_core.cc
@@ -0,0 +1,53 @@
+#include "standins/platform/core/platform_core.h"
+
+namespace cornelplank::standins::platform {
+
+std::string_view EndpointName(Endpoint endpoint) {
+  switch (endpoint) {
+    case Endpoint::kSnapshot:
+      return "config-snapshot";
+    case Endpoint::kLog:
+      return "config-log";
+    case Endpoint::kVms:
+      return "vms";
+    case Endpoint::kClients:
+      return "clients";
+    case Endpoint::kWeights:
+      return "weights";
+  }
+  return "";
+}
+
+PlatformCore::PlatformCore(const PlatformOptions& options)
+    : options_(options),
+      live_{ConfigBytes(options.kept_entries), VmList(options.vm_lag), ClientDirectory()},
+      reads_(options.reads_per_second, options.read_burst),
+      weights_(options.weights_bytes_per_second, options.weights_bytes_per_second) {}
+
+const Published& PlatformCore::Seen(Endpoint endpoint) const {
+  const State& seen = state(endpoint);
+  return seen.old_copy ? *seen.old_copy : live_;
+}
+
+void PlatformCore::SetMode(Endpoint endpoint, Mode mode, std::optional<uint64_t> seq) {
+  State& changed = states_[static_cast<size_t>(endpoint)];
+  changed.mode = mode;
+  changed.old_copy.reset();
+  if (mode != Mode::kStale) return;
+  changed.old_copy = live_;
+  if (seq) changed.old_copy->config = live_.config.AsOf(*seq);
+}
+
+bool PlatformCore::Count(Endpoint endpoint, base::TimePoint now) {
+  Calls& counted = calls(endpoint);
+  ++counted.calls;
+  if (reads_.Take(1, 1, now) >= 1) return true;
+  ++counted.refused;
+  return false;
+}
+
+double PlatformCore::GrantWeights(double wanted, base::TimePoint now) {
+  return weights_.Take(wanted, 1, now);
+}
+
+}  // namespace cornelplank::standins::platform
