--- a/libs/config/config.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libs/config/config.h"
--- a/libs/config/internal/client_record.h
+++ b/libs/config/internal/client_record.h
@@ -13,6 +13,8 @@
   std::vector<std::string> classes;  // allowed priority classes; the first is the default
   std::string home;                  // home region of the client's data
   std::string residency;             // name of a residency rule
+
+  bool operator==(const ClientRecord&) const = default;
 };
 
 }  // namespace cornelplank::config
--- a/libs/config/internal/document.h
+++ b/libs/config/internal/document.h
@@ -16,6 +16,8 @@
 struct Region {
   std::string partner;
   std::vector<std::string> zones;
+
+  bool operator==(const Region&) const = default;
 };
 
 struct Link {
@@ -23,6 +25,8 @@
   std::string b;  // region
   double mbit_s = 0;
   std::chrono::milliseconds one_way{0};
+
+  bool operator==(const Link&) const = default;
 };
 
 struct PriorityClass {
@@ -32,6 +36,8 @@
   std::chrono::milliseconds deadline{0};
   bool hedge = false;
   bool may_wait = false;  // waits for spare capacity until its deadline
+
+  bool operator==(const PriorityClass&) const = default;
 };
 
 struct Partner {
@@ -39,17 +45,23 @@
   double away_penalty = 0;                       // score units, see docs/routing.md
   std::map<std::string, PriorityClass> classes;  // by name
   std::map<std::string, double> lends;           // borrowing partner -> share of own capacity, 0 to 1
+
+  bool operator==(const Partner&) const = default;
 };
 
 /// `allow` holds region names; the word "home" stands for the home region of the request's data.
 struct ResidencyRule {
   std::string partner;
   std::vector<std::string> allow;
+
+  bool operator==(const ResidencyRule&) const = default;
 };
 
 struct Service {
   std::string partner;
   std::vector<std::string> idempotent_methods;  // HTTP methods that may be repeated
+
+  bool operator==(const Service&) const = default;
 };
 
 struct Model {
@@ -57,6 +69,8 @@
   std::string version;
   double size_gb = 0;
   int min_replicas_per_zone = 0;
+
+  bool operator==(const Model&) const = default;
 };
 
 enum class UpstreamKind { kEngine, kService };
@@ -74,6 +88,8 @@
   bool checks_orderer = false;
   std::vector<std::string> models;  // only for kEngine
   bool leaving = false;
+
+  bool operator==(const Upstream&) const = default;
 };
 
 /// One valid configuration. The maps are keyed by name or id.
@@ -86,6 +102,8 @@
   std::map<std::string, Service> services;
   std::map<std::string, Model> models;
   std::map<std::string, Upstream> upstreams;
+
+  bool operator==(const Document&) const = default;
 };
 
 /// A point of the configuration's history.
@@ -93,6 +111,8 @@
   uint64_t seq = 0;     // sequence number of the last judged log entry
   uint64_t number = 0;  // raised by accepted entries only
   std::string digest;   // chained digest of all entries up to `seq`
+
+  bool operator==(const Version&) const = default;
 };
 
 }  // namespace cornelplank::config
--- /dev/null
+++ b/libs/config/internal/patch.cc
@@ -0,0 +1,129 @@
+#include "libs/config/internal/patch.h"
+
+#include <utility>
+
+#include "libs/config/internal/document_codec.h"
+#include "libs/config/internal/document_text.h"
+#include "libs/config/internal/ownership.h"
+
+namespace cornelplank::config {
+namespace {
+
+// A "copy" operation adds values without carrying them, so a few operations could double the document until
+// memory is exhausted. A full document has about 20,000 values.
+constexpr size_t kMaxCopiedValues = 100'000;
+// Paths of a valid document have at most 5 tokens. The bound also keeps repeated copies from nesting deeply.
+constexpr size_t kMaxPathTokens = 8;
+
+/// Counts the values of `value`, stopping above `limit`.
+size_t CountValues(const Json& value, size_t limit) {
+  size_t count = 1;
+  if (!value.is_structured()) return count;
+  for (const Json& member : value) {
+    if (count > limit) break;
+    count += CountValues(member, limit - count);
+  }
+  return count;
+}
+
+size_t TokenCount(const Json& operation, const char* key) {
+  const auto field = operation.find(key);
+  if (field == operation.end() || !field->is_string()) return 0;
+  size_t count = 0;
+  for (const char c : field->get_ref<const std::string&>()) count += c == '/' ? 1 : 0;
+  return count;
+}
+
+/// Applies operations one by one, so that a fault names the operation.
+class PatchRun {
+ public:
+  PatchRun(Json* document, Faults* faults) : document_(document), faults_(faults) {}
+
+  bool Run(const Json& patch) {
+    if (!patch.is_array()) return Fail("", "the patch must be a list of operations");
+    if (patch.size() > kMaxPatchOperations) return Fail("", "the patch has too many operations");
+    for (size_t i = 0; i < patch.size(); ++i) {
+      const std::string pointer = std::string("/").append(std::to_string(i));
+      if (!patch[i].is_object()) return Fail(pointer, "an operation must be an object");
+      if (!WithinBounds(patch[i], pointer)) return false;
+      try {
+        document_->patch_inplace(Json::array({patch[i]}));
+      } catch (const Json::exception& error) {
+        return Fail(pointer, std::string("operation failed: ") + error.what());
+      }
+    }
+    return true;
+  }
+
+ private:
+  bool Fail(std::string pointer, std::string problem) {
+    faults_->push_back({std::move(pointer), std::move(problem)});
+    return false;
+  }
+
+  bool WithinBounds(const Json& operation, const std::string& pointer) {
+    if (TokenCount(operation, "path") > kMaxPathTokens || TokenCount(operation, "from") > kMaxPathTokens) {
+      return Fail(pointer, "the path is longer than any path of a document");
+    }
+    const auto op = operation.find("op");
+    const auto from = operation.find("from");
+    if (op == operation.end() || *op != "copy" || from == operation.end() || !from->is_string()) return true;
+    try {
+      const Json& source = document_->at(Json::json_pointer(from->get<std::string>()));
+      copied_ += CountValues(source, kMaxCopiedValues);
+    } catch (const Json::exception& error) {
+      return Fail(pointer, std::string("operation failed: ") + error.what());
+    }
+    return copied_ <= kMaxCopiedValues || Fail(pointer, "the patch copies too many values");
+  }
+
+  Json* document_;
+  Faults* faults_;
+  size_t copied_ = 0;
+};
+
+PatchResult Refuse(ConfigCode code, Faults faults) {
+  ConfigReason reason{code, faults.empty() ? "" : faults.front().Text()};
+  return {std::nullopt, std::move(reason), std::move(faults)};
+}
+
+/// The format may stay or rise by one. A jump would stop every binary, however new it is.
+bool IsFormatStep(const Json& value, int current) {
+  if (!value.is_object()) return true;  // reported as an invalid document
+  const auto format = value.find("format");
+  if (format == value.end() || !format->is_number_unsigned()) return true;
+  const auto next = format->get<uint64_t>();
+  return next == static_cast<uint64_t>(current) || next == static_cast<uint64_t>(current) + 1;
+}
+
+}  // namespace
+
+PatchResult ApplyPatch(const Document& document, std::string_view author, std::string_view patch_json,
+                       int known_format) {
+  if (patch_json.size() > kMaxPatchBytes) {
+    return Refuse(ConfigCode::kTooLarge, {{"", "the patch is too large"}});
+  }
+  ConfigReason reason;
+  const auto patch = ParseJson(patch_json, &reason);
+  if (!patch) return Refuse(ConfigCode::kMalformed, {{"", reason.detail}});
+  Faults faults;
+  Json value = DocumentToJson(document);
+  if (!PatchRun(&value, &faults).Run(*patch)) return Refuse(ConfigCode::kPatch, std::move(faults));
+  if (!IsFormatStep(value, document.format)) {
+    return Refuse(ConfigCode::kInvalid, {{"/format", "may only stay or rise by one"}});
+  }
+  auto next = DocumentFromJson(value, known_format, &reason, &faults);
+  if (!next) {
+    if (reason.code == ConfigCode::kFormatUnknown) return {std::nullopt, std::move(reason), {}};
+    return Refuse(ConfigCode::kInvalid, std::move(faults));
+  }
+  CheckOwnership(document, *next, author, &faults);
+  if (!faults.empty()) return Refuse(ConfigCode::kOwnership, std::move(faults));
+  if (WriteDocument(*next).size() > kMaxDocumentBytes) {
+    return Refuse(ConfigCode::kTooLarge,
+                  {{"", "the document would exceed " + std::to_string(kMaxDocumentBytes) + " bytes"}});
+  }
+  return {std::move(next), {}, {}};
+}
+
+}  // namespace cornelplank::config
--- /dev/null
+++ b/libs/config/internal/snapshot.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libs/config/internal/document.h"
+#include "libs/config/internal/reason.h"
+
+namespace cornelplank::config {
+
+/// A configuration together with its place in the history.
+struct Snapshot {
+  Version version;
+  Document document;
+
+  bool operator==(const Snapshot&) const = default;
+};
+
+/// Reads the published form {"format","seq","version","digest","document"}. `format` repeats the document's.
+/// Codes: as ParseDocument.
+std::optional<Snapshot> ParseSnapshot(std::string_view json, ConfigReason* reason);
+std::optional<Snapshot> ParseSnapshot(std::string_view json, int known_format, ConfigReason* reason,
+                                      Faults* faults);
+
+/// The published form in canonical text.
+std::string WriteSnapshot(const Snapshot& snapshot);
+std::string WriteSnapshot(const Version& version, const Document& document);
+
+}  // namespace cornelplank::config
--- /dev/null
+++ b/libs/config/internal/vm_record.cc
@@ -0,0 +1,67 @@
+#include "libs/config/internal/vm_record.h"
+
+#include <array>
+#include <limits>
+#include <set>
+#include <utility>
+
+#include "libs/config/internal/json_reader.h"
+
+namespace cornelplank::config {
+namespace {
+
+constexpr std::array<std::string_view, 2> kStates = {"live", "leaving"};
+
+VmRecord ReadVm(const Json& value, const Place& place, Faults* faults) {
+  ObjectReader reader(value, place, faults);
+  VmRecord vm;
+  vm.id = reader.RequiredName("id");
+  vm.partner = reader.RequiredName("partner");
+  vm.region = reader.RequiredName("region");
+  vm.zone = reader.RequiredName("zone");
+  vm.rpc = reader.RequiredAddress("rpc");
+  vm.http = reader.RequiredAddress("http");
+  vm.incarnation = reader.Unsigned("incarnation");
+  vm.state = static_cast<VmState>(reader.Choice("state", kStates, std::nullopt));
+  return vm;
+}
+
+}  // namespace
+
+std::optional<VmList> ParseVmList(std::string_view json, ConfigReason* reason) {
+  const auto value = ParseJson(json, reason);
+  if (!value) return std::nullopt;
+  Faults faults;
+  const Place root;
+  ObjectReader reader(*value, root, &faults);
+  VmList list;
+  list.age = std::chrono::milliseconds{
+      reader.Integer("age_ms", std::nullopt, 0, std::numeric_limits<int32_t>::max())};
+  std::set<std::string> ids;
+  ForEachElement(&reader, "vms", true, &faults, [&](const Json& element, const Place& place) {
+    VmRecord vm = ReadVm(element, place, &faults);
+    if (!ids.insert(vm.id).second) faults.push_back({place.Text(), "VM '" + vm.id + "' is listed twice"});
+    list.vms.push_back(std::move(vm));
+  });
+  if (faults.empty()) return list;
+  base::SetReason(reason, ConfigCode::kMalformed, faults.front().Text());
+  return std::nullopt;
+}
+
+std::string WriteVmList(const VmList& list) {
+  Json vms = Json::array();
+  for (const VmRecord& vm : list.vms) {
+    vms.push_back({{"id", vm.id},
+                   {"partner", vm.partner},
+                   {"region", vm.region},
+                   {"zone", vm.zone},
+                   {"rpc", vm.rpc},
+                   {"http", vm.http},
+                   {"incarnation", vm.incarnation},
+                   {"state", kStates[static_cast<size_t>(vm.state)]}});
+  }
+  const Json value = {{"age_ms", list.age.count()}, {"vms", std::move(vms)}};
+  return value.dump();
+}
+
+}  // namespace cornelplank::config
