--- a/libs/rpc/internal/codec.cc
+++ b/libs/rpc/internal/codec.cc
@@ -66,6 +66,16 @@
   return request;
 }
 
+void Encode(const PeerIdentity& identity, wire::Identity::Builder builder) {
+  builder.setVm(identity.vm);
+  builder.setIncarnation(identity.incarnation);
+  builder.setCard(ToData(identity.card));
+}
+
+PeerIdentity Decode(wire::Identity::Reader reader) {
+  return {ToString(reader.getVm()), reader.getIncarnation(), rpc::ToString(reader.getCard())};
+}
+
 void Encode(const ForwardEnd& end, wire::End::Builder builder) {
   builder.setWhole(end.whole);
   builder.setCode(end.code);
--- a/libs/rpc/internal/codec.h
+++ b/libs/rpc/internal/codec.h
@@ -8,6 +8,9 @@
 void Encode(const ForwardRequest& request, wire::Forward::Builder builder);
 ForwardRequest Decode(wire::Forward::Reader reader);
 
+void Encode(const PeerIdentity& identity, wire::Identity::Builder builder);
+PeerIdentity Decode(wire::Identity::Reader reader);
+
 void Encode(const ForwardEnd& end, wire::End::Builder builder);
 ForwardEnd Decode(wire::End::Reader reader);
 
--- a/libs/rpc/internal/incoming.cc
+++ b/libs/rpc/internal/incoming.cc
@@ -55,8 +55,8 @@
 
 class PeerServer final : public wire::Peer::Server {
  public:
-  PeerServer(const NodeOptions& options, NodeHandler* handler, IncomingCounter* counter)
-      : options_(options), handler_(handler), counter_(counter) {}
+  PeerServer(const NodeOptions& options, PeerIdentity caller, NodeHandler* handler, IncomingCounter* counter)
+      : options_(options), caller_(std::move(caller)), handler_(handler), counter_(counter) {}
 
   kj::Promise<void> forward(ForwardContext context) override {
     auto queue = std::make_shared<AnswerQueue>();
@@ -84,7 +84,7 @@
     const auto params = context.getParams();
     const auto payload = params.getPayload();
     const std::string answer = handler_->OnControl(
-        params.getKind(), {reinterpret_cast<const char*>(payload.begin()), payload.size()});
+        caller_, params.getKind(), {reinterpret_cast<const char*>(payload.begin()), payload.size()});
     context.getResults().setPayload(ToData(answer));
     return kj::READY_NOW;
   }
@@ -102,6 +102,7 @@
   }
 
   const NodeOptions& options_;
+  const PeerIdentity caller_;
   NodeHandler* handler_;
   IncomingCounter* counter_;
 };
@@ -121,9 +122,12 @@
   const std::string nonce = ToString(params.getNonce());
   const std::string proof = ToString(params.getProof());
   const bool known = nonces_.erase(nonce) == 1;
-  KJ_REQUIRE(known && SameProof(proof, LoginProof(options_.shared_key, nonce, params.getVm().cStr())),
+  PeerIdentity caller = Decode(params.getCaller());
+  KJ_REQUIRE(known && SameProof(proof, LoginProof(options_.shared_key, nonce, caller.vm)),
              "the peer's proof is wrong");
-  context.getResults().setPeer(kj::heap<PeerServer>(options_, handler_, counter_));
+  auto results = context.getResults();
+  results.setPeer(kj::heap<PeerServer>(options_, std::move(caller), handler_, counter_));
+  Encode(options_.identity, results.initCallee());
   return kj::READY_NOW;
 }
 
--- a/libs/rpc/internal/message.h
+++ b/libs/rpc/internal/message.h
@@ -38,6 +38,13 @@
   uint32_t resume_tokens = 0;
 };
 
+/// Who is at the other end of a connection, as proved when it was made.
+struct PeerIdentity {
+  std::string vm;
+  uint64_t incarnation = 0;
+  std::string card;  // what else the VM says of itself; opaque to this library
+};
+
 /// How an answer ended. The fields after `whole` are set when it is false.
 struct ForwardEnd {
   bool whole = false;
--- a/libs/rpc/internal/node.cc
+++ b/libs/rpc/internal/node.cc
@@ -51,7 +51,7 @@
     auto shared = std::make_shared<ControlCallback>(std::move(callback));
     tasks_.add(Link(address)
                    .Control(kind, payload, timeout)
-                   .then([shared](std::string&& answer) { (*shared)(std::move(answer)); },
+                   .then([shared](ControlAnswer&& answer) { (*shared)(std::move(answer)); },
                          [shared](kj::Exception&&) { (*shared)(std::nullopt); }));
   }
 
@@ -97,6 +97,10 @@
     return !failure;
   }
 
+  void SetCard(std::string card) override {
+    Post([this, &card] { options_.identity.card = std::move(card); });
+  }
+
   uint16_t port() const override { return port_; }
   size_t incoming() const override { return counter_.running.load(); }
 
@@ -173,7 +177,7 @@
     }
   }
 
-  const NodeOptions options_;
+  NodeOptions options_;  // used by the event loop's thread once it runs
   NodeHandler* handler_;
   std::thread thread_;
   uint16_t port_ = 0;
--- a/libs/rpc/internal/node.h
+++ b/libs/rpc/internal/node.h
@@ -14,9 +14,8 @@
 
 struct NodeOptions {
   std::string listen = "127.0.0.1:0";  // IP:PORT, port 0 means any free port
-  std::string vm;
-  uint64_t incarnation = 0;
-  std::string shared_key;  // peers prove with it that they belong to the fleet
+  PeerIdentity identity;               // of this VM
+  std::string shared_key;              // peers prove with it that they belong to the fleet
   unsigned max_incoming = 1000;
   std::chrono::milliseconds connect_timeout{1000};
   /// A connection with a call outstanding that does not answer a ping in this time is replaced.
@@ -40,7 +39,7 @@
   /// Runs on a thread of its own and may block.
   virtual ForwardEnd OnForward(const ForwardRequest& request, AnswerWriter& writer) = 0;
   /// Runs on the event loop's thread and must not block.
-  virtual std::string OnControl(uint16_t kind, std::string_view payload) = 0;
+  virtual std::string OnControl(const PeerIdentity& caller, uint16_t kind, std::string_view payload) = 0;
 };
 
 /// The sending side of one hop. Destroying it cancels the call.
@@ -53,8 +52,13 @@
   virtual bool sent() const = 0;
 };
 
+struct ControlAnswer {
+  PeerIdentity callee;
+  std::string payload;
+};
+
 /// Called with the answer, or with nothing when the exchange failed. Runs on the event loop's thread.
-using ControlCallback = std::function<void(std::optional<std::string> answer)>;
+using ControlCallback = std::function<void(std::optional<ControlAnswer> answer)>;
 
 /// This process's end of the connections between VMs: one listener and one event loop thread. Thread-safe.
 class Node {
@@ -63,6 +67,9 @@
   static std::unique_ptr<Node> Start(const NodeOptions& options, NodeHandler* handler, RpcReason* reason);
   virtual ~Node() = default;
 
+  /// Sets the card that connections made from now on carry.
+  virtual void SetCard(std::string card) = 0;
+
   virtual uint16_t port() const = 0;
   /// Hops that are being answered by this node.
   virtual size_t incoming() const = 0;
--- a/libs/rpc/internal/outgoing.cc
+++ b/libs/rpc/internal/outgoing.cc
@@ -58,6 +58,7 @@
   kj::Own<kj::AsyncIoStream> stream;
   kj::Own<capnp::TwoPartyClient> client;
   kj::Maybe<wire::Peer::Client> peer;
+  PeerIdentity callee;
   size_t outstanding = 0;
   bool broken = false;
   kj::Promise<void> silence;
@@ -78,33 +79,33 @@
 }
 
 kj::Promise<kj::Own<PeerLink::Connection>> PeerLink::Connect() {
-  auto login = io_.getNetwork()
-                   .parseAddress(address_)
-                   .then([](kj::Own<kj::NetworkAddress>&& address) {
-                     auto promise = address->connect();
-                     return promise.attach(kj::mv(address));
-                   })
-                   .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
-                     auto connection = kj::refcounted<Connection>(kj::mv(stream));
-                     auto door = connection->client->bootstrap().castAs<wire::Door>();
-                     return door.challengeRequest()
-                         .send()
-                         .then([this, door](auto&& challenge) mutable {
-                           const std::string nonce = ToString(challenge.getNonce());
-                           auto request = door.loginRequest();
-                           request.setVm(options_.vm);
-                           request.setIncarnation(options_.incarnation);
-                           request.setNonce(ToData(nonce));
-                           request.setProof(ToData(LoginProof(options_.shared_key, nonce, options_.vm)));
-                           return request.send();
-                         })
-                         .then([this, connection = kj::mv(connection)](auto&& response) mutable {
-                           connection->peer = response.getPeer();
-                           connection->silence =
-                               WatchSilence(*connection).eagerlyEvaluate([](kj::Exception&&) {});
-                           return kj::mv(connection);
-                         });
-                   });
+  auto login =
+      io_.getNetwork()
+          .parseAddress(address_)
+          .then([](kj::Own<kj::NetworkAddress>&& address) {
+            auto promise = address->connect();
+            return promise.attach(kj::mv(address));
+          })
+          .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+            auto connection = kj::refcounted<Connection>(kj::mv(stream));
+            auto door = connection->client->bootstrap().castAs<wire::Door>();
+            return door.challengeRequest()
+                .send()
+                .then([this, door](auto&& challenge) mutable {
+                  const std::string nonce = ToString(challenge.getNonce());
+                  auto request = door.loginRequest();
+                  Encode(options_.identity, request.initCaller());
+                  request.setNonce(ToData(nonce));
+                  request.setProof(ToData(LoginProof(options_.shared_key, nonce, options_.identity.vm)));
+                  return request.send();
+                })
+                .then([this, connection = kj::mv(connection)](auto&& response) mutable {
+                  connection->peer = response.getPeer();
+                  connection->callee = Decode(response.getCallee());
+                  connection->silence = WatchSilence(*connection).eagerlyEvaluate([](kj::Exception&&) {});
+                  return kj::mv(connection);
+                });
+          });
   return io_.getTimer().timeoutAfter(ToKj(options_.connect_timeout), kj::mv(login));
 }
 
@@ -160,16 +161,19 @@
   });
 }
 
-kj::Promise<std::string> PeerLink::Control(uint16_t kind, const std::string& payload,
-                                           std::chrono::milliseconds timeout) {
+kj::Promise<ControlAnswer> PeerLink::Control(uint16_t kind, const std::string& payload,
+                                             std::chrono::milliseconds timeout) {
   auto exchange = Connected().then([this, kind, payload](kj::Own<Connection>&& connection) mutable {
     auto call = KJ_ASSERT_NONNULL(connection->peer).controlRequest();
     call.setKind(kind);
     call.setPayload(ToData(payload));
     ++connection->outstanding;
     auto* raw = connection.get();
-    return raw->calls.wrap(call.send().then([](auto&& response) { return ToString(response.getPayload()); }))
-        .catch_([this, raw](kj::Exception&& exception) -> std::string {
+    return raw->calls
+        .wrap(call.send().then([raw](auto&& response) {
+          return ControlAnswer{raw->callee, ToString(response.getPayload())};
+        }))
+        .catch_([this, raw](kj::Exception&& exception) -> ControlAnswer {
           if (exception.getType() == kj::Exception::Type::DISCONNECTED) Drop(raw);
           kj::throwFatalException(kj::mv(exception));
         })
--- a/libs/rpc/internal/outgoing.h
+++ b/libs/rpc/internal/outgoing.h
@@ -21,8 +21,8 @@
       : options_(options), io_(io), address_(std::move(address)) {}
 
   kj::Promise<void> Forward(const ForwardRequest& request, std::shared_ptr<CallState> state);
-  kj::Promise<std::string> Control(uint16_t kind, const std::string& payload,
-                                   std::chrono::milliseconds timeout);
+  kj::Promise<ControlAnswer> Control(uint16_t kind, const std::string& payload,
+                                     std::chrono::milliseconds timeout);
 
  private:
   struct Connection;
--- a/libs/rpc/internal/peer.capnp
+++ b/libs/rpc/internal/peer.capnp
@@ -64,8 +64,15 @@
   # One exchange of the control plane; `kind` names the message in `payload`.
 }
 
+struct Identity {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  card @2 :Data;
+  # What else the VM says of itself; opaque to this protocol.
+}
+
 interface Door {
   challenge @0 () -> (nonce :Data);
-  login @1 (vm :Text, incarnation :UInt64, nonce :Data, proof :Data) -> (peer :Peer);
+  login @1 (caller :Identity, nonce :Data, proof :Data) -> (peer :Peer, callee :Identity);
   # `proof` is HMAC-SHA256(shared key, nonce + vm). A nonce is accepted once.
 }
--- a/libs/rpc/internal/peer.capnp.h
+++ b/libs/rpc/internal/peer.capnp.h
@@ -49,6 +49,7 @@
 CAPNP_DECLARE_SCHEMA(cfe5202e11a5ee1c);
 CAPNP_DECLARE_SCHEMA(be0283ebaa014be4);
 CAPNP_DECLARE_SCHEMA(ac02b932450f1d46);
+CAPNP_DECLARE_SCHEMA(fe85fe57680d71e8);
 CAPNP_DECLARE_SCHEMA(ac4650ddcf74775d);
 CAPNP_DECLARE_SCHEMA(bd8a2e4c4c0e6c09);
 CAPNP_DECLARE_SCHEMA(c240f8ad9b4735ef);
@@ -321,6 +322,21 @@
   };
 };
 
+struct Identity {
+  Identity() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe85fe57680d71e8, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Door {
   Door() = delete;
 
@@ -380,7 +396,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5ad10723eb4ee50, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5ad10723eb4ee50, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -395,7 +411,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d5271f3e8498856e, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d5271f3e8498856e, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1820,6 +1836,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class Identity::Reader {
+public:
+  typedef Identity Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasCard() const;
+  inline  ::capnp::Data::Reader getCard() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Identity::Builder {
+public:
+  typedef Identity Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasCard();
+  inline  ::capnp::Data::Builder getCard();
+  inline void setCard( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCard(unsigned int size);
+  inline void adoptCard(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCard();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Identity::Pipeline {
+public:
+  typedef Identity Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Door::Client
     : public virtual ::capnp::Capability::Client {
@@ -2048,10 +2160,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVm() const;
-  inline  ::capnp::Text::Reader getVm() const;
-
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasCaller() const;
+  inline  ::cornelplank::rpc::wire::Identity::Reader getCaller() const;
 
   inline bool hasNonce() const;
   inline  ::capnp::Data::Reader getNonce() const;
@@ -2087,15 +2197,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVm();
-  inline  ::capnp::Text::Builder getVm();
-  inline void setVm( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVm();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasCaller();
+  inline  ::cornelplank::rpc::wire::Identity::Builder getCaller();
+  inline void setCaller( ::cornelplank::rpc::wire::Identity::Reader value);
+  inline  ::cornelplank::rpc::wire::Identity::Builder initCaller();
+  inline void adoptCaller(::capnp::Orphan< ::cornelplank::rpc::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::cornelplank::rpc::wire::Identity> disownCaller();
 
   inline bool hasNonce();
   inline  ::capnp::Data::Builder getNonce();
@@ -2129,6 +2236,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cornelplank::rpc::wire::Identity::Pipeline getCaller();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2159,6 +2267,9 @@
   inline  ::cornelplank::rpc::wire::Peer::Client getPeer() const;
 #endif  // !CAPNP_LITE
 
+  inline bool hasCallee() const;
+  inline  ::cornelplank::rpc::wire::Identity::Reader getCallee() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2196,6 +2307,13 @@
   inline ::capnp::Orphan< ::cornelplank::rpc::wire::Peer> disownPeer();
 #endif  // !CAPNP_LITE
 
+  inline bool hasCallee();
+  inline  ::cornelplank::rpc::wire::Identity::Builder getCallee();
+  inline void setCallee( ::cornelplank::rpc::wire::Identity::Reader value);
+  inline  ::cornelplank::rpc::wire::Identity::Builder initCallee();
+  inline void adoptCallee(::capnp::Orphan< ::cornelplank::rpc::wire::Identity>&& value);
+  inline ::capnp::Orphan< ::cornelplank::rpc::wire::Identity> disownCallee();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2215,6 +2333,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cornelplank::rpc::wire::Peer::Client getPeer();
+  inline  ::cornelplank::rpc::wire::Identity::Pipeline getCallee();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3234,6 +3353,88 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Identity::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Identity::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Identity::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Identity::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Identity::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Identity::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Identity::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Identity::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Identity::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Identity::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Identity::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Identity::Reader::hasCard() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Identity::Builder::hasCard() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Identity::Reader::getCard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Identity::Builder::getCard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Identity::Builder::setCard( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Identity::Builder::initCard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Identity::Builder::adoptCard(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Identity::Builder::disownCard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Door::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3292,54 +3493,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Door::LoginParams::Reader::hasVm() const {
+inline bool Door::LoginParams::Reader::hasCaller() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Door::LoginParams::Builder::hasVm() {
+inline bool Door::LoginParams::Builder::hasCaller() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Door::LoginParams::Reader::getVm() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::cornelplank::rpc::wire::Identity::Reader Door::LoginParams::Reader::getCaller() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Door::LoginParams::Builder::getVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::cornelplank::rpc::wire::Identity::Builder Door::LoginParams::Builder::getCaller() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::LoginParams::Builder::setVm( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::cornelplank::rpc::wire::Identity::Pipeline Door::LoginParams::Pipeline::getCaller() {
+  return  ::cornelplank::rpc::wire::Identity::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Door::LoginParams::Builder::setCaller( ::cornelplank::rpc::wire::Identity::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Door::LoginParams::Builder::initVm(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::cornelplank::rpc::wire::Identity::Builder Door::LoginParams::Builder::initCaller() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Door::LoginParams::Builder::adoptVm(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Door::LoginParams::Builder::adoptCaller(
+    ::capnp::Orphan< ::cornelplank::rpc::wire::Identity>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Door::LoginParams::Builder::disownVm() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::cornelplank::rpc::wire::Identity> Door::LoginParams::Builder::disownCaller() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Door::LoginParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Door::LoginParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Door::LoginParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Door::LoginParams::Reader::hasNonce() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -3447,6 +3639,45 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool Door::LoginResults::Reader::hasCallee() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Door::LoginResults::Builder::hasCallee() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cornelplank::rpc::wire::Identity::Reader Door::LoginResults::Reader::getCallee() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cornelplank::rpc::wire::Identity::Builder Door::LoginResults::Builder::getCallee() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cornelplank::rpc::wire::Identity::Pipeline Door::LoginResults::Pipeline::getCallee() {
+  return  ::cornelplank::rpc::wire::Identity::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Door::LoginResults::Builder::setCallee( ::cornelplank::rpc::wire::Identity::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cornelplank::rpc::wire::Identity::Builder Door::LoginResults::Builder::initCallee() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Door::LoginResults::Builder::adoptCallee(
+    ::capnp::Orphan< ::cornelplank::rpc::wire::Identity>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cornelplank::rpc::wire::Identity> Door::LoginResults::Builder::disownCallee() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::rpc::wire::Identity>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/tests/rpc/node_test.cc
+++ b/tests/rpc/node_test.cc
@@ -24,8 +24,8 @@
     }
     return {true, "", "", base::Outcome::kRan};
   }
-  std::string OnControl(uint16_t kind, std::string_view payload) override {
-    return std::to_string(kind) + std::string(payload);
+  std::string OnControl(const PeerIdentity& caller, uint16_t kind, std::string_view payload) override {
+    return std::to_string(kind) + std::string(payload) + caller.vm + caller.card;
   }
 
   milliseconds last_remaining{0};
@@ -36,9 +36,9 @@
 class NodeTest : public testing::Test {
  protected:
   NodeTest() {
-    NodeOptions options{.vm = "b", .incarnation = 2, .shared_key = "secret"};
+    NodeOptions options{.identity = {"b", 2, ""}, .shared_key = "secret"};
     receiver_ = Node::Start(options, &handler_, nullptr);
-    options.vm = "a";
+    options.identity = {"a", 1, "!"};
     sender_ = Node::Start(options, &handler_, nullptr);
     address_ = "127.0.0.1:" + std::to_string(receiver_->port());
   }
@@ -105,7 +105,7 @@
 
 // Guards against strangers on the peers' listener.
 TEST_F(NodeTest, RefusesAPeerWithoutTheSharedKey) {
-  const auto stranger = Node::Start({.vm = "c", .shared_key = "wrong"}, &handler_, nullptr);
+  const auto stranger = Node::Start({.identity = {"c", 3, ""}, .shared_key = "wrong"}, &handler_, nullptr);
   const auto call = stranger->Forward(address_, {});
   const ForwardEvent event = call->Next(milliseconds{5000});
   ASSERT_EQ(event.kind, ForwardEvent::Kind::kEnd);
@@ -115,13 +115,16 @@
 // Guards against control messages that block the sender or lose their answer.
 TEST_F(NodeTest, ExchangesControlMessages) {
   std::atomic<bool> done{false};
-  std::optional<std::string> answer;
-  sender_->Control(address_, 7, "x", milliseconds{2000}, [&](std::optional<std::string> value) {
+  std::optional<ControlAnswer> answer;
+  sender_->Control(address_, 7, "x", milliseconds{2000}, [&](std::optional<ControlAnswer> value) {
     answer = std::move(value);
     done = true;
   });
   while (!done) std::this_thread::sleep_for(milliseconds{1});
-  EXPECT_EQ(answer, "7x");
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->payload, "7xa!");
+  EXPECT_EQ(answer->callee.vm, "b");
+  EXPECT_EQ(answer->callee.incarnation, 2U);
 }
 
 }  // namespace
