--- a/libs/routing/internal/request.h
+++ b/libs/routing/internal/request.h
@@ -20,6 +20,7 @@
   void AddReplica(uint64_t key) { replicas_[replica_count_++ % kCapacity] = key; }
   void AddZone(upstreams::Index zone) { zones_[zone_count_++ % kCapacity] = zone; }
 
+  bool IsEmpty() const { return replica_count_ == 0 && zone_count_ == 0; }
   bool HasReplica(uint64_t key) const {
     for (size_t i = 0; i < replica_count_ && i < kCapacity; ++i) {
       if (replicas_[i] == key) return true;
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -118,11 +118,6 @@
     const upstreams::Replica& replica = world_.Replicas().Replicas()[candidate.replica];
     const bool borrowed = replica.partner != request_.partner;
     const bool spare = candidate.load + 1 <= candidate.slots * options_.spare_share;
-    // Lent capacity is never queued for: the owner's requests would wait behind it.
-    if (borrowed && candidate.load + 1 > candidate.slots) {
-      ++rejections_.share;
-      return;
-    }
     RouteDecision decision = OwnZoneDecision(candidate.replica);
     decision.terms.queue_ms = ReplicaQueue(candidate.load, candidate.slots, options_);
     decision.terms.cached_tokens = CachedTokens(*replica.cell, owner);
--- a/libs/routing/internal/zone_scan.cc
+++ b/libs/routing/internal/zone_scan.cc
@@ -28,12 +28,10 @@
   const uint32_t count = range.end - range.begin;
   const uint32_t start = count > kCapacity ? static_cast<uint32_t>(random.Below(count)) : 0;
   Collect(Eligibility::kEligible, start, rejections);
-  if (size_ == 0) {
-    Rejections counted_before;
-    Collect(Eligibility::kSuspect, start, &counted_before);
-    only_suspects_ = size_ > 0;
-  }
-  EstimateLoads();
+  if (size_ > 0) return;
+  Rejections counted_before;
+  Collect(Eligibility::kSuspect, start, &counted_before);
+  only_suspects_ = size_ > 0;
 }
 
 void ZoneScan::Collect(Eligibility wanted, uint32_t start, Rejections* rejections) {
@@ -49,9 +47,10 @@
       continue;
     }
     const double slots = std::max(replica.slots * replica.cell->RampShare(request_.now), 1.0);
-    candidates_[size_++] = Candidate{index, 0, slots, total_slots_};
-    total_slots_ += slots;
+    candidates_[size_++] = Candidate{index, 0, slots, 0};
   }
+  EstimateLoads();
+  DropBusyBorrowed(rejections);
 }
 
 void ZoneScan::EstimateLoads() {
@@ -69,8 +68,25 @@
     Candidate& candidate = candidates_[i];
     candidate.load =
         EstimateLoad(*replicas[candidate.replica].cell, candidate.slots, mean_share, request_.now, options_);
+  }
+}
+
+void ZoneScan::DropBusyBorrowed(Rejections* rejections) {
+  size_t kept = 0;
+  for (size_t i = 0; i < size_; ++i) {
+    Candidate candidate = candidates_[i];
+    const upstreams::Replica& replica = world_.Replicas().Replicas()[candidate.replica];
+    // Lent capacity is never queued for: the owner's requests would wait behind it.
+    if (replica.partner != request_.partner && candidate.load + 1 > candidate.slots) {
+      ++rejections->share;
+      continue;
+    }
+    candidate.slots_before = total_slots_;
+    candidates_[kept++] = candidate;
+    total_slots_ += candidate.slots;
     total_load_ += candidate.load;
   }
+  size_ = kept;
 }
 
 size_t ZoneScan::Pick(base::Random& random) const {
--- a/libs/routing/internal/zone_scan.h
+++ b/libs/routing/internal/zone_scan.h
@@ -39,6 +39,7 @@
  private:
   void Collect(Eligibility wanted, uint32_t start, Rejections* rejections);
   void EstimateLoads();
+  void DropBusyBorrowed(Rejections* rejections);
 
   const RouteRequest& request_;
   const World& world_;
--- a/libs/upstreams/internal/replica_table.cc
+++ b/libs/upstreams/internal/replica_table.cc
@@ -99,10 +99,11 @@
 }
 
 void ReplicaTable::ClearStaleLeaving(Entry& entry, base::TimePoint measured, base::TimePoint now) {
-  // Reports of the incarnation that sent the leaving response can't undo it; without an incarnation, only a
-  // measurement that is clearly younger can.
+  // Reports of the incarnation that sent the leaving response can't undo it. A response that came before any
+  // report belongs to an unknown incarnation, and a ready measurement that is clearly younger ends it.
   const bool marked = entry.response_leaving_at != base::TimePoint{};
-  if (!marked || entry.incarnation != 0 || measured <= entry.response_leaving_at + kLeavingMargin) return;
+  if (!marked || entry.response_of_known_incarnation) return;
+  if (measured <= entry.response_leaving_at + kLeavingMargin) return;
   entry.cell->SetLeaving(kLeavingByResponse, false);
   entry.cell->StartRamp(now);
   entry.response_leaving_at = {};
@@ -148,6 +149,7 @@
   if (entry == nullptr) return Update::kUnknownUpstream;
   entry->cell->SetLeaving(kLeavingByResponse, true);
   entry->response_leaving_at = now;
+  entry->response_of_known_incarnation = entry->incarnation != 0;
   return Update::kApplied;
 }
 
--- a/libs/upstreams/internal/replica_table.h
+++ b/libs/upstreams/internal/replica_table.h
@@ -86,7 +86,8 @@
     uint64_t configured_models = 0;
     bool models_reported = false;
     uint64_t incarnation = 0;
-    base::TimePoint response_leaving_at{};
+    base::TimePoint response_leaving_at{};  // the epoch means no leaving response
+    bool response_of_known_incarnation = false;
     uint64_t cache_incarnation = 0;
     uint64_t cache_seq = 0;
     OutlierState outlier;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -96,6 +96,21 @@
   EXPECT_EQ(reason_.code, RouteCode::kStaleNames);
 }
 
+// Guards against full replicas of another partner that crowd the own one out of the random choices.
+TEST(ScoredRouterTest, BusyLentReplicasDoNotHideOwnOnes) {
+  config::Document document = MakeDocument(1, 1, 20);
+  document.partners["p1"].lends["p0"] = 0.5;
+  for (auto& [id, upstream] : document.upstreams) upstream.partner = id == "r0/z0/e7" ? "p0" : "p1";
+  WorldFixture fixture(document);
+  for (const auto& [id, upstream] : document.upstreams) fixture.Report(id, 8, 4);
+  base::Random random(1);
+  for (int i = 0; i < 50; ++i) {
+    const auto decision = ScoredRouter().Choose(fixture.Request(), *fixture.world, random, nullptr);
+    ASSERT_TRUE(decision.has_value());
+    EXPECT_FALSE(decision->terms.borrowed);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Routers, HardRuleTest, testing::Values(Kind::kScored, Kind::kNaive),
                          [](const auto& info) { return info.param == Kind::kScored ? "Scored" : "Naive"; });
 
