--- /dev/null
+++ b/tests/orders/orders_test.cc
@@ -0,0 +1,214 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libs/orders/orders.h"
+#include "tests/orders/engine_model.h"
+
+namespace cornelplank::orders {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::TimePoint kStart{std::chrono::hours{1}};
+
+std::shared_ptr<const config::Document> Shared(config::Document document) {
+  return std::make_shared<const config::Document>(std::move(document));
+}
+
+OrderPlanner PlannerAt(const std::string& version, uint64_t seq, const std::vector<EngineModel>& engines) {
+  OrderPlanner planner(PlannerSettings{}, "ost-1");
+  planner.SetConfig(Shared(EngineDocument(2, version)), seq);
+  for (const EngineModel& engine : engines) planner.Report(engine.Report(), kStart);
+  return planner;
+}
+
+/// Plans, sends and reports for `count` seconds; returns the orders sent.
+std::vector<Order> Drive(OrderPlanner& planner, std::vector<EngineModel>& engines, base::TimePoint from,
+                         int count) {
+  std::vector<Order> sent;
+  for (int i = 0; i < count; ++i) {
+    const base::TimePoint now = from + seconds{i};
+    for (const Order& order : planner.Plan(true, true, now)) {
+      sent.push_back(order);
+      for (EngineModel& engine : engines) {
+        if (engine.id() == order.engine) planner.Answered(order, engine.Receive(order));
+      }
+    }
+    for (const EngineModel& engine : engines) planner.Report(engine.Report(), now);
+  }
+  return sent;
+}
+
+// Guards against a desired state that removes a model because an engine is missing from one view.
+TEST(DesiredStateTest, MissingEnginesOnlyAdd) {
+  const config::Document document = EngineDocument(4, "1");
+  const DesiredState full = ComputeDesiredState(document, "ost-1", {"e0", "e1", "e2", "e3"});
+  int with_x = 0;
+  for (const auto& [id, models] : full) {
+    EXPECT_EQ(models.at("m"), "1");
+    with_x += models.contains("x") ? 1 : 0;
+  }
+  EXPECT_EQ(with_x, 2);
+  for (const std::set<std::string>& live :
+       {std::set<std::string>{"e1", "e2", "e3"}, {"e0", "e3"}, {"e2"}, {}}) {
+    const DesiredState fewer = ComputeDesiredState(document, "ost-1", live);
+    for (const auto& [id, models] : full) {
+      for (const auto& [model, version] : models) {
+        const bool extra = model == "x" && id != "e0";
+        EXPECT_TRUE(extra || fewer.at(id).contains(model)) << id << " " << model;
+      }
+    }
+  }
+  EXPECT_TRUE(ComputeDesiredState(document, "vest-1", {"e0"}).empty());
+}
+
+// Guards against orders that repeat too often, never, or after they are in force.
+TEST(OrderPlannerTest, RepeatsDoublingUntilInForce) {
+  std::vector<EngineModel> engines{{"e1", false}};
+  OrderPlanner planner = PlannerAt("1", 7, engines);
+  std::vector<int> sent_at;
+  for (int second = 0; second < 200; ++second) {
+    planner.Alive("e1", kStart + seconds{second});
+    for (const Order& order : planner.Plan(true, true, kStart + seconds{second})) {
+      if (order.model != "m") continue;
+      EXPECT_EQ(order.fence, 7U);
+      sent_at.push_back(second);
+    }
+  }
+  EXPECT_EQ(sent_at, (std::vector<int>{0, 1, 3, 7, 15, 31, 63, 123, 183}));
+  Drive(planner, engines, kStart + seconds{300}, 100);
+  EXPECT_EQ(engines[0].models().at("m"), "1");
+  EXPECT_EQ(planner.pending(), 0U);
+  EXPECT_TRUE(Drive(planner, engines, kStart + seconds{400}, 100).empty());
+}
+
+// Guards against orders from nodes that must not send any, and against orders to dead engines.
+TEST(OrderPlannerTest, SendsOnlyAsConfirmedPlannerToLiveEngines) {
+  std::vector<EngineModel> engines{{"e0", true}, {"e1", false}};
+  OrderPlanner planner = PlannerAt("1", 7, engines);
+  EXPECT_TRUE(planner.Plan(false, true, kStart).empty());
+  EXPECT_TRUE(planner.Plan(true, false, kStart).empty());
+  EXPECT_TRUE(planner.Plan(true, true, kStart + seconds{10}).empty());
+}
+
+// Guards against transfers beyond the weight store's rate or the link.
+TEST(OrderPlannerTest, LimitsTransfers) {
+  config::Document document = EngineDocument(8, "1");
+  document.models["m"].size_gb = 10;
+  PlannerSettings settings;
+  settings.link_gb_s = 0.0175;  // 140 Mbit/s
+  OrderPlanner planner(settings, "ost-1");
+  planner.SetConfig(Shared(document), 3);
+  std::set<std::string> started;
+  for (int second = 0; second < 1000; ++second) {
+    const base::TimePoint now = kStart + seconds{second};
+    for (int i = 0; i < 8; ++i) planner.Report({EngineId(i), "1", false, {{"x", "1"}}}, now);
+    for (const Order& order : planner.Plan(true, true, now)) started.insert(order.engine);
+  }
+  EXPECT_EQ(started.size(), 2U) << "a transfer occupies the link for 570 s";
+}
+
+struct GateCase {
+  const char* name;
+  SendContext context;
+  GateVerdict expected;
+};
+
+class SendGateTest : public testing::TestWithParam<GateCase> {};
+
+// Guards against an order that leaves after a pause, with an older configuration or from a node in doubt.
+TEST_P(SendGateTest, ChecksTheMomentOfSending) {
+  const Order order = MakeOrder("e0", OrderAction::kLoad, "m", "1", 7, kStart);
+  EXPECT_EQ(SendGate::Check(order, GetParam().context), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, SendGateTest,
+    testing::Values(GateCase{"Fresh", {kStart + milliseconds{1}, 7, 7, true, true}, GateVerdict::kSend},
+                    GateCase{"Paused", {kStart + seconds{2}, 7, 7, true, true}, GateVerdict::kPaused},
+                    GateCase{"NewerConfig", {kStart, 8, 8, true, true}, GateVerdict::kOtherConfig},
+                    GateCase{"NewerHeadKnown", {kStart, 7, 8, true, true}, GateVerdict::kOtherConfig},
+                    GateCase{"Unconfirmed", {kStart, 7, 7, false, true}, GateVerdict::kUnconfirmed},
+                    GateCase{"NotPlanner", {kStart, 7, 7, true, false}, GateVerdict::kNotPlanner}),
+    [](const auto& info) { return info.param.name; });
+
+/// What holds for one kind of engine.
+class EngineKindTest : public testing::TestWithParam<bool> {
+ protected:
+  std::string Id() const { return GetParam() ? "e0" : "e1"; }
+};
+
+// Guards against two planners that send different orders for one configuration.
+TEST_P(EngineKindTest, TwoPlannersSendTheSameOrders) {
+  std::vector<EngineModel> engines{{Id(), GetParam()}};
+  OrderPlanner first = PlannerAt("1", 7, engines);
+  OrderPlanner second = PlannerAt("1", 7, engines);
+  const auto a = first.Plan(true, true, kStart);
+  const auto b = second.Plan(true, true, kStart + seconds{1});
+  ASSERT_FALSE(a.empty());
+  ASSERT_EQ(a.size(), b.size());
+  for (size_t i = 0; i < a.size(); ++i) EXPECT_EQ(a[i].id, b[i].id);
+  for (const auto* orders : {&a, &b, &a}) {
+    for (const Order& order : *orders) EXPECT_EQ(engines[0].Receive(order), OrderAnswer::kAccepted);
+  }
+  EXPECT_EQ(engines[0].models().at("m"), "1");
+}
+
+// Guards against a late order that wins for good: fencing engines refuse it, others are repaired.
+TEST_P(EngineKindTest, LateOrderOfAnOlderConfiguration) {
+  std::vector<EngineModel> engines{{Id(), GetParam()}};
+  OrderPlanner old_planner = PlannerAt("1", 7, engines);
+  const auto late = old_planner.Plan(true, true, kStart);
+  OrderPlanner planner = PlannerAt("2", 9, engines);
+  Drive(planner, engines, kStart, 5);
+  ASSERT_EQ(engines[0].models().at("m"), "2");
+  for (const Order& order : late) {
+    const OrderAnswer answer = engines[0].Receive(order);
+    EXPECT_EQ(answer, GetParam() ? OrderAnswer::kOldFence : OrderAnswer::kAccepted);
+    old_planner.Answered(order, answer);
+  }
+  EXPECT_EQ(engines[0].models().at("m"), GetParam() ? "2" : "1");
+  EXPECT_EQ(old_planner.Plan(true, true, kStart + seconds{9}).empty(), GetParam());
+  Drive(planner, engines, kStart + seconds{5}, 5);
+  EXPECT_EQ(engines[0].models().at("m"), "2") << "the next report repairs the reversal";
+}
+
+// Guards against an engine without a change between two configurations that accepts an order from in between.
+TEST_P(EngineKindTest, UnchangedStateStillRaisesTheFence) {
+  std::vector<EngineModel> engines{{Id(), GetParam()}};
+  OrderPlanner planner = PlannerAt("2", 7, engines);
+  Drive(planner, engines, kStart, 5);
+  OrderPlanner between = PlannerAt("1", 8, engines);
+  const auto late = between.Plan(true, true, kStart);
+  planner.SetConfig(Shared(EngineDocument(2, "2")), 9);
+  Drive(planner, engines, kStart + seconds{5}, 5);
+  for (const Order& order : late) engines[0].Receive(order);
+  EXPECT_EQ(engines[0].models().at("m"), GetParam() ? "2" : "1");
+}
+
+// Guards against an engine that stays empty after a restart, whatever order reaches it first.
+TEST_P(EngineKindTest, RestartIsRepaired) {
+  std::vector<EngineModel> engines{{Id(), GetParam()}};
+  OrderPlanner old_planner = PlannerAt("1", 7, engines);
+  const auto late = old_planner.Plan(true, true, kStart);
+  OrderPlanner planner = PlannerAt("2", 9, engines);
+  Drive(planner, engines, kStart, 5);
+  engines[0].Restart();
+  for (const Order& order : late) {
+    EXPECT_EQ(engines[0].Receive(order), OrderAnswer::kAccepted) << "the fence was lost with the restart";
+  }
+  Drive(planner, engines, kStart + seconds{5}, 5);
+  EXPECT_EQ(engines[0].models().at("m"), "2");
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, EngineKindTest, testing::Values(true, false),
+                         [](const auto& info) { return info.param ? "HonoursFence" : "IgnoresFence"; });
+
+}  // namespace
+}  // namespace cornelplank::orders
