--- /dev/null
+++ b/tests/membership/command_sequence.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/fuzz/fuzz_target.h"
+
+namespace cornelplank::fuzz {
+
+/// Takes small numbers out of one random word, so that a command is one word and shrinks as one.
+class Word {
+ public:
+  explicit Word(uint32_t word) : word_(word) {}
+  int Take(uint32_t bound) {
+    const auto value = static_cast<int>(word_ % bound);
+    word_ /= bound;
+    return value;
+  }
+
+ private:
+  uint32_t word_;
+};
+
+/// Runs `check(words)`, which returns a violation, on random sequences until about `steps` words were used.
+/// Without `shrink` the first violation is returned as it is, which is enough for a deliberate fault.
+template <typename Check>
+std::optional<std::string> RunCommands(uint64_t seed, uint64_t steps, bool shrink, Check check) {
+  constexpr int kMaxLength = 400;
+  uint64_t used = 0;
+  bool failed = false;
+  for (uint64_t round = 0; used < steps; ++round) {
+    const auto violation = CheckProperty(seed + round * 1000003, 50, kMaxLength, [&] {
+      // Words are drawn at full size, as only the length of the sequence should grow with the size.
+      const auto word = rc::gen::resize(100, rc::gen::inRange<uint32_t>(0, 1U << 31));
+      const auto words = *rc::gen::container<std::vector<uint32_t>>(word).as("commands");
+      used += words.size();
+      if (failed && !shrink) return;
+      if (const std::optional<std::string> found = check(words)) {
+        failed = true;
+        RC_FAIL(*found);
+      }
+    });
+    if (violation) return violation;
+  }
+  return std::nullopt;
+}
+
+}  // namespace cornelplank::fuzz
--- /dev/null
+++ b/tests/orders/orders_fuzz.cc
@@ -0,0 +1,218 @@
+#include "tests/orders/orders_fuzz.h"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "libs/orders/orders.h"
+#include "tests/fuzz/fuzz_target.h"
+#include "tests/membership/command_sequence.h"
+#include "tests/orders/engine_model.h"
+
+namespace cornelplank::orders {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kPlanners = 3;
+constexpr int kEngines = 4;
+constexpr base::Duration kConfirmedFor = seconds{14};
+
+struct PlannerNode {
+  OrderPlanner planner{PlannerSettings{}, "ost-1"};
+  base::TimePoint confirmed_at{};
+  bool paused = false;
+  base::TimePoint paused_at{};
+  base::TimePoint woken_at{};
+  std::vector<Order> hand;  // planned but not yet sent
+};
+
+struct InFlight {
+  Order order;
+  int planner = 0;
+};
+
+class OrdersWorld {
+ public:
+  explicit OrdersWorld(OrdersFault fault) : fault_(fault) {
+    for (int i = 0; i < kEngines; ++i) engines_.emplace_back(EngineId(i), i % 2 == 0);
+    Publish(1);
+    for (int i = 0; i < kPlanners; ++i) Update(i);
+  }
+
+  std::optional<std::string> Step(fuzz::Word word) {
+    const int command = word.Take(16);
+    const int planner = word.Take(kPlanners);
+    const int engine = word.Take(kEngines);
+    switch (command) {
+      case 0:
+        Publish(head_ + 1 + static_cast<uint64_t>(word.Take(3)));
+        break;
+      case 1:
+      case 2:
+        Update(planner);
+        break;
+      case 3:
+      case 4:
+        ReportAll(planner);
+        break;
+      case 5:
+      case 6:
+      case 7:
+        Plan(planner);
+        break;
+      case 8:
+      case 9:
+        Send(planner);
+        break;
+      case 10:
+      case 11:
+        Deliver(static_cast<size_t>(word.Take(64)), word.Take(3) == 0, word.Take(2) == 0);
+        break;
+      case 12:
+        Pause(planner);
+        break;
+      case 13:
+        Wake(planner);
+        break;
+      case 14:
+        engines_[static_cast<size_t>(engine)].Restart();
+        newest_[static_cast<size_t>(engine)] = 0;
+        break;
+      default:
+        now_ += milliseconds{100 * (1 + word.Take(word.Take(8) == 0 ? 300 : 12))};
+    }
+    return violation_;
+  }
+
+  /// Brings every planner to the newest configuration and lets all run; the engines must reach its state.
+  std::optional<std::string> Finish() {
+    for (int i = 0; i < kPlanners; ++i) Wake(i);
+    while (!network_.empty()) Deliver(0, false, true);
+    for (int round = 0; round < 30; ++round) {
+      now_ += seconds{5};
+      for (int i = 0; i < kPlanners; ++i) {
+        Update(i);
+        ReportAll(i);
+        Plan(i);
+        Send(i);
+      }
+      while (!network_.empty()) Deliver(0, false, true);
+    }
+    int with_x = 0;
+    for (const EngineModel& engine : engines_) {
+      const auto found = engine.models().find("m");
+      if (found == engine.models().end() || found->second != std::to_string(head_)) {
+        Fail(engine.id() + " did not converge to the newest configuration");
+      }
+      with_x += engine.models().contains("x") ? 1 : 0;
+    }
+    if (with_x < 2 || !engines_[0].models().contains("x")) Fail("the minimum of replicas was not reached");
+    return violation_;
+  }
+
+ private:
+  void Fail(std::string text) {
+    if (!violation_) violation_ = std::move(text);
+  }
+  PlannerNode& Node(int i) { return nodes_[static_cast<size_t>(i)]; }
+
+  void Publish(uint64_t seq) {
+    head_ = seq;
+    document_ = std::make_shared<const config::Document>(EngineDocument(kEngines, std::to_string(seq)));
+  }
+  void Update(int i) {
+    if (Node(i).paused) return;
+    Node(i).planner.SetConfig(document_, head_);
+    Node(i).confirmed_at = now_;
+  }
+  void ReportAll(int i) {
+    if (Node(i).paused) return;
+    for (const EngineModel& engine : engines_) Node(i).planner.Report(engine.Report(), now_);
+  }
+  bool Confirmed(int i) { return now_ - Node(i).confirmed_at < kConfirmedFor; }
+  void Plan(int i) {
+    if (Node(i).paused) return;
+    std::vector<Order> planned = Node(i).planner.Plan(Confirmed(i), true, now_);
+    for (Order& order : planned) {
+      if (fault_ == OrdersFault::kLowFence) order.fence = 1;
+      Node(i).hand.push_back(std::move(order));
+    }
+  }
+  void Pause(int i) {
+    if (!Node(i).paused) Node(i).paused_at = now_;
+    Node(i).paused = true;
+  }
+  void Wake(int i) {
+    if (Node(i).paused) Node(i).woken_at = now_;
+    Node(i).paused = false;
+  }
+
+  void Send(int i) {
+    PlannerNode& node = Node(i);
+    if (node.paused) return;
+    for (const Order& order : node.hand) {
+      const uint64_t seq = node.planner.config_seq();
+      Order checked = order;
+      if (fault_ == OrdersFault::kLowFence) checked.fence = seq;
+      const SendContext context{now_, seq, seq, Confirmed(i), true};
+      const bool sent =
+          fault_ == OrdersFault::kNoGate || SendGate::Check(checked, context) == GateVerdict::kSend;
+      if (!sent) continue;
+      if (!Confirmed(i)) Fail("an unconfirmed node sent an order");
+      const bool slept = order.planned_at <= node.paused_at && node.woken_at > node.paused_at;
+      if (slept && node.woken_at - node.paused_at > seconds{1}) Fail("an order left after a pause");
+      network_.push_back({order, i});
+    }
+    node.hand.clear();
+  }
+
+  void Deliver(size_t pick, bool keep, bool answer) {
+    if (network_.empty()) return;
+    const size_t index = pick % network_.size();
+    const InFlight message = network_[index];
+    if (!keep || network_.size() > 100) network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(index));
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      EngineModel& engine = engines_[i];
+      if (engine.id() != message.order.engine) continue;
+      const OrderAnswer result = engine.Receive(message.order);
+      const bool heard = answer && !Node(message.planner).paused;
+      if (heard) Node(message.planner).planner.Answered(message.order, result);
+      const auto model = engine.models().find("m");
+      const uint64_t version = model == engine.models().end() ? 0 : std::stoull(model->second);
+      if (engine.honours_fence() && version < newest_[i]) {
+        Fail(engine.id() + " went back to an older version");
+      }
+      newest_[i] = std::max(newest_[i], version);
+    }
+  }
+
+  OrdersFault fault_;
+  base::TimePoint now_{std::chrono::hours{1}};
+  uint64_t head_ = 0;
+  std::shared_ptr<const config::Document> document_;
+  std::vector<PlannerNode> nodes_{kPlanners};
+  std::vector<EngineModel> engines_;
+  std::vector<uint64_t> newest_ = std::vector<uint64_t>(kEngines, 0);
+  std::vector<InFlight> network_;
+  std::optional<std::string> violation_;
+};
+
+const bool registered = fuzz::RegisterFuzzTarget(
+    {"orders", [](uint64_t seed, uint64_t steps) { return FuzzOrders(OrdersFault::kNone, seed, steps); }});
+
+}  // namespace
+
+std::optional<std::string> FuzzOrders(OrdersFault fault, uint64_t seed, uint64_t steps) {
+  const auto check = [fault](const std::vector<uint32_t>& words) -> std::optional<std::string> {
+    OrdersWorld world(fault);
+    for (const uint32_t word : words) {
+      if (auto violation = world.Step(fuzz::Word(word))) return violation;
+    }
+    return world.Finish();
+  };
+  return fuzz::RunCommands(seed, steps, fault == OrdersFault::kNone, check);
+}
+
+}  // namespace cornelplank::orders
