--- a/standins/common/program.cc
+++ b/standins/common/program.cc
@@ -28,9 +28,11 @@
                            const options::options_description& own) {
   options::options_description all(summary);
   all.add_options()("help", "print this help")("version", "print the version")(
-      "check", "validate the options and the files that they name, then end")(
-      "listen", options::value<std::string>()->default_value("127.0.0.1:0"),
-      "IP:PORT to listen on; port 0 means any free port");
+      "check", "validate the options and the files that they name, then end");
+  if (own.find_nothrow("listen", false) == nullptr) {
+    all.add_options()("listen", options::value<std::string>()->default_value("127.0.0.1:0"),
+                      "IP:PORT to listen on; port 0 means any free port");
+  }
   all.add(own);
   ParsedOptions parsed;
   try {
--- a/standins/common/program.h
+++ b/standins/common/program.h
@@ -19,7 +19,8 @@
 };
 
 /// Reads the command line with the options of a program and the common ones (--help, --version, --check,
-/// --listen). A fault in the command line is printed to standard error and yields exit code 2.
+/// --listen unless `own` has it). A fault in the command line is printed to standard error and yields exit
+/// code 2.
 ParsedOptions ParseOptions(int argc, char** argv, const std::string& summary,
                            const boost::program_options::options_description& own);
 
--- /dev/null
+++ b/standins/relay/relay.cc
@@ -0,0 +1,221 @@
+#include "standins/relay/relay.h"
+
+#include <arpa/inet.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+namespace cornelplank::standins::relay {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestWait{500};
+// Keys of epoll events: the wake-up, the listeners, then two for each connection.
+constexpr uint64_t kWakeKey = 0;
+constexpr uint64_t kFirstConnectionKey = 1000;
+
+std::optional<sockaddr_in> ParseAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
+  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) return std::nullopt;
+  address.sin_port = htons(port);
+  return address;
+}
+
+const sockaddr* Raw(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
+
+}  // namespace
+
+Relay::Relay() : wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  uint32_t registered = 0;
+  poller_.Watch(wake_fd_, kWakeKey, EPOLLIN, &registered);
+}
+
+Relay::~Relay() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  Wake();
+  if (thread_.joinable()) thread_.join();
+  for (Pair& pair : pairs_) {
+    if (pair.listen_fd >= 0) close(pair.listen_fd);
+  }
+  close(wake_fd_);
+}
+
+std::unique_ptr<Relay> Relay::Start(const std::vector<PairAddresses>& pairs, std::string* problem) {
+  std::unique_ptr<Relay> relay(new Relay());
+  for (const PairAddresses& addresses : pairs) {
+    const auto listen = ParseAddress(addresses.listen);
+    const auto target = ParseAddress(addresses.target);
+    Pair& pair = relay->pairs_.emplace_back();
+    if (!listen || !target) {
+      *problem = "'" + addresses.listen + "' or '" + addresses.target + "' is not IP:PORT";
+      return nullptr;
+    }
+    pair.listen_address = *listen;
+    pair.target_address = *target;
+    if (!relay->Bind(pair)) {
+      *problem = "can't listen on " + addresses.listen + ": " + std::strerror(errno);
+      return nullptr;
+    }
+    const std::string host = addresses.listen.substr(0, addresses.listen.rfind(':') + 1);
+    pair.state.listen = host + std::to_string(ntohs(pair.listen_address.sin_port));
+    pair.state.target = addresses.target;
+  }
+  relay->thread_ = std::thread([raw = relay.get()] { raw->Run(); });
+  return relay;
+}
+
+bool Relay::Bind(Pair& pair) const {
+  pair.listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int on = 1;
+  setsockopt(pair.listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  socklen_t length = sizeof pair.listen_address;
+  // The address then holds the port that was bound, and a cut pair listens on the same one again.
+  if (bind(pair.listen_fd, Raw(pair.listen_address), length) == 0 && listen(pair.listen_fd, SOMAXCONN) == 0 &&
+      getsockname(pair.listen_fd, reinterpret_cast<sockaddr*>(&pair.listen_address), &length) == 0) {
+    return true;
+  }
+  close(pair.listen_fd);
+  pair.listen_fd = -1;
+  return false;
+}
+
+void Relay::Wake() const {
+  const uint64_t one = 1;
+  if (write(wake_fd_, &one, sizeof one) < 0) return;  // the counter is full, so a wake-up is pending anyway
+}
+
+bool Relay::SetMode(size_t index, PairMode mode) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Pair& pair = pairs_.at(index);
+  if (mode == PairMode::kCut) {
+    for (auto& [key, connection] : pair.connections) connection->ResetOnClose();
+    pair.connections.clear();
+    if (pair.listen_fd >= 0) close(pair.listen_fd);
+    pair.listen_fd = -1;
+    pair.registered = 0;
+  } else if (pair.listen_fd < 0 && !Bind(pair)) {
+    return false;
+  }
+  pair.state.mode = mode;
+  Wake();
+  return true;
+}
+
+void Relay::SetDelay(size_t index, base::Duration delay) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Pair& pair = pairs_.at(index);
+  pair.state.delay = delay;
+  for (auto& [key, connection] : pair.connections) connection->SetDelay(delay);
+  Wake();
+}
+
+size_t Relay::DropOpen(size_t index, Direction direction) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Pair& pair = pairs_.at(index);
+  for (auto& [key, connection] : pair.connections) connection->Drop(direction);
+  Wake();
+  return pair.connections.size();
+}
+
+std::vector<PairState> Relay::States() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<PairState> states;
+  states.reserve(pairs_.size());
+  for (const Pair& pair : pairs_) {
+    states.push_back(pair.state);
+    states.back().connections = pair.connections.size();
+  }
+  return states;
+}
+
+void Relay::Run() {
+  std::array<epoll_event, 64> events;
+  while (true) {
+    base::Duration wait = kLongestWait;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (stopping_) return;
+      const base::TimePoint due = FlushAndRegister();
+      wait = std::clamp<base::Duration>(due - clock_.Now(), base::Duration{0}, kLongestWait);
+    }
+    // Rounded up, so that the loop does not spin until a chunk is due.
+    const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    const int count = epoll_wait(poller_.epoll_fd(), events.data(), static_cast<int>(events.size()),
+                                 static_cast<int>(wait_ms));
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (int index = 0; index < count; ++index) Dispatch(events[index].data.u64, events[index].events);
+  }
+}
+
+base::TimePoint Relay::FlushAndRegister() {
+  const base::TimePoint now = clock_.Now();
+  base::TimePoint next = now + kLongestWait;
+  for (size_t index = 0; index < pairs_.size(); ++index) {
+    Pair& pair = pairs_[index];
+    const bool frozen = pair.state.mode == PairMode::kFreeze;
+    if (pair.listen_fd >= 0) {
+      const uint32_t wanted = frozen ? 0U : EPOLLIN;
+      poller_.Watch(pair.listen_fd, index + 1, wanted, &pair.registered);
+    }
+    if (!frozen) std::erase_if(pair.connections, [now](auto& entry) { return !entry.second->Flush(now); });
+    for (auto& [key, connection] : pair.connections) {
+      connection->Register(poller_, frozen, now);
+      const auto due = frozen ? std::nullopt : connection->NextDue(now);
+      if (due) next = std::min(next, *due);
+    }
+  }
+  return next;
+}
+
+void Relay::Dispatch(uint64_t key, uint32_t events) {
+  if (key == kWakeKey) {
+    uint64_t count = 0;
+    while (read(wake_fd_, &count, sizeof count) > 0) {
+    }
+    return;
+  }
+  if (key < kFirstConnectionKey) {
+    Pair& pair = pairs_[key - 1];
+    if (pair.listen_fd >= 0 && pair.state.mode == PairMode::kForward) Accept(pair);
+    return;
+  }
+  const uint64_t connection_key = key - key % 2;
+  for (Pair& pair : pairs_) {
+    const auto found = pair.connections.find(connection_key);
+    if (found == pair.connections.end() || pair.state.mode == PairMode::kFreeze) continue;
+    if (!found->second->OnEvents(key == connection_key, events, clock_.Now())) pair.connections.erase(found);
+    return;
+  }
+}
+
+void Relay::Accept(Pair& pair) {
+  const int client_fd = accept4(pair.listen_fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (client_fd < 0) return;
+  const int target_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (connect(target_fd, Raw(pair.target_address), sizeof pair.target_address) != 0 && errno != EINPROGRESS) {
+    close(client_fd);
+    close(target_fd);
+    return;
+  }
+  const uint64_t key = kFirstConnectionKey + 2 * next_connection_++;
+  ++pair.state.accepted;
+  pair.connections.emplace(key, std::make_unique<Connection>(client_fd, target_fd, key, pair.state.delay));
+}
+
+}  // namespace cornelplank::standins::relay
