Test the configuration store and judge patches on the part they reach

The callback of the JSON parser makes it quadratic in the members of an object, and every patch built and read the JSON form of the whole document.

Change: the depth limit is a scan before parsing. A patch is applied to the entries that its paths reach; the whole document is still checked. The size limit is computed without building the text.

Found by config_parse: a client id listed twice in a directory page was written as an unreadable page. Such a client now counts as removed.

Ruled out: patching in place with an undo list, since the copy of the document is not the larger part.

--- a/libs/config/internal/client_directory.cc
+++ b/libs/config/internal/client_directory.cc
@@ -1,6 +1,7 @@
 #include "libs/config/internal/client_directory.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "libs/config/internal/json_reader.h"
@@ -44,15 +45,21 @@
   ClientPage page;
   page.revision = reader.Unsigned("revision");
   page.removed = reader.Names("removed", false);
+  std::set<std::string> seen;
+  std::set<std::string> removed(page.removed.begin(), page.removed.end());
   ForEachElement(&reader, "clients", true, &page_faults, [&](const Json& element, const Place& place) {
     const size_t first = record_faults.size();
     ClientRecord client = ReadClient(element, place, &record_faults);
+    if (!client.id.empty() && (removed.contains(client.id) || !seen.insert(client.id).second)) {
+      record_faults.push_back({place.Text(), "client '" + client.id + "' is listed twice"});
+    }
     if (record_faults.size() == first) {
       page.clients.push_back(std::move(client));
-    } else if (!client.id.empty()) {
+    } else if (!client.id.empty() && removed.insert(client.id).second) {
       page.removed.push_back(std::move(client.id));
     }
   });
+  std::erase_if(page.clients, [&](const ClientRecord& client) { return removed.contains(client.id); });
   if (faults != nullptr) {
     *faults = page_faults;
     faults->insert(faults->end(), record_faults.begin(), record_faults.end());
--- a/libs/config/internal/document_codec.cc
+++ b/libs/config/internal/document_codec.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libs/config/internal/document_check.h"
+#include "libs/config/internal/document_size.h"
 #include "libs/config/internal/document_text.h"
 
 namespace cornelplank::config {
@@ -32,7 +33,7 @@
 /// Reads the entries of a document. The rules are those of format 1.
 class DocumentReader {
  public:
-  explicit DocumentReader(Faults* faults) : faults_(faults) {}
+  DocumentReader(Document rest, Faults* faults) : faults_(faults), document_(std::move(rest)) {}
 
   Document Read(const Json& value, int known_format) {
     const Place root;
@@ -206,6 +207,11 @@
 
 std::optional<Document> DocumentFromJson(const Json& value, int known_format, ConfigReason* reason,
                                          Faults* faults) {
+  return DocumentFromJson(value, {}, known_format, reason, faults);
+}
+
+std::optional<Document> DocumentFromJson(const Json& value, Document rest, int known_format,
+                                         ConfigReason* reason, Faults* faults) {
   if (IsFormatUnknown(value, known_format)) {
     base::SetReason(reason, ConfigCode::kFormatUnknown,
                     "format " + value["format"].dump() + " is above the newest known format " +
@@ -213,7 +219,7 @@
     return std::nullopt;
   }
   const size_t first = faults->size();
-  Document document = DocumentReader(faults).Read(value, known_format);
+  Document document = DocumentReader(std::move(rest), faults).Read(value, known_format);
   CheckDocument(document, faults);
   if (faults->size() == first) return document;
   base::SetReason(reason, ConfigCode::kInvalid, (*faults)[first].Text());
@@ -262,7 +268,7 @@
   const auto value = ParseJson(json, reason);
   if (!value) return std::nullopt;
   auto document = DocumentFromJson(*value, known_format, reason, faults != nullptr ? faults : &ignored);
-  if (document && WriteDocument(*document).size() > kMaxDocumentBytes) {
+  if (document && DocumentSize(*document) > kMaxDocumentBytes) {
     base::SetReason(reason, ConfigCode::kTooLarge,
                     "the document exceeds " + std::to_string(kMaxDocumentBytes) + " bytes");
     return std::nullopt;
--- /dev/null
+++ b/libs/config/internal/document_size.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstddef>
+
+#include "libs/config/internal/document.h"
+
+namespace cornelplank::config {
+
+/// Size of WriteDocument(document) in bytes, without building the text.
+size_t DocumentSize(const Document& document);
+
+}  // namespace cornelplank::config
--- a/libs/config/internal/json_reader.cc
+++ b/libs/config/internal/json_reader.cc
@@ -40,16 +40,32 @@
 
 }  // namespace
 
+bool IsTooDeep(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 std::optional<Json> ParseJson(std::string_view text, ConfigReason* reason) {
-  bool too_deep = false;
-  const auto limit_depth = [&too_deep](int depth, Json::parse_event_t, Json&) {
-    too_deep = too_deep || depth > kMaxJsonDepth;
-    return depth <= kMaxJsonDepth;
-  };
-  try {
-    Json value = Json::parse(text, limit_depth);
-    if (!too_deep) return value;
+  if (IsTooDeep(text)) {
     base::SetReason(reason, ConfigCode::kMalformed, "the JSON is nested too deeply");
+    return std::nullopt;
+  }
+  try {
+    return Json::parse(text);
   } catch (const Json::exception& error) {
     base::SetReason(reason, ConfigCode::kMalformed, std::string("not JSON: ") + error.what());
   }
--- a/libs/config/internal/json_reader.h
+++ b/libs/config/internal/json_reader.h
@@ -17,10 +17,14 @@
 
 using Json = nlohmann::json;
 
-/// Nesting beyond this depth is dropped while parsing. The deepest published form has 8 levels; without a
-/// bound, a deep value would exhaust the stack of the recursive functions of the JSON library.
+/// The deepest published form has 8 levels. Without a bound, a deep value would exhaust the stack of the
+/// recursive functions of the JSON library.
 inline constexpr int kMaxJsonDepth = 64;
 
+/// True when the brackets of `text` nest deeper than kMaxJsonDepth. The JSON library could tell while
+/// parsing, but its callback makes the parser take quadratic time in the members of an object.
+bool IsTooDeep(std::string_view text);
+
 /// Parses `text` strictly. Nothing when it is not JSON or is nested too deeply.
 std::optional<Json> ParseJson(std::string_view text, ConfigReason* reason);
 
--- a/libs/config/internal/log_entry.cc
+++ b/libs/config/internal/log_entry.cc
@@ -26,7 +26,7 @@
     return true;
   };
   try {
-    return Json::parse(text, limit_depth);
+    return IsTooDeep(text) ? Json::parse(text, limit_depth) : Json::parse(text);
   } catch (const Json::exception& error) {
     base::SetReason(reason, ConfigCode::kMalformed, std::string("not JSON: ") + error.what());
     return std::nullopt;
--- a/libs/config/internal/patch.cc
+++ b/libs/config/internal/patch.cc
@@ -3,8 +3,10 @@
 #include <utility>
 
 #include "libs/config/internal/document_codec.h"
+#include "libs/config/internal/document_size.h"
 #include "libs/config/internal/document_text.h"
 #include "libs/config/internal/ownership.h"
+#include "libs/config/internal/patch_scope.h"
 
 namespace cornelplank::config {
 namespace {
@@ -12,9 +14,6 @@
 // A "copy" operation adds values without carrying them, so a few operations could double the document until
 // memory is exhausted. A full document has about 20,000 values.
 constexpr size_t kMaxCopiedValues = 100'000;
-// Paths of a valid document have at most 5 tokens. The bound also keeps repeated copies from nesting deeply.
-constexpr size_t kMaxPathTokens = 8;
-
 /// Counts the values of `value`, stopping above `limit`.
 size_t CountValues(const Json& value, size_t limit) {
   size_t count = 1;
@@ -26,14 +25,6 @@
   return count;
 }
 
-size_t TokenCount(const Json& operation, const char* key) {
-  const auto field = operation.find(key);
-  if (field == operation.end() || !field->is_string()) return 0;
-  size_t count = 0;
-  for (const char c : field->get_ref<const std::string&>()) count += c == '/' ? 1 : 0;
-  return count;
-}
-
 /// Applies operations one by one, so that a fault names the operation.
 class PatchRun {
  public:
@@ -62,7 +53,7 @@
   }
 
   bool WithinBounds(const Json& operation, const std::string& pointer) {
-    if (TokenCount(operation, "path") > kMaxPathTokens || TokenCount(operation, "from") > kMaxPathTokens) {
+    if (PathTokens(operation, "path") > kMaxPathTokens || PathTokens(operation, "from") > kMaxPathTokens) {
       return Fail(pointer, "the path is longer than any path of a document");
     }
     const auto op = operation.find("op");
@@ -107,19 +98,20 @@
   const auto patch = ParseJson(patch_json, &reason);
   if (!patch) return Refuse(ConfigCode::kMalformed, {{"", reason.detail}});
   Faults faults;
-  Json value = DocumentToJson(document);
+  const PatchScope scope(*patch);
+  Json value = scope.ToJson(document);
   if (!PatchRun(&value, &faults).Run(*patch)) return Refuse(ConfigCode::kPatch, std::move(faults));
   if (!IsFormatStep(value, document.format)) {
     return Refuse(ConfigCode::kInvalid, {{"/format", "may only stay or rise by one"}});
   }
-  auto next = DocumentFromJson(value, known_format, &reason, &faults);
+  auto next = DocumentFromJson(value, scope.Rest(document), known_format, &reason, &faults);
   if (!next) {
     if (reason.code == ConfigCode::kFormatUnknown) return {std::nullopt, std::move(reason), {}};
     return Refuse(ConfigCode::kInvalid, std::move(faults));
   }
   CheckOwnership(document, *next, author, &faults);
   if (!faults.empty()) return Refuse(ConfigCode::kOwnership, std::move(faults));
-  if (WriteDocument(*next).size() > kMaxDocumentBytes) {
+  if (DocumentSize(*next) > kMaxDocumentBytes) {
     return Refuse(ConfigCode::kTooLarge,
                   {{"", "the document would exceed " + std::to_string(kMaxDocumentBytes) + " bytes"}});
   }
--- a/libs/config/internal/snapshot.cc
+++ b/libs/config/internal/snapshot.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libs/config/internal/document_codec.h"
+#include "libs/config/internal/document_size.h"
 #include "libs/config/internal/document_text.h"
 #include "libs/config/internal/log_entry.h"
 
@@ -73,7 +74,7 @@
   Faults found;
   auto snapshot = FromJson(*value, known_format, reason, &found);
   if (faults != nullptr) *faults = std::move(found);
-  if (snapshot && WriteDocument(snapshot->document).size() > kMaxDocumentBytes) {
+  if (snapshot && DocumentSize(snapshot->document) > kMaxDocumentBytes) {
     base::SetReason(reason, ConfigCode::kTooLarge,
                     "the document exceeds " + std::to_string(kMaxDocumentBytes) + " bytes");
     return std::nullopt;
--- /dev/null
+++ b/tests/config/codec_test.cc
@@ -0,0 +1,154 @@
+#include <gtest/gtest.h>
+
+#include "tests/config/example.h"
+
+namespace cornelplank::config {
+namespace {
+
+using nlohmann::json;
+
+struct SnapshotCase {
+  const char* name;
+  const char* patch;  // applied to the published form of the example
+  ConfigCode code;
+  const char* detail;  // start of it
+};
+
+class SnapshotFaultTest : public testing::TestWithParam<SnapshotCase> {};
+
+// Guards against snapshots that are adopted though their envelope or document is faulty.
+TEST_P(SnapshotFaultTest, NamesThePointer) {
+  const json faulty = json::parse(WriteSnapshot(ExampleSnapshot())).patch(json::parse(GetParam().patch));
+  ConfigReason reason;
+  EXPECT_FALSE(ParseSnapshot(faulty.dump(), &reason));
+  EXPECT_EQ(CodeName(reason.code), CodeName(GetParam().code));
+  EXPECT_EQ(reason.detail.rfind(GetParam().detail, 0), 0U) << reason.detail;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, SnapshotFaultTest,
+    testing::Values(
+        SnapshotCase{"NoSeq", R"([{"op":"remove","path":"/seq"}])", ConfigCode::kInvalid,
+                     "/seq: is required"},
+        SnapshotCase{"NegativeVersion", R"([{"op":"replace","path":"/version","value":-1}])",
+                     ConfigCode::kInvalid, "/version: "},
+        SnapshotCase{"ShortDigest", R"([{"op":"replace","path":"/digest","value":"00"}])",
+                     ConfigCode::kInvalid, "/digest: "},
+        SnapshotCase{"NoFormat", R"([{"op":"remove","path":"/format"}])", ConfigCode::kInvalid,
+                     "/format: is required"},
+        SnapshotCase{"FormatsDiffer", R"([{"op":"replace","path":"/format","value":0}])",
+                     ConfigCode::kInvalid, "/format: must equal"},
+        SnapshotCase{"UnknownField", R"([{"op":"add","path":"/more","value":1}])", ConfigCode::kInvalid,
+                     "/more: unknown field"},
+        SnapshotCase{"DocumentFault", R"([{"op":"replace","path":"/document/links/0/a","value":"x"}])",
+                     ConfigCode::kInvalid, "/document/links/0/a: "},
+        SnapshotCase{"NewFormat",
+                     R"([{"op":"replace","path":"/format","value":2},{"op":"remove","path":"/seq"}])",
+                     ConfigCode::kFormatUnknown, "format 2"},
+        SnapshotCase{"NewDocumentFormat", R"([{"op":"replace","path":"/document/format","value":2}])",
+                     ConfigCode::kFormatUnknown, "format 2"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against one faulty entry that stops the whole log for every node.
+TEST(LogPageTest, FaultyEntriesAreReadAndThenRefused) {
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string text = R"({"head_seq":12,"oldest_seq":8,"entries":[
+    {"seq":8,"base":"x","author":"gave","patch":[]},
+    {"seq":9,"base":3,"author":7,"patch":[]},
+    {"seq":10,"base":3,"author":"gave"},
+    {"seq":11,"base":3,"author":"gave","patch":)" +
+                           deep + R"(},
+    {"seq":12,"base":3,"author":"gave","patch":[],"published_at":"ignored"}]})";
+  ConfigReason reason;
+  const auto page = ParseLogPage(text, &reason);
+  ASSERT_TRUE(page) << reason.detail;
+  ASSERT_EQ(page->entries.size(), 5U);
+  ConfigStore store = ConfigStore::FromSnapshot(ExampleSnapshot(), {}, nullptr).value();
+  std::string verdicts;
+  for (const LogEntry& entry : page->entries) {
+    const Verdict verdict = store.Apply(entry);
+    EXPECT_TRUE(verdict.judged);
+    verdicts += std::string(CodeName(verdict.reason.code)) + " ";
+  }
+  EXPECT_EQ(verdicts, "base ownership patch patch none ");
+}
+
+// Guards against pages that are half read.
+TEST(LogPageTest, APageWithoutReadableSeqIsMalformed) {
+  ConfigReason reason;
+  EXPECT_FALSE(ParseLogPage(R"({"head_seq":1,"oldest_seq":1,"entries":[{"seq":1.5}]})", &reason));
+  EXPECT_EQ(reason.code, ConfigCode::kMalformed);
+  EXPECT_EQ(reason.detail.rfind("/entries/0/seq: ", 0), 0U) << reason.detail;
+  EXPECT_FALSE(ParseLogPage(R"({"head_seq":1,"entries":[]})", &reason));
+  EXPECT_EQ(reason.detail, "/oldest_seq: is required");
+}
+
+// Guards against a client that keeps an old residency rule because its new record is faulty.
+TEST(ClientPageTest, FaultyRecordsCountAsRemoved) {
+  const std::string key(64, 'a');
+  const json page = {{"revision", 5},
+                     {"clients",
+                      {{{"id", "good"},
+                        {"partner", "gave"},
+                        {"key_sha256", key},
+                        {"classes", {"desk"}},
+                        {"home", "ost"},
+                        {"residency", "gave-home"},
+                        {"note", "ignored"}},
+                       {{"id", "bad"},
+                        {"partner", "gave"},
+                        {"key_sha256", "AB"},
+                        {"classes", {"desk"}},
+                        {"home", "ost"},
+                        {"residency", "gave-home"}},
+                       {{"id", "none"},
+                        {"partner", "gave"},
+                        {"key_sha256", key},
+                        {"classes", json::array()},
+                        {"home", "ost"},
+                        {"residency", "gave-home"}}}},
+                     {"removed", {"gone"}}};
+  Faults faults;
+  const auto parsed = ParseClientPage(page.dump(), nullptr, &faults);
+  ASSERT_TRUE(parsed);
+  ASSERT_EQ(parsed->clients.size(), 1U);
+  EXPECT_EQ(parsed->clients[0].id, "good");
+  EXPECT_EQ(parsed->removed, (std::vector<std::string>{"gone", "bad", "none"}));
+  ASSERT_EQ(faults.size(), 2U);
+  EXPECT_EQ(faults[0].pointer, "/clients/1/key_sha256");
+  EXPECT_EQ(faults[1].pointer, "/clients/2/classes");
+}
+
+struct VmCase {
+  const char* name;
+  const char* patch;
+  const char* detail;
+};
+
+class VmListFaultTest : public testing::TestWithParam<VmCase> {};
+
+// Guards against VM lists that silently lose a VM because of a faulty record.
+TEST_P(VmListFaultTest, FailsTheWholeList) {
+  const VmList list{std::chrono::milliseconds{5},
+                    {{"a", "gave", "ost", "ost-1", "10.0.0.1:7", "10.0.0.1:8", ~uint64_t{0}, VmState::kLive},
+                     {"b", "gave", "ost", "ost-1", "10.0.0.2:7", "10.0.0.2:8", 2, VmState::kLeaving}}};
+  const std::string text = WriteVmList(list);
+  EXPECT_EQ(ParseVmList(text, nullptr), list);
+  ConfigReason reason;
+  EXPECT_FALSE(ParseVmList(json::parse(text).patch(json::parse(GetParam().patch)).dump(), &reason));
+  EXPECT_EQ(reason.detail.rfind(GetParam().detail, 0), 0U) << reason.detail;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, VmListFaultTest,
+    testing::Values(VmCase{"NoAge", R"([{"op":"remove","path":"/age_ms"}])", "/age_ms: is required"},
+                    VmCase{"BadState", R"([{"op":"replace","path":"/vms/1/state","value":"gone"}])",
+                           "/vms/1/state: must be one of"},
+                    VmCase{"BadAddress", R"([{"op":"replace","path":"/vms/0/rpc","value":"x"}])",
+                           "/vms/0/rpc: "},
+                    VmCase{"ListedTwice", R"([{"op":"replace","path":"/vms/1/id","value":"a"}])",
+                           "/vms/1: VM 'a' is listed twice"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace cornelplank::config
--- /dev/null
+++ b/tests/config/cost_test.cc
@@ -0,0 +1,68 @@
+#include <gtest/gtest.h>
+#include <malloc.h>
+
+#include <chrono>
+
+#include "tests/config/example.h"
+
+namespace cornelplank::config {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kUpstreams = 1200;
+// A VM that starts with a snapshot of yesterday has to judge a day's 770 entries within 14 s.
+constexpr std::chrono::milliseconds kMaxTimePerPatch{18};
+// A tenth of the control budget of 128 MB.
+constexpr size_t kMaxStoreBytes = 12'800'000;
+
+/// A document of 1,200 engines and 8 models; residency rules fill it up to nearly the largest size.
+Snapshot LargeSnapshot() {
+  json value = ExampleJson();
+  json models = json::array();
+  for (int i = 0; i < 8; ++i) {
+    const std::string name = "model-" + std::to_string(i);
+    value["models"][name] = {{"partner", "gave"}, {"version", "2026-11"}, {"size_gb", 16.5}};
+    models.push_back(name);
+  }
+  for (int i = 0; i < kUpstreams; ++i) {
+    json engine = value["upstreams"]["e1"];
+    engine["address"] = "10.1." + std::to_string(i / 200) + "." + std::to_string(i % 200) + ":8000";
+    engine["models"] = models;
+    value["upstreams"]["engine-" + std::to_string(i)] = std::move(engine);
+  }
+  size_t size = WriteDocument(ParseDocument(value.dump(), nullptr).value()).size();
+  for (int i = 0; size < kMaxDocumentBytes - 2000; ++i, size += 90) {
+    value["residency"]["a-residency-rule-with-a-long-name-" + std::to_string(i)] = {
+        {"partner", "gave"}, {"allow", {"home", "ost"}}};
+  }
+  return {{7, 3, std::string(32, '0')}, ParseDocument(value.dump(), nullptr).value()};
+}
+
+// Guards against a judgement that is too slow for a VM that catches up, and a store that is too large.
+TEST(CostTest, PatchesAtDesignScaleStayWithinTheBudget) {
+  const size_t heap_before = mallinfo2().uordblks;
+  auto store = ConfigStore::FromSnapshot(LargeSnapshot(), {}, nullptr);
+  ASSERT_TRUE(store);
+  const size_t store_bytes = mallinfo2().uordblks - heap_before;
+  const std::string snapshot = WriteSnapshot(store->ToSnapshot());
+  constexpr int kPatches = 100;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kPatches; ++i) {
+    const json patch = json::array(
+        {{{"op", "replace"}, {"path", "/upstreams/engine-" + std::to_string(i) + "/slots"}, {"value", 9}}});
+    ASSERT_TRUE(store->Apply(MakeEntry(8 + i, 3 + i, "gave", patch)).accepted);
+  }
+  const std::chrono::duration<double, std::milli> per_patch =
+      (std::chrono::steady_clock::now() - start) / double{kPatches};
+  const auto parse_start = std::chrono::steady_clock::now();
+  ASSERT_TRUE(ParseSnapshot(snapshot, nullptr));
+  const std::chrono::duration<double, std::milli> parse = std::chrono::steady_clock::now() - parse_start;
+  std::cout << "snapshot of " << snapshot.size() << " bytes: " << per_patch.count() << " ms per patch, "
+            << parse.count() << " ms to parse, store of " << store_bytes << " bytes\n";
+  EXPECT_LT(per_patch, kMaxTimePerPatch);
+  EXPECT_LT(store_bytes, kMaxStoreBytes);
+}
+
+}  // namespace
+}  // namespace cornelplank::config
--- /dev/null
+++ b/tests/config/store_harness.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "libs/config/config.h"
+
+namespace cornelplank::config {
+
+/// A store as the fuzzer drives it. Tests derive broken variants from it.
+class StoreUnderTest {
+ public:
+  StoreUnderTest(Snapshot snapshot, const StoreOptions& options)
+      : options_(options), store_(ConfigStore::FromSnapshot(std::move(snapshot), options, nullptr).value()) {}
+  virtual ~StoreUnderTest() = default;
+
+  virtual Verdict Apply(const LogEntry& entry) { return store_.Apply(entry); }
+  virtual bool Adopt(Snapshot snapshot, ConfigReason* reason) {
+    return store_.Adopt(std::move(snapshot), reason);
+  }
+  ConfigStore& store() { return store_; }
+
+ protected:
+  void Replace(Snapshot snapshot) {
+    store_ = ConfigStore::FromSnapshot(std::move(snapshot), options_, nullptr).value();
+  }
+
+  StoreOptions options_;
+  ConfigStore store_;
+};
+
+using StoreFactory = std::function<std::unique_ptr<StoreUnderTest>(Snapshot, const StoreOptions&)>;
+
+/// Runs about `steps` random commands on several stores next to the sequential oracle. Returns the violation
+/// with its shrunk counterexample, or nothing.
+std::optional<std::string> RunStoreFuzz(const StoreFactory& factory, uint64_t seed, uint64_t steps);
+
+/// Mutates published texts and feeds them to every codec.
+std::optional<std::string> RunParseFuzz(uint64_t seed, uint64_t steps);
+
+}  // namespace cornelplank::config
--- /dev/null
+++ b/tests/config/store_test.cc
@@ -0,0 +1,199 @@
+#include <gtest/gtest.h>
+
+#include "tests/config/example.h"
+
+namespace cornelplank::config {
+namespace {
+
+using nlohmann::json;
+
+json Replace(const char* path, json value) {
+  return json::array({{{"op", "replace"}, {"path", path}, {"value", std::move(value)}}});
+}
+
+ConfigStore MakeStore(const StoreOptions& options = {}) {
+  return ConfigStore::FromSnapshot(ExampleSnapshot(), options, nullptr).value();
+}
+
+// Guards against an accepted patch that is not in force, or that does not raise the version by one.
+TEST(ConfigStoreTest, AppliesTheNextEntry) {
+  ConfigStore store = MakeStore();
+  const Verdict verdict = store.Apply(MakeEntry(8, 3, "gave", Replace("/upstreams/e1/slots", 9)));
+  EXPECT_TRUE(verdict.judged && verdict.accepted) << verdict.reason.detail;
+  EXPECT_EQ(verdict.version.seq, 8U);
+  EXPECT_EQ(verdict.version.number, 4U);
+  EXPECT_EQ(store.document()->upstreams.at("e1").slots, 9);
+  EXPECT_EQ(verdict.version.digest,
+            ChainDigest(std::string(32, '0'), 8, Replace("/upstreams/e1/slots", 9).dump(), true));
+}
+
+struct RefusalCase {
+  const char* name;
+  const char* author;
+  const char* patch;
+  ConfigCode code;
+  const char* detail;  // part of it
+};
+
+class RefusalTest : public testing::TestWithParam<RefusalCase> {};
+
+// Guards against refused patches that change something, and against wrong reasons.
+TEST_P(RefusalTest, ConsumesTheSeqAndChangesNothing) {
+  ConfigStore store = MakeStore();
+  const auto before = store.document();
+  const Verdict verdict = store.Apply({8, 3, GetParam().author, GetParam().patch});
+  EXPECT_TRUE(verdict.judged);
+  EXPECT_FALSE(verdict.accepted);
+  EXPECT_EQ(CodeName(verdict.reason.code), CodeName(GetParam().code)) << verdict.reason.detail;
+  EXPECT_NE(verdict.reason.detail.find(GetParam().detail), std::string::npos) << verdict.reason.detail;
+  EXPECT_EQ(store.version().seq, 8U);
+  EXPECT_EQ(store.version().number, 3U);
+  EXPECT_EQ(store.document(), before);
+  EXPECT_EQ(store.Find(8)->reason.code, GetParam().code);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, RefusalTest,
+    testing::Values(
+        RefusalCase{"NotJson", "gave", "[", ConfigCode::kMalformed, "not JSON"},
+        RefusalCase{"NotAList", "gave", "{}", ConfigCode::kPatch, "list of operations"},
+        RefusalCase{"NoOperation", "gave", R"([{"path":"/format"}])", ConfigCode::kPatch, "/0"},
+        RefusalCase{"MissingTarget", "gave", R"([{"op":"remove","path":"/models/x"}])", ConfigCode::kPatch,
+                    "/0"},
+        RefusalCase{"TestFails", "gave", R"([{"op":"test","path":"/upstreams/e1/slots","value":5}])",
+                    ConfigCode::kPatch, "/0"},
+        RefusalCase{
+            "SecondOperationFails", "gave",
+            R"([{"op":"replace","path":"/upstreams/e1/slots","value":5},{"op":"remove","path":"/x"}])",
+            ConfigCode::kPatch, "/1"},
+        RefusalCase{"InvalidResult", "gave", R"([{"op":"remove","path":"/models/letter"}])",
+                    ConfigCode::kInvalid, "/upstreams/e1/models/0"},
+        RefusalCase{"FormatJump", "gave", R"([{"op":"replace","path":"/format","value":9}])",
+                    ConfigCode::kInvalid, "/format"},
+        RefusalCase{"RemovesTheRoot", "gave", R"([{"op":"remove","path":""}])", ConfigCode::kPatch, "/0"},
+        RefusalCase{"UnknownAuthor", "x", "[]", ConfigCode::kOwnership, "is not a partner"},
+        RefusalCase{"NoAuthor", "", "[]", ConfigCode::kOwnership, "is not a partner"},
+        RefusalCase{"ForeignUpstream", "leak", R"([{"op":"replace","path":"/upstreams/e1/slots","value":5}])",
+                    ConfigCode::kOwnership, "/upstreams/e1: belongs to partner 'gave'"},
+        RefusalCase{"ForeignRemoval", "gave", R"([{"op":"remove","path":"/upstreams/e2"}])",
+                    ConfigCode::kOwnership, "/upstreams/e2: belongs to partner 'leak'"},
+        RefusalCase{"TakesLending", "leak",
+                    R"([{"op":"replace","path":"/partners/gave/lends/leak","value":0.9}])",
+                    ConfigCode::kOwnership, "/partners/gave: belongs to partner 'gave'"},
+        RefusalCase{"TakesARule", "leak",
+                    R"([{"op":"replace","path":"/residency/gave-home/partner","value":"leak"}])",
+                    ConfigCode::kOwnership, "/residency/gave-home: belongs to partner 'gave'"},
+        RefusalCase{"GivesAway", "gave",
+                    R"([{"op":"replace","path":"/models/letter/partner","value":"leak"}])",
+                    ConfigCode::kOwnership, "/models/letter: can't be given to another partner"},
+        RefusalCase{"CreatesForTheOther", "gave",
+                    R"([{"op":"add","path":"/residency/r","value":{"partner":"leak","allow":["home"]}}])",
+                    ConfigCode::kOwnership, "/residency/r: can't be created for another partner"},
+        RefusalCase{"CreatesAPartner", "gave",
+                    R"([{"op":"add","path":"/partners/x","value":{"objective":"cost"}}])",
+                    ConfigCode::kOwnership, "/partners/x: can't be created for another partner"},
+        RefusalCase{"LongPath", "gave", R"([{"op":"add","path":"/a/b/c/d/e/f/g/h/i","value":1}])",
+                    ConfigCode::kPatch, "longer than any path"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against patches that fill the memory by copying the document into itself again and again.
+TEST(ConfigStoreTest, BoundsWhatAPatchCopies) {
+  json patch = json::array();
+  for (int i = 0; i < 60; ++i) patch.push_back({{"op", "copy"}, {"from", ""}, {"path", "/models/m"}});
+  ConfigStore store = MakeStore();
+  const Verdict verdict = store.Apply(MakeEntry(8, 3, "gave", patch));
+  EXPECT_EQ(verdict.reason.code, ConfigCode::kPatch);
+  EXPECT_NE(verdict.reason.detail.find("copies too many values"), std::string::npos) << verdict.reason.detail;
+}
+
+// Guards against racing operators who both win: the second patch names a version that is gone.
+TEST(ConfigStoreTest, RefusesAnOldBase) {
+  ConfigStore store = MakeStore();
+  EXPECT_TRUE(store.Apply(MakeEntry(8, 3, "gave", Replace("/upstreams/e1/slots", 9))).accepted);
+  const Verdict second = store.Apply(MakeEntry(9, 3, "leak", Replace("/upstreams/e2/slots", 9)));
+  EXPECT_TRUE(second.judged);
+  EXPECT_EQ(second.reason.code, ConfigCode::kBase);
+  const Verdict no_base = store.Apply(MakeEntry(10, kNoBase, "leak", json::array()));
+  EXPECT_EQ(no_base.reason.code, ConfigCode::kBase);
+}
+
+// Guards against gaps, duplicates and altered entries that are judged.
+TEST(ConfigStoreTest, JudgesOnlyTheNextEntry) {
+  ConfigStore store = MakeStore();
+  const LogEntry first = MakeEntry(8, 3, "gave", Replace("/upstreams/e1/slots", 9));
+  EXPECT_EQ(store.Apply(MakeEntry(9, 3, "gave", json::array())).reason.code, ConfigCode::kGap);
+  EXPECT_TRUE(store.Apply(first).accepted);
+  const Version version = store.version();
+  EXPECT_EQ(store.Apply(first).reason.code, ConfigCode::kStale);
+  EXPECT_EQ(store.Apply(MakeEntry(8, 3, "gave", json::array())).reason.code, ConfigCode::kConflict);
+  EXPECT_EQ(store.version(), version);
+}
+
+// Guards against a return to an older configuration, and against silence when two histories differ.
+TEST(ConfigStoreTest, AdoptsOnlyNewerSnapshots) {
+  ConfigStore store = MakeStore();
+  ASSERT_TRUE(store.Apply(MakeEntry(8, 3, "gave", Replace("/upstreams/e1/slots", 9))).accepted);
+  ConfigReason reason;
+  EXPECT_FALSE(store.Adopt(ExampleSnapshot(), &reason));
+  EXPECT_EQ(reason.code, ConfigCode::kStale);
+  Snapshot other = store.ToSnapshot();
+  EXPECT_FALSE(store.Adopt(other, &reason));
+  EXPECT_EQ(reason.code, ConfigCode::kStale);
+  other.version.digest = std::string(32, 'e');
+  EXPECT_FALSE(store.Adopt(other, &reason));
+  EXPECT_EQ(reason.code, ConfigCode::kConflict);
+  EXPECT_EQ(store.CheckPeer(8, other.version.digest)->code, ConfigCode::kConflict);
+  EXPECT_FALSE(store.CheckPeer(8, store.version().digest));
+  EXPECT_FALSE(store.CheckPeer(99, other.version.digest));
+  other.version.seq = 20;
+  other.version.number = 1;
+  EXPECT_FALSE(store.Adopt(other, &reason));
+  EXPECT_EQ(reason.code, ConfigCode::kConflict);
+  other.version.number = 9;
+  EXPECT_TRUE(store.Adopt(other, &reason));
+  EXPECT_EQ(store.version(), other.version);
+}
+
+// Guards against old and new binaries that disagree on a version: the old one stops instead.
+TEST(ConfigStoreTest, StopsAtAnUnknownFormat) {
+  ConfigStore old_store = MakeStore({.known_format = 1});
+  ConfigStore new_store = MakeStore({.known_format = 2});
+  const LogEntry raise = MakeEntry(8, 3, "gave", Replace("/format", 2));
+  const LogEntry refused = MakeEntry(9, 3, "gave", json::array());
+  EXPECT_TRUE(new_store.Apply(raise).accepted);
+  EXPECT_TRUE(new_store.Apply(refused).judged);
+  for (const LogEntry& entry : {raise, refused, raise}) {
+    const Verdict verdict = old_store.Apply(entry);
+    EXPECT_FALSE(verdict.judged);
+    EXPECT_EQ(verdict.reason.code, ConfigCode::kFormatUnknown);
+  }
+  EXPECT_TRUE(old_store.blocked());
+  EXPECT_EQ(old_store.version(), ExampleSnapshot().version);
+  ConfigReason reason;
+  EXPECT_FALSE(old_store.Adopt(new_store.ToSnapshot(), &reason));
+  EXPECT_EQ(reason.code, ConfigCode::kFormatUnknown);
+  Snapshot later = ExampleSnapshot();
+  later.version.seq = 12;
+  EXPECT_TRUE(old_store.Adopt(later, &reason));
+  EXPECT_TRUE(old_store.Apply(MakeEntry(13, 3, "gave", json::array())).accepted);
+}
+
+// Guards against a history that grows without bound or that serves entries with a gap.
+TEST(ConfigStoreTest, KeepsABoundedHistory) {
+  ConfigStore store = MakeStore({.history_entries = 4});
+  for (uint64_t i = 0; i < 10; ++i) {
+    store.Apply(MakeEntry(8 + i, 3 + i, "gave", Replace("/upstreams/e1/slots", 1 + i)));
+  }
+  EXPECT_EQ(store.history().size(), 4U);
+  EXPECT_FALSE(store.EntriesAfter(12, 10'000));
+  EXPECT_EQ(store.EntriesAfter(13, 10'000)->size(), 4U);
+  EXPECT_EQ(store.EntriesAfter(13, 1)->size(), 1U);
+  EXPECT_EQ(store.EntriesAfter(13, 1)->front().seq, 14U);
+  EXPECT_TRUE(store.EntriesAfter(17, 10'000)->empty());
+  EXPECT_TRUE(store.EntriesAfter(99, 10'000)->empty());
+  EXPECT_EQ(store.Find(13), nullptr);
+  EXPECT_TRUE(store.Find(14)->accepted);
+}
+
+}  // namespace
+}  // namespace cornelplank::config
