--- /dev/null
+++ b/tests/retry/retry_fuzz.cc
@@ -0,0 +1,283 @@
+#include "tests/retry/retry_fuzz.h"
+
+#include <map>
+#include <set>
+
+#include "libs/retry/retry.h"
+#include "tests/fuzz/fuzz_target.h"
+#include "tests/tickets/fuzz_steps.h"
+
+namespace cornelplank::retry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Requests of one entry VM over four replicas. The oracle keeps its own record of every attempt and
+/// response.
+class RetryWorld {
+ public:
+  static constexpr const char* kNames[] = {"request", "request", "fail",    "fail",       "retry",
+                                           "retry",   "retry",   "part",    "part",       "end",
+                                           "hedge",   "hedge",   "crossed", "late",       "cancel",
+                                           "close",   "wait",    "wait",    "clock-jump", "duplicate-end"};
+  static constexpr size_t kReplicas = 4;
+  static constexpr double kBurst = 2;  // small, so that short runs use the budgets up
+
+  explicit RetryWorld(RetryFault fault) : fault_(fault) {}
+  std::string violation;  // the first one
+
+  void Apply(size_t kind, size_t a, size_t b) {
+    const std::string name = kNames[kind];
+    if (name == "wait") now_ += milliseconds(20 * a);
+    if (name == "clock-jump") now_ += seconds(a);
+    if (name == "request") NewRequest(a, b);
+    if (requests_.empty()) return;
+    Request* request = &requests_[requests_.size() - 1 - a % std::min<size_t>(3, requests_.size())];
+    if (name == "retry") Retry(request);
+    if (name == "hedge") Hedge(request);
+    if (name == "close") {
+      request->tracker.Close();
+      request->closed = true;
+    }
+    if (name == "cancel") Cancel(request);
+    if (name == "crossed") {
+      Deliver(request, AttemptId{request->id + 1000, 1 + static_cast<uint32_t>(b % 3)}, false);
+    }
+    if (request->attempts.empty()) return;
+    const AttemptId id = request->attempts[b % request->attempts.size()].id;
+    if (name == "part" || name == "late") Deliver(request, id, false);
+    if (name == "end" || name == "duplicate-end") Deliver(request, id, true);
+    if (name == "fail") Fail(request, id, b);
+    CheckBudgets();
+  }
+  void End() {}
+
+ private:
+  void Violate(const std::string& text) {
+    if (violation.empty()) violation = text;
+  }
+
+  struct Sent {
+    AttemptId id;
+    size_t replica = 0;
+    base::TimePoint started;
+    bool may_have_run = true;
+    bool failed = false;
+    bool lost = false;
+    bool cancelled = false;
+    bool ended = false;
+  };
+  struct Request {
+    uint64_t id;
+    bool idempotent;
+    base::TimePoint deadline;
+    base::TimePoint started;
+    AttemptTracker tracker;
+    std::vector<Sent> attempts;
+    std::set<uint32_t> passed_from;  // attempts whose parts were passed on since the last failure of a winner
+    bool wants_retry = false;
+    bool closed = false;
+    bool ended = false;
+    base::Outcome outcome = base::Outcome::kUnknown;
+  };
+
+  void NewRequest(size_t a, size_t b) {
+    ++request_count_;
+    const bool idempotent = b % 4 != 0;
+    requests_.push_back(
+        Request{request_count_,
+                idempotent,
+                now_ + seconds(1 + a % 5),
+                now_,
+                AttemptTracker(request_count_, idempotent || fault_ == RetryFault::kRetryAfterBytesLeft),
+                {},
+                {},
+                false,
+                false,
+                false,
+                base::Outcome::kUnknown});
+    retries_.OnRequest();
+    hedges_.OnRequest();
+    Start(&requests_.back(), b % kReplicas, AttemptKind::kFirst);
+  }
+
+  void Start(Request* request, size_t replica, AttemptKind kind) {
+    const auto id = request->tracker.Start(replica, kind, now_);
+    if (!id) {
+      if (kind == AttemptKind::kFirst) Violate("the first attempt was not started");
+      return;
+    }
+    if (request->ended || request->closed) Violate("an attempt of an ended request");
+    for (const Sent& sent : request->attempts) {
+      if (sent.id == *id) Violate("an attempt id was used twice");
+      if (!request->idempotent && sent.may_have_run) {
+        Violate("a call that must not be repeated was repeated");
+      }
+    }
+    if (now_ >= request->deadline) Violate("an attempt past the deadline");
+    request->attempts.push_back(Sent{*id, replica, now_, true, false, false, false, false});
+  }
+
+  std::vector<RetryCandidate> Candidates(const Request& request) const {
+    std::vector<RetryCandidate> candidates;
+    for (size_t replica = 0; replica < kReplicas; ++replica) {
+      const uint32_t tried = fault_ == RetryFault::kSameReplica ? 0 : request.tracker.Tried(replica);
+      candidates.push_back(RetryCandidate{replica, tried, milliseconds(100)});
+    }
+    return candidates;
+  }
+
+  void Retry(Request* request) {
+    if (!request->wants_retry || request->ended || request->closed) return;
+    const auto candidates = Candidates(*request);
+    RetryQuery query;
+    query.idempotent = request->idempotent || fault_ == RetryFault::kRetryAfterBytesLeft;
+    query.outcome = request->outcome;
+    query.part_passed_on = !request->passed_from.empty();
+    query.resumable = request->id % 2 == 0;
+    query.attempts = request->tracker.started();
+    query.now = now_;
+    query.deadline = fault_ == RetryFault::kPastDeadline ? now_ + seconds(9) : request->deadline;
+    query.candidates = candidates;
+    RetryReason reason;
+    if (fault_ == RetryFault::kNoBudget) retries_.GiveBack();
+    const auto decision = policy_.Decide(query, &retries_, &reason);
+    if (!decision) return CheckRefusal(*request, query, reason.code);
+    ++retry_count_;
+    request->wants_retry = false;
+    if (query.part_passed_on && !query.resumable) Violate("retried after a part that can't be continued");
+    bool untried = false;
+    for (size_t replica = 0; replica < kReplicas; ++replica) untried |= !WasTried(*request, replica);
+    if (untried && WasTried(*request, decision->replica)) {
+      Violate("the same replica although others are left");
+    }
+    if (!WasTried(*request, decision->replica) && decision->backoff > base::Duration{0}) {
+      Violate("a wait before an untried replica");
+    }
+    Start(request, decision->replica, AttemptKind::kRetry);
+  }
+
+  // A policy that refused everything would break no other rule.
+  void CheckRefusal(const Request& request, const RetryQuery& query, RetryCode code) {
+    const bool time_left = query.now + seconds(3) < request.deadline;
+    if (code == RetryCode::kDeadline && time_left) Violate("refused for the deadline with time left");
+    if (code == RetryCode::kBudget && retries_.tokens() >= 1) Violate("refused with budget left");
+    if (code == RetryCode::kNoReplica) Violate("four replicas are no replica");
+    if (code == RetryCode::kNotIdempotent && request.idempotent) Violate("an idempotent request is not");
+  }
+
+  bool WasTried(const Request& request, size_t replica) const {
+    return std::any_of(request.attempts.begin(), request.attempts.end(),
+                       [&](const Sent& sent) { return sent.replica == replica; });
+  }
+
+  void Hedge(Request* request) {
+    const auto candidates = Candidates(*request);
+    HedgeQuery query;
+    query.idempotent = request->idempotent || fault_ == RetryFault::kRetryAfterBytesLeft;
+    query.class_hedges = true;
+    query.token_passed = !request->passed_from.empty();
+    query.attempts_open = request->tracker.open();
+    query.started = request->started;
+    query.now = now_;
+    query.deadline = fault_ == RetryFault::kPastDeadline ? now_ + seconds(9) : request->deadline;
+    query.delay = delay_.Delay().value_or(milliseconds(300));
+    query.candidates = candidates;
+    if (fault_ == RetryFault::kNoBudget) hedges_.GiveBack();
+    const auto replica = policy_.DecideHedge(query, &hedges_, nullptr);
+    if (!replica) return;
+    ++hedge_count_;
+    if (now_ - request->started < *query.delay) Violate("hedged before the delay");
+    if (WasTried(*request, *replica)) Violate("hedged on the same replica");
+    Start(request, *replica, AttemptKind::kHedge);
+  }
+
+  void Deliver(Request* request, AttemptId id, bool end) {
+    Disposition disposition = end ? request->tracker.OnEnd(id) : request->tracker.OnPart(id);
+    if (fault_ == RetryFault::kCrossedAccepted) disposition = Disposition::kAccept;
+    if (fault_ == RetryFault::kDoubleSend && disposition == Disposition::kLate) {
+      disposition = Disposition::kAccept;
+    }
+    const auto own = std::find_if(request->attempts.begin(), request->attempts.end(),
+                                  [&](const Sent& sent) { return sent.id == id; });
+    if (disposition != Disposition::kAccept) {
+      const bool expected = own != request->attempts.end() && !own->failed && !own->lost && !own->ended &&
+                            !request->closed && request->passed_from.empty() && !request->ended;
+      if (expected) Violate("the response of an open attempt was dropped");
+      return;
+    }
+    if (own == request->attempts.end()) {
+      Violate("a part of another request was passed on");
+      return;
+    }
+    if (own->failed || own->lost || own->ended) Violate("a late part was passed on");
+    for (Sent& other : request->attempts) other.lost = other.lost || (other.id != id && !other.failed);
+    if (request->ended) Violate("a part after the end");
+    if (request->closed) Violate("a part after the client left");
+    request->passed_from.insert(id.number);
+    if (request->passed_from.size() > 1) Violate("parts of two attempts were passed on");
+    if (!end) delay_.Record(now_ - own->started);
+    if (!end) return;
+    own->ended = true;
+    request->ended = true;
+    request->wants_retry = false;
+  }
+
+  void Fail(Request* request, AttemptId id, size_t b) {
+    const bool open = request->tracker.OnFailure(id) == Disposition::kAccept;
+    if (!open) return;
+    Sent& sent = request->attempts[id.number - 1];
+    sent.failed = true;
+    request->outcome = b % 3 == 0 ? base::Outcome::kNotRun : base::Outcome::kUnknown;
+    sent.may_have_run = request->outcome != base::Outcome::kNotRun;
+    if (request->passed_from.erase(id.number) > 0 && request->id % 2 != 0) {
+      request->passed_from.insert(id.number);
+    }
+    if (request->tracker.open() == 0) request->wants_retry = true;
+  }
+
+  void Cancel(Request* request) {
+    for (const Attempt& loser : request->tracker.TakeLosers()) {
+      Sent& sent = request->attempts[loser.id.number - 1];
+      if (sent.cancelled) Violate("an attempt was cancelled twice");
+      if (sent.ended || sent.failed) Violate("an ended attempt was cancelled");
+      if (request->passed_from.contains(loser.id.number) && !request->closed) {
+        Violate("the winner was cancelled");
+      }
+      sent.cancelled = true;
+    }
+  }
+
+  void CheckBudgets() {
+    const auto requests = static_cast<double>(request_count_);
+    if (static_cast<double>(retry_count_) > 0.10 * requests + kBurst) {
+      Violate("more retries than the budget");
+    }
+    if (static_cast<double>(hedge_count_) > 0.05 * requests + kBurst) {
+      Violate("more hedges than the budget");
+    }
+  }
+
+  RetryFault fault_;
+  base::TimePoint now_{seconds(1000)};
+  RetryPolicy policy_;
+  RetryBudget retries_{0.10, kBurst};
+  HedgeBudget hedges_{0.05, kBurst};
+  HedgeDelay delay_;
+  std::vector<Request> requests_;
+  uint64_t request_count_ = 0;
+  uint64_t retry_count_ = 0;
+  uint64_t hedge_count_ = 0;
+};
+
+const bool registered = fuzz::RegisterFuzzTarget(
+    {"retry", [](uint64_t seed, uint64_t steps) { return FuzzRetry(seed, steps, RetryFault::kNone); }});
+
+}  // namespace
+
+std::optional<std::string> FuzzRetry(uint64_t seed, uint64_t steps, RetryFault fault) {
+  return fuzz::RunWorlds<RetryWorld>(seed, steps, 400, [fault] { return RetryWorld(fault); });
+}
+
+}  // namespace cornelplank::retry
--- /dev/null
+++ b/tests/tickets/fuzz_steps.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "tests/fuzz/fuzz_target.h"
+
+namespace cornelplank::fuzz {
+
+/// One command of a world: its kind and two small arguments. `World::kNames` lists the kinds.
+template <typename World>
+struct Step {
+  uint32_t bits = 0;
+
+  size_t kind() const { return bits % std::size(World::kNames); }
+  size_t a() const { return (bits / 64) % 61; }
+  size_t b() const { return (bits / 4096) % 59; }
+  friend std::ostream& operator<<(std::ostream& out, const Step& step) {
+    return out << World::kNames[step.kind()] << "(" << step.a() << "," << step.b() << ")";
+  }
+};
+
+/// Runs about `steps` commands, in cases of up to `max_length`, each on a new world made by `make`. A world
+/// has `Apply(kind, a, b)`, `End()` and a text `violation`, which is empty while the oracle agrees.
+template <typename World, typename Make>
+std::optional<std::string> RunWorlds(uint64_t seed, uint64_t steps, int max_length, Make make) {
+  uint64_t done = 0;
+  while (done < steps) {
+    const uint64_t before = done;
+    const uint64_t cases = std::clamp<uint64_t>((steps - done) / 50, 1, 2000);
+    const auto property = [&] {
+      const auto any = rc::gen::map(rc::gen::inRange<uint32_t>(0, 1U << 24),
+                                    [](uint32_t bits) { return Step<World>{bits}; });
+      const auto commands = *rc::gen::container<std::vector<Step<World>>>(any);
+      World world = make();
+      for (const auto& step : commands) {
+        world.Apply(step.kind(), step.a(), step.b());
+        if (!world.violation.empty()) RC_FAIL(world.violation);
+      }
+      done += commands.size() + 1;
+      world.End();
+      if (!world.violation.empty()) RC_FAIL(world.violation);
+    };
+    auto violation = CheckProperty(seed + before, cases, max_length, property);
+    if (violation) return violation;
+  }
+  return std::nullopt;
+}
+
+}  // namespace cornelplank::fuzz
