--- /dev/null
+++ b/bench/sharing/simulation.cc
@@ -0,0 +1,185 @@
+#include "bench/sharing/simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+#include <unordered_map>
+
+namespace cornelplank::bench {
+namespace {
+
+using base::Duration;
+using base::TimePoint;
+
+constexpr double kTokenGapS = 0.062;
+constexpr double kMeanTokens = 232;
+// A cancelled request gives its slot back after the round trip to the upstream.
+constexpr Duration kCancelTime = std::chrono::milliseconds(20);
+
+Duration Seconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+double InSeconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+double Exponential(base::Random* random, double mean) { return -mean * std::log(1 - random->Unit()); }
+
+struct Arrival {
+  TimePoint time;
+  const Source* source = nullptr;
+  uint64_t client = 0;
+  double first_token_s = 0;
+  double hold_s = 0;
+};
+
+std::vector<Arrival> Draw(const std::vector<Source>& sources, const SimulationOptions& options) {
+  std::vector<Arrival> arrivals;
+  for (const Source& source : sources) {
+    base::Random random(
+        base::Hash64(source.partner + source.priority_class + source.client_prefix, options.seed));
+    double at = InSeconds(source.start);
+    while (true) {
+      at += Exponential(&random, 1 / source.requests_per_s);
+      if (at >= InSeconds(options.length)) break;
+      Arrival arrival{TimePoint{Seconds(at)}, &source, random.Below(source.clients), 0, 0};
+      // Uniform from 0.2 to 1.46 s, with the 95th percentile of 1.4 s that the design states.
+      arrival.first_token_s = 0.2 + 1.26 * random.Unit();
+      arrival.hold_s = arrival.first_token_s + Exponential(&random, kMeanTokens) * kTokenGapS;
+      arrivals.push_back(arrival);
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end(),
+            [](const Arrival& a, const Arrival& b) { return a.time < b.time; });
+  return arrivals;
+}
+
+class Run {
+ public:
+  Run(admission::Controller* controller, double slots, const SimulationOptions& options)
+      : controller_(controller), slots_(slots), options_(options) {}
+
+  SimulationResult Execute(const std::vector<Arrival>& arrivals) {
+    constexpr Duration kTick = std::chrono::milliseconds(50);
+    TimePoint tick{};
+    size_t next = 0;
+    const TimePoint end{options_.length};
+    while (true) {
+      const TimePoint arrival = next < arrivals.size() ? arrivals[next].time : end;
+      const TimePoint finish = ends_.empty() ? end : ends_.top().first;
+      const TimePoint now = std::min({arrival, finish, tick, end});
+      if (now >= end) break;
+      Account(now);
+      if (now == finish) {
+        Finish(now);
+      } else if (now == tick) {
+        controller_->Tick(now);
+        tick += kTick;
+      } else {
+        Offer(arrivals[next++], now);
+      }
+      Drain(now);
+    }
+    result_.utilisation = busy_s_ / (slots_ * InSeconds(options_.length));
+    return std::move(result_);
+  }
+
+ private:
+  using End = std::pair<TimePoint, uint64_t>;
+
+  void Account(TimePoint now) {
+    busy_s_ += static_cast<double>(running_) * InSeconds(now - last_);
+    last_ = now;
+  }
+
+  void Offer(const Arrival& arrival, TimePoint now) {
+    const Source& source = *arrival.source;
+    const uint64_t id = ++last_id_;
+    requests_[id] = Request{&arrival, false, false};
+    const auto verdict =
+        controller_->Offer(admission::WorkItem{id, options_.pool, source.partner, source.priority_class,
+                                               source.client_prefix + std::to_string(arrival.client),
+                                               now + options_.deadline, 1, source.cancellable},
+                           now);
+    if (verdict.kind == admission::VerdictKind::kGranted) Start(id, now);
+    if (verdict.kind == admission::VerdictKind::kRefused) Refused(id);
+  }
+
+  void Drain(TimePoint now) {
+    while (const auto grant = controller_->Next(now)) Start(grant->id, now);
+    for (const auto& refusal : controller_->TakeRefusals(now)) Refused(refusal.id);
+    for (const uint64_t id : controller_->TakeCancels(now)) {
+      requests_.at(id).cancelled = true;
+      ++result_.cancelled;
+      ends_.push({now + kCancelTime, id});
+    }
+  }
+
+  void Start(uint64_t id, TimePoint now) {
+    Request& request = requests_.at(id);
+    request.running = true;
+    ++running_;
+    const Arrival& arrival = *request.arrival;
+    ends_.push({now + Seconds(arrival.hold_s), id});
+    const double wait = InSeconds(now - arrival.time);
+    Record(arrival, wait + arrival.first_token_s, wait + arrival.hold_s);
+  }
+
+  void Refused(uint64_t id) {
+    const Arrival& arrival = *requests_.at(id).arrival;
+    const double deadline = InSeconds(options_.deadline);
+    if (Record(arrival, deadline, deadline)) ++Class(arrival).refused;
+    requests_.erase(id);
+  }
+
+  void Finish(TimePoint now) {
+    const uint64_t id = ends_.top().second;
+    ends_.pop();
+    if (requests_.erase(id) == 0) return;  // it was cancelled before
+    --running_;
+    controller_->Finish(id, now);
+  }
+
+  ClassResult& Class(const Arrival& arrival) {
+    return result_.classes[arrival.source->partner + "/" + arrival.source->priority_class];
+  }
+
+  bool Record(const Arrival& arrival, double first_token, double complete) {
+    if (!arrival.source->measured || arrival.time < TimePoint{options_.warm_up}) return false;
+    ClassResult& result = Class(arrival);
+    result.first_token.push_back(first_token);
+    result.complete.push_back(complete);
+    return true;
+  }
+
+  struct Request {
+    const Arrival* arrival;
+    bool running;
+    bool cancelled;
+  };
+
+  admission::Controller* controller_;
+  double slots_;
+  SimulationOptions options_;
+  uint64_t last_id_ = 0;
+  size_t running_ = 0;
+  double busy_s_ = 0;
+  TimePoint last_{};
+  std::unordered_map<uint64_t, Request> requests_;
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
+  SimulationResult result_;
+};
+
+}  // namespace
+
+SimulationResult Simulate(admission::Controller* controller, double slots, const std::vector<Source>& sources,
+                          const SimulationOptions& options) {
+  const auto arrivals = Draw(sources, options);
+  return Run(controller, slots, options).Execute(arrivals);
+}
+
+double Quantile(std::vector<double> values, double quantile) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto index = static_cast<size_t>(quantile * static_cast<double>(values.size() - 1));
+  return values[index];
+}
+
+}  // namespace cornelplank::bench
