--- a/libs/admission/internal/client_queues.cc
+++ b/libs/admission/internal/client_queues.cc
@@ -51,12 +51,12 @@
   Observe(now);
   Client* entry = Get(client);
   const size_t demand = entry->demand();
-  --entry->running;
+  SetRunning(entry, entry->running - 1);
   --running_;
   Changed(entry, demand, entry->items.size());
 }
 
-uint64_t ClientQueues::NewestOfLongest() const { return by_length_.rbegin()->second->items.back().id; }
+uint64_t ClientQueues::NewestOfLongest() const { return std::get<2>(*by_length_.rbegin())->items.back().id; }
 
 size_t ClientQueues::waiting_of(const std::string& client) const {
   const auto found = clients_.find(client);
@@ -65,7 +65,10 @@
 
 ClientQueues::Client* ClientQueues::Get(const std::string& name) {
   Client& client = clients_[name];
-  if (client.name.empty()) client.name = name;
+  if (client.order == 0) {
+    client.name = name;
+    client.order = next_order_++;
+  }
   return &client;
 }
 
@@ -73,20 +76,29 @@
 void ClientQueues::Changed(Client* client, size_t old_demand, size_t old_length) {
   demand_.Move(old_demand, client->demand());
   if (old_length != client->items.size()) {
-    if (old_length > 0) by_length_.erase({old_length, client});
-    if (!client->items.empty()) by_length_.insert({client->items.size(), client});
+    if (old_length > 0) by_length_.erase({old_length, client->order, client});
+    if (!client->items.empty()) by_length_.insert({client->items.size(), client->order, client});
   }
   if (client->demand() == 0) clients_.erase(std::string(client->name));
 }
 
+void ClientQueues::SetRunning(Client* client, size_t running) {
+  const bool heavy = client->ring == Ring::kHeavy;
+  if (heavy) heavy_by_running_.erase({client->running, client->order, client});
+  client->running = running;
+  if (heavy) heavy_by_running_.insert({running, client->order, client});
+}
+
 void ClientQueues::Enter(Client* client, Ring ring) {
   std::list<Client*>& list = ring == Ring::kLight ? light_ : heavy_;
   client->ring = ring;
   client->place = list.insert(list.end(), client);
+  if (ring == Ring::kHeavy) heavy_by_running_.insert({client->running, client->order, client});
 }
 
 void ClientQueues::Leave(Client* client) {
   if (client->ring == Ring::kNone) return;
+  if (client->ring == Ring::kHeavy) heavy_by_running_.erase({client->running, client->order, client});
   (client->ring == Ring::kLight ? light_ : heavy_).erase(client->place);
   client->ring = Ring::kNone;
   // Unused turns are not saved up; what was taken in excess stays to be paid for.
@@ -119,7 +131,10 @@
   }
   Client* client = Turn(&heavy_);
   if (!IsHeavy(*client, limit) || HeavyMayStart(limit)) return client;
-  // The next call looks at another client, which may have become light.
+  // Others may have become light since they entered the ring: surely those below their equal part, of which
+  // the one with the fewest running requests is one.
+  Client* least = std::get<2>(*heavy_by_running_.begin());
+  if (!IsHeavy(*least, limit)) return least;
   heavy_.splice(heavy_.end(), heavy_, heavy_.begin());
   return nullptr;
 }
@@ -139,7 +154,7 @@
   const size_t length = client->items.size();
   client->deficit -= item.cost;
   client->items.pop_front();
-  ++client->running;
+  SetRunning(client, client->running + 1);
   --waiting_;
   ++running_;
   if (client->items.empty()) {
--- a/libs/admission/internal/client_queues.h
+++ b/libs/admission/internal/client_queues.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -48,6 +49,7 @@
   };
   struct Client {
     std::string name;
+    uint64_t order = 0;  // of arrival; breaks ties, so that runs are reproducible
     std::deque<Item> items;
     size_t running = 0;
     double deficit = 0;
@@ -58,6 +60,7 @@
 
   Client* Get(const std::string& name);
   void Changed(Client* client, size_t old_demand, size_t old_length);
+  void SetRunning(Client* client, size_t running);
   void Enter(Client* client, Ring ring);
   void Leave(Client* client);
   bool IsHeavy(const Client& client, double limit) const;
@@ -67,8 +70,13 @@
   uint64_t Take(Client* client);
   void Observe(base::TimePoint now);
 
+  // Ordered by a count, then by the clients' order.
+  using Index = std::set<std::tuple<size_t, uint64_t, Client*>>;
+
   std::unordered_map<std::string, Client> clients_;  // clients with demand
-  std::set<std::pair<size_t, Client*>> by_length_;   // clients with waiting items
+  uint64_t next_order_ = 1;
+  Index by_length_;         // clients with waiting items, by their number
+  Index heavy_by_running_;  // clients of heavy_
   std::list<Client*> light_;
   std::list<Client*> heavy_;
   DemandTree demand_;
--- a/libs/admission/internal/node_share.cc
+++ b/libs/admission/internal/node_share.cc
@@ -8,25 +8,47 @@
   const auto nodes = static_cast<double>(peers.size() + 1);
   const double least = 1 / (2 * nodes);
   double total = own_demand;
-  frozen_ = false;
+  double taken = 0;
+  base::TimePoint oldest = now;
   for (const ZonePeer& peer : peers) {
     total += peer.demand;
-    if (now - peer.heard > limits_.stale_after) frozen_ = true;
+    taken += peer.fraction;
+    oldest = std::min(oldest, peer.heard);
   }
+  const double wanted = total > 0 ? least + own_demand / (2 * total) : 1 / nodes;
+  frozen_ = now - oldest > limits_.stale_after;
+  // A node that starts has no fraction that the others count on; during a partition it takes the least.
+  if (fraction_ == 0) fraction_ = frozen_ ? least : wanted;
+  // What the peers say that they use is never taken, whatever the demands are.
+  const double free = std::max(least, 1 - taken);
   if (frozen_) {
     wanted_.clear();
-    // A node that starts during a partition has no fraction to keep.
-    if (fraction_ == 0) fraction_ = least;
+    fraction_ = std::max(fraction_, std::min(InForceAt(oldest), free));
     return fraction_;
   }
-  const double wanted = total > 0 ? least + own_demand / (2 * total) : 1 / nodes;
-  while (!wanted_.empty() && wanted_.back().second >= wanted) wanted_.pop_back();
-  wanted_.emplace_back(now, wanted);
-  // The front is the minimum of the window; an older one is dropped only when the next has been held as long.
-  while (wanted_.size() > 1 && now - wanted_[1].first >= limits_.rise_after) wanted_.pop_front();
-  const bool held = now - wanted_.front().first >= limits_.rise_after;
-  if (fraction_ == 0 || wanted < fraction_ || held) fraction_ = std::min(wanted, wanted_.front().second);
+  const double steady = WindowMinimum(wanted, std::min(oldest, now - limits_.rise_after), now);
+  fraction_ = wanted < fraction_ ? wanted : std::max(fraction_, std::min(steady, free));
+  in_force_.emplace_back(now, fraction_);
+  while (in_force_.size() > 1 && in_force_[1].first <= oldest) in_force_.pop_front();
   return fraction_;
 }
 
+// The least of the wanted fractions since `start`; 0 when they are not known from then on.
+double NodeShare::WindowMinimum(double wanted, base::TimePoint start, base::TimePoint now) {
+  wanted_.emplace_back(now, wanted);
+  while (wanted_.size() > 1 && wanted_[1].first <= start) wanted_.pop_front();
+  if (wanted_.front().first > start) return 0;
+  double least = wanted;
+  for (const auto& [time, value] : wanted_) least = std::min(least, value);
+  return least;
+}
+
+double NodeShare::InForceAt(base::TimePoint time) const {
+  double fraction = in_force_.empty() ? fraction_ : in_force_.front().second;
+  for (const auto& [since, value] : in_force_) {
+    if (since <= time) fraction = value;
+  }
+  return fraction;
+}
+
 }  // namespace cornelplank::admission
