--- a/libs/admission/internal/occupancy.h
+++ b/libs/admission/internal/occupancy.h
@@ -22,11 +22,9 @@
   }
 
   double mean() const { return mean_; }
-  /// Slots that cover the usual variation around a mean.
-  double Cover() const { return CoverOf(mean_); }
   /// The number in use varies like a Poisson variable when arrivals are independent: 2.33 standard deviations
   /// cover 99% of the time. One more slot serves a load that starts from nothing.
-  static double CoverOf(double mean) { return mean + 2.33 * std::sqrt(mean) + 1; }
+  double Cover() const { return mean_ + 2.33 * std::sqrt(mean_) + 1; }
 
  private:
   bool started_ = false;
--- a/libs/admission/internal/pool.cc
+++ b/libs/admission/internal/pool.cc
@@ -164,24 +164,15 @@
   }
 }
 
-// The slots that the flow may use in all: its guaranteed ones, or more while the slots that the other flows
-// use, or that are kept ready for their usual load, leave room. The others' loads vary independently, so one
-// reserve for all of them is smaller than the sum of one for each.
+// The slots that the flow may use in all: its guaranteed ones, or more while the other flows' slots that are
+// in use, or are kept ready for their usual load, leave room.
 double Pool::Limit(const Flow& flow) const {
-  double others = 0;
-  double owed = 0;
-  double usual = 0;
-  double used_of_guaranteed = 0;
+  double spare = static_cast<double>(slots_);
   for (const auto& [key, other] : flows_) {
     if (&other == &flow) continue;
-    const auto used = static_cast<double>(other.running());
-    others += used;
-    owed += std::max(0.0, Whole(other.guaranteed) - used);
-    usual += other.demand.mean();
-    used_of_guaranteed += std::min(used, other.guaranteed);
+    const double ready = Whole(std::min(other.guaranteed, other.demand.Cover()));
+    spare -= std::max(static_cast<double>(other.running()), ready);
   }
-  const double ready = std::clamp(Occupancy::CoverOf(usual) - used_of_guaranteed, 0.0, owed);
-  double spare = static_cast<double>(slots_) - others - Whole(ready);
   const auto used = static_cast<double>(flow.running());
   if (!flow.owner) spare = std::min(spare, flow.greatest - (PartnerRunning(flow.key.partner) - used));
   return std::max(WholeUp(flow.guaranteed), spare);
