Add the operator tool cornelplank-ctl

The tool must judge exactly as the nodes do.

Exit codes: 0 done or accepted, 1 refused, 2 usage, 3 no usable answer.

Conclusion: 18 tests of the command logic with a fake transport pass. Not run yet against a real HTTP server.

--- /dev/null
+++ b/apps/ctl/commands/published_log.cc
@@ -0,0 +1,96 @@
+#include "apps/ctl/commands/published_log.h"
+
+#include <utility>
+
+namespace cornelplank::ctl {
+namespace {
+
+// The log may be trimmed between the reads of the snapshot and of the log; a newer snapshot exists then.
+constexpr int kMaxSnapshotReads = 3;
+
+std::string Sentence(const config::ConfigReason& reason) {
+  return std::string(config::CodeName(reason.code)) + ": " + reason.detail;
+}
+
+}  // namespace
+
+PublishedLog::PublishedLog(Transport* transport, std::string platform)
+    : transport_(transport), platform_(std::move(platform)) {
+  while (platform_.ends_with('/')) platform_.pop_back();
+}
+
+std::optional<HttpAnswer> PublishedLog::Get(const std::string& path, std::string* error) {
+  std::string problem;
+  auto answer = transport_->Get(platform_ + path, {}, &problem);
+  if (!answer) {
+    *error = "the platform does not answer at " + platform_ + path + ": " + problem;
+  } else if (answer->status == 429) {
+    *error = "the platform's read rate is exceeded; try again later";
+  } else if (answer->status != 200 && answer->status != 410) {
+    *error = "the platform answered " + path + " with status " + std::to_string(answer->status) + ": " +
+             answer->body;
+  } else {
+    return answer;
+  }
+  return std::nullopt;
+}
+
+std::optional<config::ConfigStore> PublishedLog::ReadSnapshot(std::string* error) {
+  const auto answer = Get("/v1/config/snapshot", error);
+  if (!answer) return std::nullopt;
+  config::ConfigReason reason;
+  auto snapshot = config::ParseSnapshot(answer->body, &reason);
+  if (!snapshot) {
+    *error = "the platform's snapshot is not valid: " + Sentence(reason);
+    return std::nullopt;
+  }
+  return config::ConfigStore::FromSnapshot(*std::move(snapshot), {}, nullptr);
+}
+
+PublishedLog::Progress PublishedLog::ReadPage(config::ConfigStore* store, std::optional<uint64_t> last_seq,
+                                              const OnVerdict& on_verdict, std::string* error) {
+  const auto answer =
+      Get("/v1/config/log?after=" + std::to_string(store->version().seq) + "&wait_ms=0", error);
+  if (!answer) return Progress::kFailed;
+  if (answer->status == 410) return Progress::kTrimmed;
+  config::ConfigReason reason;
+  const auto page = config::ParseLogPage(answer->body, &reason);
+  if (!page) {
+    *error = "the platform's log is not readable: " + Sentence(reason);
+    return Progress::kFailed;
+  }
+  const uint64_t before = store->version().seq;
+  for (const config::LogEntry& entry : page->entries) {
+    if (last_seq && store->version().seq >= *last_seq) return Progress::kHead;
+    const config::Verdict verdict = store->Apply(entry);
+    if (verdict.reason.code == config::ConfigCode::kStale) continue;
+    if (!verdict.judged) {
+      *error = "entry " + std::to_string(entry.seq) + " can't be judged: " + Sentence(verdict.reason);
+      return Progress::kFailed;
+    }
+    on_verdict(entry, verdict);
+  }
+  if (store->version().seq >= page->head_seq) return Progress::kHead;
+  if (store->version().seq > before) return Progress::kMore;
+  *error = "the platform names head " + std::to_string(page->head_seq) + " but returns no entry after " +
+           std::to_string(before);
+  return Progress::kFailed;
+}
+
+std::optional<config::ConfigStore> PublishedLog::Fold(std::optional<uint64_t> last_seq,
+                                                      const OnVerdict& on_verdict, std::string* error) {
+  for (int read = 0; read < kMaxSnapshotReads; ++read) {
+    auto store = ReadSnapshot(error);
+    if (!store) return std::nullopt;
+    Progress progress = Progress::kMore;
+    while (progress == Progress::kMore && !(last_seq && store->version().seq >= *last_seq)) {
+      progress = ReadPage(&*store, last_seq, on_verdict, error);
+    }
+    if (progress == Progress::kFailed) return std::nullopt;
+    if (progress != Progress::kTrimmed) return store;
+  }
+  *error = "the platform's log does not reach back to its snapshot; publish a newer snapshot";
+  return std::nullopt;
+}
+
+}  // namespace cornelplank::ctl
--- /dev/null
+++ b/tests/config/ctl_test.cc
@@ -0,0 +1,298 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "apps/ctl/commands/commands.h"
+#include "tests/config/example.h"
+
+namespace cornelplank::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kPlatform = "http://10.0.0.1:9";
+
+/// Answers the URLs that a test prepared and refuses all others.
+class FakeTransport final : public Transport {
+ public:
+  std::optional<HttpAnswer> Get(const std::string& url, const std::map<std::string, std::string>& headers,
+                                std::string* error) override {
+    last_headers = headers;
+    if (const auto found = answers.find(url); found != answers.end()) return found->second;
+    *error = "connection refused";
+    return std::nullopt;
+  }
+
+  std::map<std::string, HttpAnswer> answers;
+  std::map<std::string, std::string> last_headers;
+};
+
+json SetSlots(int slots) {
+  return json::array({{{"op", "replace"}, {"path", "/upstreams/e1/slots"}, {"value", slots}}});
+}
+
+class CtlTest : public testing::Test {
+ protected:
+  CtlTest() {
+    options_.platform = kPlatform;
+    options_.token = "secret";
+    // Entry 8 is accepted, entry 9 names a version that is gone, entry 10 belongs to the other partner.
+    entries_ = {config::MakeEntry(8, 3, "gave", SetSlots(9)), config::MakeEntry(9, 3, "gave", SetSlots(8)),
+                config::MakeEntry(10, 4, "leak", SetSlots(7))};
+    Answer("/v1/config/snapshot", config::WriteSnapshot(config::ExampleSnapshot()));
+    // Two pages, as a platform that bounds its answers would send.
+    Answer("/v1/config/log?after=7&wait_ms=0", config::WriteLogPage({10, 8, {entries_[0], entries_[1]}}));
+    Answer("/v1/config/log?after=9&wait_ms=0", config::WriteLogPage({10, 8, {entries_[2]}}));
+  }
+
+  void Answer(const std::string& path, std::string body, int status = 200) {
+    transport_.answers[kPlatform + path] = {status, std::move(body)};
+  }
+
+  void AddGateway(const std::string& address, const char* region, uint64_t seq, const std::string& digest) {
+    const json status = {{"region", region}, {"config", {{"seq", seq}, {"version", 4}, {"digest", digest}}}};
+    transport_.answers["http://" + address + "/status"] = {200, status.dump()};
+    options_.gateways.push_back(address);
+  }
+
+  /// The store that followed the whole log.
+  config::ConfigStore Head() const {
+    auto store = config::ConfigStore::FromSnapshot(config::ExampleSnapshot(), {}, nullptr).value();
+    for (const auto& entry : entries_) store.Apply(entry);
+    return store;
+  }
+
+  std::string WriteFile(const char* name, const std::string& text) {
+    std::string path = testing::TempDir() + "/ctl_test_" + name;
+    std::ofstream(path) << text;
+    return path;
+  }
+
+  int Run(const std::string& command) {
+    out_.str("");
+    err_.str("");
+    return RunCommand(command, options_, &transport_, {out_, err_});
+  }
+
+  bool Says(const std::string& text) const {
+    return out_.str().find(text) != std::string::npos || err_.str().find(text) != std::string::npos;
+  }
+
+  std::string Said() const { return out_.str() + err_.str(); }
+
+  Options options_;
+  FakeTransport transport_;
+  std::vector<config::LogEntry> entries_;
+  std::ostringstream out_;
+  std::ostringstream err_;
+};
+
+// Guards against a verdict that differs from what the nodes do with the same log.
+TEST_F(CtlTest, VerdictJudgesThePublishedLog) {
+  options_.seq = 8;
+  EXPECT_EQ(Run("verdict"), kDone) << Said();
+  EXPECT_TRUE(Says("entry 8 by 'gave': accepted, version 4")) << Said();
+  options_.seq = 9;
+  EXPECT_EQ(Run("verdict"), kRefused);
+  EXPECT_TRUE(Says("base: the patch names version 3, the current version is 4")) << Said();
+  options_.seq = 10;
+  EXPECT_EQ(Run("verdict"), kRefused);
+  EXPECT_TRUE(Says("ownership: /upstreams/e1: belongs to partner 'gave'")) << Said();
+  EXPECT_TRUE(Says(Head().version().digest)) << Said();
+}
+
+// Guards against a verdict that is made up for an entry that can't be judged.
+TEST_F(CtlTest, VerdictSaysWhatItCantJudge) {
+  options_.seq = 11;
+  EXPECT_EQ(Run("verdict"), kUnavailable);
+  EXPECT_TRUE(Says("entry 11 is not published; the head is 10")) << Said();
+  options_.seq = 7;
+  EXPECT_EQ(Run("verdict"), kUnavailable);
+  EXPECT_TRUE(Says("the snapshot covers seq 7")) << Said();
+  options_.seq.reset();
+  EXPECT_EQ(Run("verdict"), kUsage);
+}
+
+// Guards against a region that is reported as in force though one of its gateways lags or does not answer.
+TEST_F(CtlTest, VerdictAsksTheGateways) {
+  const std::string digest = Head().version().digest;
+  options_.seq = 10;
+  AddGateway("10.1.0.1:5", "ost", 10, digest);
+  AddGateway("10.1.0.2:5", "ost", 9, "");
+  AddGateway("10.2.0.1:5", "kochi", 12, "later");
+  EXPECT_EQ(Run("verdict"), kRefused);
+  EXPECT_TRUE(Says("region ost: not in force everywhere (1 of 2 gateways)")) << Said();
+  EXPECT_TRUE(Says("region kochi: in force (1 of 1 gateways)")) << Said();
+  options_.gateways.push_back("10.9.0.1:5");
+  EXPECT_EQ(Run("verdict"), kUnavailable);
+  EXPECT_TRUE(Says("gateway 10.9.0.1:5 gives no status: connection refused")) << Said();
+}
+
+// Guards against two histories that go unnoticed.
+TEST_F(CtlTest, VerdictRaisesAnAlarmOnAnotherDigest) {
+  options_.seq = 10;
+  AddGateway("10.1.0.1:5", "ost", 10, "other");
+  EXPECT_EQ(Run("verdict"), kUnavailable);
+  EXPECT_TRUE(Says("ALARM: gateway 10.1.0.1:5 has digest other at seq 10")) << Said();
+}
+
+// Guards against a snapshot that differs from the configuration in force.
+TEST_F(CtlTest, SnapshotFoldsTheLog) {
+  EXPECT_EQ(Run("snapshot"), kDone) << Said();
+  EXPECT_EQ(config::ParseSnapshot(out_.str(), nullptr), Head().ToSnapshot());
+  options_.output_file = testing::TempDir() + "/ctl_test_snapshot.json";
+  EXPECT_EQ(Run("snapshot"), kDone) << Said();
+  EXPECT_EQ(config::ParseSnapshot(ReadFile(options_.output_file).value(), nullptr), Head().ToSnapshot());
+  options_.output_file = "/nonexistent/snapshot.json";
+  EXPECT_EQ(Run("snapshot"), kUsage);
+  options_.output_file.clear();
+  options_.platform.clear();
+  options_.document_file = WriteFile("document.json", config::ExampleJson().dump());
+  EXPECT_EQ(Run("snapshot"), kDone) << Said();
+  EXPECT_EQ(config::ParseSnapshot(out_.str(), nullptr)->version.seq, 0U);
+}
+
+// Guards against endless reading, and against a fold that skips what is missing.
+TEST_F(CtlTest, ReportsABrokenPlatform) {
+  Answer("/v1/config/log?after=9&wait_ms=0", config::WriteLogPage({10, 8, {}}));
+  EXPECT_EQ(Run("snapshot"), kUnavailable);
+  EXPECT_TRUE(Says("names head 10 but returns no entry after 9")) << Said();
+  Answer("/v1/config/log?after=7&wait_ms=0", config::WriteLogPage({10, 8, {entries_[1]}}));
+  EXPECT_EQ(Run("snapshot"), kUnavailable);
+  EXPECT_TRUE(Says("entry 9 can't be judged: gap")) << Said();
+  Answer("/v1/config/log?after=7&wait_ms=0", "{}", 410);
+  EXPECT_EQ(Run("snapshot"), kUnavailable);
+  EXPECT_TRUE(Says("does not reach back to its snapshot")) << Said();
+  Answer("/v1/config/log?after=7&wait_ms=0", "", 429);
+  EXPECT_EQ(Run("snapshot"), kUnavailable);
+  EXPECT_TRUE(Says("read rate is exceeded")) << Said();
+  transport_.answers.clear();
+  EXPECT_EQ(Run("snapshot"), kUnavailable);
+  EXPECT_TRUE(Says("does not answer")) << Said();
+}
+
+struct CheckCase {
+  const char* name;
+  const char* author;
+  std::optional<uint64_t> base;
+  const char* patch;
+  int exit_code;
+  std::vector<std::string> says;
+};
+
+class CheckPatchTest : public CtlTest, public testing::WithParamInterface<CheckCase> {};
+
+// Guards against a check that passes a patch which the nodes refuse, or that hides a fault.
+TEST_P(CheckPatchTest, JudgesAgainstSnapshotAndPlatform) {
+  options_.author = GetParam().author;
+  options_.base = GetParam().base;
+  options_.patch_file = WriteFile("patch.json", GetParam().patch);
+  EXPECT_EQ(Run("check-patch"), GetParam().exit_code) << Said();
+  for (const std::string& text : GetParam().says) EXPECT_TRUE(Says(text)) << text << " in: " << Said();
+  options_.platform.clear();
+  options_.snapshot_file = WriteFile("snapshot.json", config::WriteSnapshot(Head().ToSnapshot()));
+  EXPECT_EQ(Run("check-patch"), GetParam().exit_code) << Said();
+  for (const std::string& text : GetParam().says) EXPECT_TRUE(Says(text)) << text << " in: " << Said();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, CheckPatchTest,
+    testing::Values(
+        CheckCase{"Accepted",
+                  "gave",
+                  4,
+                  R"([{"op":"replace","path":"/upstreams/e1/slots","value":5}])",
+                  kDone,
+                  {"accepted against version 4"}},
+        CheckCase{"NamesItsAuthor",
+                  "",
+                  {},
+                  R"({"author":"gave","base":4,"patch":[{"op":"remove","path":"/upstreams/l1"}]})",
+                  kDone,
+                  {"accepted against version 4"}},
+        CheckCase{"OldBase",
+                  "gave",
+                  3,
+                  "[]",
+                  kRefused,
+                  {"refused (base)", "names version 3, the current version is 4"}},
+        CheckCase{"OldBaseInFile",
+                  "",
+                  {},
+                  R"({"author":"gave","base":2,"patch":[]})",
+                  kRefused,
+                  {"names version 2"}},
+        CheckCase{"AllFaults",
+                  "gave",
+                  {},
+                  R"([{"op":"replace","path":"/upstreams/e1/slots","value":0},
+                      {"op":"replace","path":"/upstreams/l1/zone","value":"x"}])",
+                  kRefused,
+                  {"refused (invalid)", "/upstreams/e1/slots: ", "/upstreams/l1/zone: "}},
+        CheckCase{
+            "AllForeignEntries",
+            "leak",
+            {},
+            R"([{"op":"replace","path":"/upstreams/e1/slots","value":5},{"op":"remove","path":"/upstreams/l1"}])",
+            kRefused,
+            {"refused (ownership)", "/upstreams/e1: ", "/upstreams/l1: "}},
+        CheckCase{"NotJson", "gave", {}, "[{", kRefused, {"refused (malformed)"}},
+        CheckCase{"NewFormat",
+                  "gave",
+                  {},
+                  R"([{"op":"replace","path":"/format","value":2}])",
+                  kUnavailable,
+                  {"can't judge the patch"}},
+        CheckCase{"NoAuthor", "", {}, "[]", kUsage, {"needs --author"}}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against usage errors that look like a refusal.
+TEST_F(CtlTest, CheckPatchReportsWrongFiles) {
+  options_.author = "gave";
+  EXPECT_EQ(Run("check-patch"), kUsage);
+  options_.patch_file = "/nonexistent";
+  EXPECT_EQ(Run("check-patch"), kUsage);
+  EXPECT_TRUE(Says("/nonexistent can't be read")) << Said();
+  options_.patch_file = WriteFile("patch.json", "[]");
+  options_.document_file = WriteFile("document.json", R"({"format":1})");
+  EXPECT_EQ(Run("check-patch"), kUsage);
+  EXPECT_TRUE(Says("/regions: is required") && Says("/partners: is required")) << Said();
+}
+
+// Guards against a token that is not sent, queries that are not encoded, and answers that are changed.
+TEST_F(CtlTest, QueriesPrintTheAnswerAsItCame) {
+  options_.address = "10.1.0.1:5";
+  options_.client = "clerks ost&x=1";
+  options_.model = "letter";
+  const std::string body = R"({"score":0.10,"score":2,"big":12345678901234567890})";
+  transport_.answers["http://10.1.0.1:5/explain?client=clerks%20ost%26x%3D1&model=letter"] = {200, body};
+  EXPECT_EQ(Run("explain"), kDone) << Said();
+  EXPECT_EQ(out_.str(), body + "\n");
+  EXPECT_EQ(transport_.last_headers.at("Authorization"), "Bearer secret");
+  transport_.answers["http://10.1.0.1:5/dump"] = {401, ""};
+  EXPECT_EQ(Run("dump"), kUnavailable);
+  EXPECT_TRUE(Says("refuses the token")) << Said();
+  EXPECT_EQ(Run("status"), kUnavailable);
+  EXPECT_TRUE(Says("does not answer: connection refused")) << Said();
+  options_.model.clear();
+  EXPECT_EQ(Run("explain"), kUsage);
+  EXPECT_EQ(Run("publish"), kUsage);
+}
+
+// Guards against settings faults that are ignored, and against settings that replace options.
+TEST(CtlSettingsTest, ReportsFaultsAndKeepsOptions) {
+  Options options;
+  std::string token_file;
+  options.address = "10.0.0.9:1";
+  const auto faults = ReadSettings(
+      base::Settings::Parse("ctl.ini", "[ctl]\nplatform = 10.0.0.1:9\naddress = 10.0.0.2:1\ntokenfile = x\n"),
+      &token_file, &options);
+  ASSERT_EQ(faults.size(), 2U);
+  EXPECT_EQ(faults[0].Text(), "ctl.ini:2: [ctl] platform: must be http://IP:PORT");
+  EXPECT_EQ(faults[1].Text(), "ctl.ini:4: [ctl] tokenfile: unknown key");
+  EXPECT_EQ(options.address, "10.0.0.9:1");
+}
+
+}  // namespace
+}  // namespace cornelplank::ctl
