--- a/apps/ctl/commands/snapshot.cc
+++ b/apps/ctl/commands/snapshot.cc
@@ -9,7 +9,8 @@
 namespace cornelplank::ctl {
 namespace {
 
-/// The first snapshot of a deployment: seq and version 0, the digest is that of the document.
+/// The first snapshot of a deployment. Seq and version are 1, because peers read 0 as "no configuration"; the
+/// digest is that of the document.
 std::optional<config::Snapshot> FirstSnapshot(const std::string& file, const Output& output) {
   const auto text = ReadFile(file);
   if (!text) {
@@ -21,7 +22,7 @@
   auto document = config::ParseDocument(*text, config::kNewestFormat, &reason, &faults);
   if (document) {
     const std::string digest = base::Digest128(config::WriteDocument(*document));
-    return config::Snapshot{{0, 0, digest}, *std::move(document)};
+    return config::Snapshot{{1, 1, digest}, *std::move(document)};
   }
   output.err << file << " is not valid (" << config::CodeName(reason.code) << ")\n";
   if (faults.empty()) output.err << "  " << reason.detail << "\n";
--- a/tests/config/ctl_test.cc
+++ b/tests/config/ctl_test.cc
@@ -150,7 +150,7 @@
   options_.platform.clear();
   options_.document_file = WriteFile("document.json", config::ExampleJson().dump());
   EXPECT_EQ(Run("snapshot"), kDone) << Said();
-  EXPECT_EQ(config::ParseSnapshot(out_.str(), nullptr)->version.seq, 0U);
+  EXPECT_EQ(config::ParseSnapshot(out_.str(), nullptr)->version.seq, 1U);  // peers read 0 as none
 }
 
 // Guards against endless reading, and against a fold that skips what is missing.
