Compare documents with one walk over both

Cause: a third of the time of a patch went into string comparisons of the ownership check, which searched each entry of one document in the other.

Change: the entries of both documents are walked in order.

Ruled out: comparing only the entries that the patch reaches. The check would then rely on the scope of the patch being right.

--- a/libs/config/internal/ownership.cc
+++ b/libs/config/internal/ownership.cc
@@ -17,19 +17,27 @@
   template <typename Entry, typename Owner>
   void Compare(std::string_view section, const std::map<std::string, Entry>& before,
                const std::map<std::string, Entry>& after, Owner&& owner) {
-    for (const auto& [name, entry] : before) {
-      const auto found = after.find(name);
-      if (found != after.end() && found->second == entry) continue;
-      if (owner(name, entry) != author_) {
-        Add(section, name, "belongs to partner '" + owner(name, entry) + "'");
-      } else if (found != after.end() && owner(name, found->second) != author_) {
-        Add(section, name, "can't be given to another partner");
-      }
-    }
-    for (const auto& [name, entry] : after) {
-      if (!before.contains(name) && owner(name, entry) != author_) {
-        Add(section, name, "can't be created for another partner");
+    auto old_entry = before.begin();
+    auto new_entry = after.begin();
+    // Both maps are ordered, so one walk over both replaces a search for each of several thousand entries.
+    while (old_entry != before.end() || new_entry != after.end()) {
+      const bool is_removed =
+          new_entry == after.end() || (old_entry != before.end() && old_entry->first < new_entry->first);
+      const bool is_added = !is_removed && (old_entry == before.end() || new_entry->first < old_entry->first);
+      if (is_added) {
+        if (owner(new_entry->first, new_entry->second) != author_) {
+          Add(section, new_entry->first, "can't be created for another partner");
+        }
+      } else if (is_removed || old_entry->second != new_entry->second) {
+        const std::string& name = old_entry->first;
+        if (owner(name, old_entry->second) != author_) {
+          Add(section, name, "belongs to partner '" + owner(name, old_entry->second) + "'");
+        } else if (!is_removed && owner(name, new_entry->second) != author_) {
+          Add(section, name, "can't be given to another partner");
+        }
       }
+      if (!is_added) ++old_entry;
+      if (!is_removed) ++new_entry;
     }
   }
 
