Fuzz the tables and the readers

Change: a five-node simulation with the real tables and gossip; oracles for incarnations, leaving, suspicion, removal, ages and reading. Faults found by them and fixed: - a suspected VM of another zone was never called again while others of its zone were usable, so it stayed suspected after a heal; suspected VMs are now probed, one a second, half-cleared ones first; - a VM that was removed and came back by a peer's younger news lost its suspicion; tombstones now keep it. Deliberate faults (older incarnation, one-way evidence, ages from calls, no read budget) are found by tests.

--- a/libs/membership/internal/gossip_calls.cc
+++ b/libs/membership/internal/gossip_calls.cc
@@ -57,9 +57,10 @@
 }
 
 bool GossipState::ProbeDue(const Vm& vm, const Peer& peer, base::TimePoint now) const {
-  if (vm.suspected) return AgeOf(peer.last_call, now) >= settings_.suspected_round;
-  // A doubted VM is called on top of the round, so that the second observation doesn't wait for its turn.
-  return vm.doubted && AgeOf(peer.last_call, now) >= settings_.round;
+  // A change that one observation supports is settled by the next round, on top of the regular calls.
+  const bool half = vm.suspected ? vm.answers > 0 : vm.doubted;
+  if (half) return AgeOf(peer.last_call, now) >= settings_.round;
+  return vm.suspected && AgeOf(peer.last_call, now) >= settings_.suspected_round;
 }
 
 base::Duration GossipState::NewsAge(const VmListEntry& entry, bool by_region, base::TimePoint now) const {
@@ -74,7 +75,34 @@
   return tried == zone_tried_at_.end() ? age : std::min(age, now - tried->second);
 }
 
+std::optional<std::string> GossipState::CrossProbeDue(const VmTable& table, base::TimePoint now) {
+  if (now < next_probe_) return std::nullopt;
+  const std::string* choice = nullptr;
+  Peer* choice_peer = nullptr;
+  bool choice_half = false;
+  for (const auto& [id, vm] : table.vms()) {
+    if (InZone(vm.entry) || !vm.suspected) continue;
+    Peer& peer = PeerOf(vm.entry);
+    if (peer.calling || !ProbeDue(vm, peer, now)) continue;
+    // VMs that answered once come first, so that a zone has some usable VMs soon after a partition heals.
+    const bool half = vm.answers > 0;
+    if (choice != nullptr &&
+        (half < choice_half || (half == choice_half && peer.last_call >= choice_peer->last_call))) {
+      continue;
+    }
+    choice = &id;
+    choice_peer = &peer;
+    choice_half = half;
+  }
+  if (choice == nullptr) return std::nullopt;
+  next_probe_ = now + settings_.round;
+  choice_peer->calling = true;
+  choice_peer->last_call = now;
+  return *choice;
+}
+
 std::optional<std::string> GossipState::CrossCallDue(const VmTable& table, base::TimePoint now) {
+  if (auto probe = CrossProbeDue(table, now)) return probe;
   if (now < next_cross_) return std::nullopt;
   // The zone to call is the one of which this node has the oldest news. Half of the calls look at regions,
   // because the confirmed rule needs news of each region within 14 s.
--- a/libs/membership/internal/gossip_state.cc
+++ b/libs/membership/internal/gossip_state.cc
@@ -39,7 +39,8 @@
       region_(table.own().entry.region),
       random_(seed),
       confirmation_(0, 0),
-      next_round_(now) {
+      next_round_(now),
+      next_probe_(now) {
   SetNames(std::move(names), table);
   next_round_ += Jitter(settings_.round);
   next_cross_ = now + Jitter(settings_.cross_round);
--- a/libs/membership/internal/gossip_state.h
+++ b/libs/membership/internal/gossip_state.h
@@ -117,6 +117,8 @@
   };
 
   Peer& PeerOf(const VmListEntry& entry);
+  /// A suspected VM of another zone to call; one a second at most, as a whole region may be suspected.
+  std::optional<std::string> CrossProbeDue(const VmTable& table, base::TimePoint now);
   bool ProbeDue(const Vm& vm, const Peer& peer, base::TimePoint now) const;
   base::Duration NewsAge(const VmListEntry& entry, bool by_region, base::TimePoint now) const;
   bool InZone(const VmListEntry& entry) const { return entry.zone == zone_; }
@@ -159,6 +161,7 @@
   std::map<std::string, base::TimePoint, std::less<>> zone_tried_at_;
   base::TimePoint next_round_;
   base::TimePoint next_cross_;
+  base::TimePoint next_probe_;
   bool urgent_ = false;
   std::optional<Lead> lead_;
   uint64_t digest_conflicts_ = 0;
--- a/libs/membership/internal/vm_table.cc
+++ b/libs/membership/internal/vm_table.cc
@@ -31,20 +31,25 @@
   const auto found = vms_.find(entry.id);
   if (found == vms_.end()) {
     if (vms_.size() >= kMaxVms) return nullptr;
-    VmListEntry merged = entry;
-    if (const auto tomb = tombstones_.find(entry.id); tomb != tombstones_.end()) {
-      if (entry.incarnation < tomb->second.incarnation) return nullptr;
-      const bool same = entry.incarnation == tomb->second.incarnation;
-      if (same && tomb->second.state == VmState::kLeaving) merged.state = VmState::kLeaving;
-      tombstones_.erase(tomb);
+    const auto tomb = tombstones_.find(entry.id);
+    if (tomb == tombstones_.end()) {
+      Vm& vm = vms_[entry.id];
+      Replace(vm, entry, now);
+      return &vm;
     }
-    Vm& vm = vms_[entry.id];
-    Replace(vm, merged, now);
-    return &vm;
+    if (entry.incarnation < tomb->second.vm.entry.incarnation) return nullptr;
+    // A VM that comes back is what it was, suspected or leaving, unless it has started anew.
+    Vm& vm = vms_[entry.id] = tomb->second.vm;
+    vm.change = ++change_;
+    tombstones_.erase(tomb);
+    return Update(vm, entry, now);
   }
-  Vm& vm = found->second;
+  if (entry.id == own_id_) return &found->second;  // nobody knows better than the VM itself
+  return Update(found->second, entry, now);
+}
+
+Vm* VmTable::Update(Vm& vm, const VmListEntry& entry, base::TimePoint now) {
   if (entry.incarnation < vm.entry.incarnation) return nullptr;
-  if (entry.id == own_id_) return &vm;  // nobody knows better than the VM itself
   if (entry.incarnation > vm.entry.incarnation) {
     Replace(vm, entry, now);
     vm.last_heard = base::TimePoint{};
@@ -141,7 +146,7 @@
       ++it;
       continue;
     }
-    tombstones_[it->first] = {vm.entry.incarnation, vm.entry.state, now};
+    tombstones_[it->first] = {vm, now};
     ++change_;
     it = vms_.erase(it);
   }
--- a/libs/membership/internal/vm_table.h
+++ b/libs/membership/internal/vm_table.h
@@ -91,13 +91,13 @@
 
  private:
   struct Tombstone {
-    uint64_t incarnation = 0;
-    VmState state = VmState::kLive;
+    Vm vm;
     base::TimePoint since{};
   };
 
   base::TimePoint Forward(base::TimePoint now);
   Vm* Merge(const VmListEntry& entry, base::TimePoint now);
+  Vm* Update(Vm& vm, const VmListEntry& entry, base::TimePoint now);
   void Replace(Vm& vm, const VmListEntry& entry, base::TimePoint now);
   void SetSuspected(Vm& vm, bool suspected);
   bool Removable(const Vm& vm, base::TimePoint now) const;
--- a/tests/membership/command_sequence.h
+++ b/tests/membership/command_sequence.h
@@ -29,20 +29,20 @@
 std::optional<std::string> RunCommands(uint64_t seed, uint64_t steps, bool shrink, Check check) {
   constexpr int kMaxLength = 400;
   uint64_t used = 0;
-  bool failed = false;
+  std::optional<std::string> first;
   for (uint64_t round = 0; used < steps; ++round) {
     const auto violation = CheckProperty(seed + round * 1000003, 50, kMaxLength, [&] {
       // Words are drawn at full size, as only the length of the sequence should grow with the size.
       const auto word = rc::gen::resize(100, rc::gen::inRange<uint32_t>(0, 1U << 31));
       const auto words = *rc::gen::container<std::vector<uint32_t>>(word).as("commands");
       used += words.size();
-      if (failed && !shrink) return;
-      if (const std::optional<std::string> found = check(words)) {
-        failed = true;
-        RC_FAIL(*found);
-      }
+      if (first && !shrink) return;
+      const std::optional<std::string> found = check(words);
+      if (!found) return;
+      if (!first) first = found;
+      RC_FAIL(*found);
     });
-    if (violation) return violation;
+    if (violation) return shrink ? violation : first;
   }
   return std::nullopt;
 }
--- /dev/null
+++ b/tests/membership/readers_fuzz.cc
@@ -0,0 +1,146 @@
+#include "tests/membership/membership_fuzz.h"
+
+namespace cornelplank::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// After this time of unchanged conditions each zone that can must have read the platform: the longest
+/// back-off (30 s), the fall-back limit with its jitter (10 s) and one call (5 s).
+constexpr base::Duration kReadBound = seconds{45};
+
+struct ReadCall {
+  bool running = false;
+  base::TimePoint ends;
+  bool answered = false;
+};
+
+class ReadersWorld : public ZoneSim {
+ public:
+  ReadersWorld(MembershipFault fault, uint64_t seed) : ZoneSim(fault, seed) { reachable_.fill(true); }
+
+  std::optional<std::string> Step(fuzz::Word word) {
+    const int command = word.Take(16);
+    const int a = word.Take(kSimNodes);
+    const int b = word.Take(kSimNodes);
+    switch (command) {
+      case 0:
+        Kill(a);
+        break;
+      case 1:
+        Start(a);
+        break;
+      case 2:
+        Node(a).paused = true;
+        break;
+      case 3:
+        Node(a).paused = false;
+        break;
+      case 4:
+        Blocked(a, b) = Blocked(b, a) = true;
+        break;
+      case 5:
+        Blocked(a, b) = true;
+        break;
+      case 6:
+        HealAll();
+        break;
+      case 7:
+        reachable_[static_cast<size_t>(a)] = word.Take(2) == 0;
+        break;
+      case 8:
+        platform_up_ = word.Take(2) == 0;
+        break;
+      case 9:
+        list_ = CurrentList();
+        DeliverList(a, list_, base::Duration{0});
+        break;
+      case 10:
+        if (Runs(a) && word.Take(4) == 0) Node(a).table->SetOwnLeaving();
+        break;
+      default:
+        for (int n = 0; n <= word.Take(8); ++n) Tick();
+    }
+    return violation_;
+  }
+
+  /// Keeps the conditions as they are; the zones that can reach the platform must go on reading.
+  std::optional<std::string> Finish() {
+    if (!platform_up_) return violation_;
+    const base::TimePoint from = now_;
+    read_at_.fill(base::TimePoint{});
+    while (now_ - from < kReadBound) Tick();
+    for (int i = 0; i < kSimNodes; ++i) {
+      const bool can_read = Runs(i) && reachable_[static_cast<size_t>(i)];
+      if (can_read && read_at_[RegionIndexOf(i)] < from) {
+        Fail("the zone of " + std::to_string(i) + " has no reader");
+      }
+    }
+    return violation_;
+  }
+
+ private:
+  void Fail(std::string text) {
+    if (!violation_) violation_ = std::move(text);
+  }
+
+  void OnStart(int i) override { calls_to_platform_[static_cast<size_t>(i)] = {}; }
+
+  void OnTick(int i) override {
+    SimNode& node = Node(i);
+    ReadCall& call = calls_to_platform_[static_cast<size_t>(i)];
+    const bool is_reader = ReaderSelector::IsOwnReader(*node.table);
+    if (call.running && now_ >= call.ends) {
+      call.running = false;
+      node.schedule->Ended(call.answered, now_);
+      if (call.answered) node.gossip->PlatformConfirmed(1, now_ - milliseconds{10}, now_);
+      if (call.answered) read_at_[RegionIndexOf(i)] = now_;
+    }
+    const base::Duration age = node.gossip->confirmation().ConfirmedAge(now_);
+    bool due = node.schedule->Due(is_reader, age, now_);
+    if (fault_ == MembershipFault::kNoReadBudget && !call.running) due = due || age > seconds{5};
+    if (!due) return;
+    if (!is_reader) CheckBudget(i, age);
+    node.schedule->Started(now_);
+    last_start_[static_cast<size_t>(i)] = now_;
+    call.running = true;
+    call.answered = platform_up_ && reachable_[static_cast<size_t>(i)];
+    // A refused call ends at once, a silent one after its deadline.
+    call.ends = now_ + (call.answered && is_reader ? ReadSchedule::kWatchWait
+                                                   : base::Duration{seconds{random_.Below(2)}});
+  }
+
+  void CheckBudget(int i, base::Duration age) {
+    const base::TimePoint last = last_start_[static_cast<size_t>(i)];
+    const bool restarted = last < Node(i).table->own().last_answer;
+    if (!restarted && now_ - last < ReadSchedule::kFallbackInterval) Fail("two fall-back calls within 5 s");
+    if (age < ReadSchedule::kFallbackAfter) Fail("a fall-back call although the platform was confirmed");
+  }
+
+  std::array<bool, kSimNodes> reachable_{};
+  bool platform_up_ = true;
+  std::array<ReadCall, kSimNodes> calls_to_platform_{};
+  std::array<base::TimePoint, kSimNodes> last_start_{};
+  std::array<base::TimePoint, 2> read_at_{};
+  std::optional<std::string> violation_;
+};
+
+const bool registered = fuzz::RegisterFuzzTarget({"readers", [](uint64_t seed, uint64_t steps) {
+                                                    return FuzzReaders(MembershipFault::kNone, seed, steps);
+                                                  }});
+
+}  // namespace
+
+std::optional<std::string> FuzzReaders(MembershipFault fault, uint64_t seed, uint64_t steps) {
+  const auto check = [&](const std::vector<uint32_t>& words) -> std::optional<std::string> {
+    ReadersWorld world(fault, seed);
+    for (const uint32_t word : words) {
+      if (auto violation = world.Step(fuzz::Word(word))) return violation;
+    }
+    return world.Finish();
+  };
+  return fuzz::RunCommands(seed, steps, fault == MembershipFault::kNone, check);
+}
+
+}  // namespace cornelplank::membership
--- /dev/null
+++ b/tests/membership/zone_sim.h
@@ -0,0 +1,269 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libs/membership/membership.h"
+#include "tests/membership/command_sequence.h"
+
+namespace cornelplank::membership {
+
+/// Deliberate faults that the fuzzers must find.
+enum class MembershipFault {
+  kNone,
+  kAcceptOlder,     // a message of an older incarnation replaces the newer one
+  kOneWayEvidence,  // an incoming call counts as an answered own call, so views flap
+  kAgeFromCalls,    // ages in incoming calls count for the confirmed rule
+  kNoReadBudget,    // the fall-back reads as often as it can
+};
+
+inline constexpr int kSimNodes = 5;  // 0 to 2 in zone ost-1, 3 and 4 in nord-1
+inline constexpr base::Duration kSimTick = std::chrono::milliseconds{250};
+inline constexpr base::Duration kSimCallTimeout = std::chrono::seconds{1};
+inline constexpr base::TimePoint kSimStart{std::chrono::hours{1}};
+
+/// Latest real moment of which a node has causal news: of regions nord and ost, and of the platform.
+using Truth = std::array<base::TimePoint, 3>;
+inline constexpr size_t kPlatformTruth = 2;
+
+struct SimNode {
+  VmListEntry self;
+  std::unique_ptr<VmTable> table;
+  std::unique_ptr<GossipState> gossip;
+  std::unique_ptr<ReadSchedule> schedule;
+  bool alive = true;
+  bool paused = false;
+  Truth truth{};
+  std::vector<VmListEntry> list;  // last VM list delivered
+};
+
+struct SimMessage {
+  base::TimePoint deliver_at;
+  int from = 0;
+  int to = 0;
+  VmListEntry sender;
+  uint64_t to_incarnation = 0;
+  uint64_t call = 0;
+  bool is_answer = false;
+  GossipMessage gossip;
+  Truth truth{};
+};
+
+struct SimCall {
+  int from = 0;
+  int to = 0;
+  base::TimePoint started;
+};
+
+/// A few nodes with the real tables and gossip on an in-memory network with faults, in virtual time.
+class ZoneSim {
+ public:
+  ZoneSim(MembershipFault fault, uint64_t seed) : fault_(fault), random_(seed) {
+    names_.regions = {"nord", "ost"};
+    names_.zones = {"nord-1", "ost-1"};
+    names_.replicas = {"r0", "r1"};
+    names_.slots = {8, 8};
+    for (int i = 0; i < kSimNodes; ++i) Start(i);
+    list_ = CurrentList();
+    for (int i = 0; i < kSimNodes; ++i) DeliverList(i, list_, base::Duration{0});
+  }
+  virtual ~ZoneSim() = default;
+
+  void Start(int i) {
+    SimNode& node = Node(i);
+    const std::string region = RegionIndexOf(i) == 0 ? "nord" : "ost";
+    node.self = {
+        std::to_string(i), "p", region, region + "-1", "", "", ++incarnations_[static_cast<size_t>(i)],
+        VmState::kLive};
+    node.table = std::make_unique<VmTable>(node.self, now_);
+    node.gossip = std::make_unique<GossipState>(GossipSettings{}, names_, *node.table, random_.Next(), now_);
+    node.gossip->SetConfig({1, 1}, now_);
+    node.schedule = std::make_unique<ReadSchedule>(random_.Next(), now_);
+    node.alive = true;
+    node.paused = false;
+    node.truth.fill(base::TimePoint{});
+    node.list.clear();
+    // A starting node reads the VM list before it serves.
+    DeliverList(i, list_, std::chrono::seconds{1});
+    OnStart(i);
+  }
+  void Kill(int i) { Node(i).alive = false; }
+
+  std::vector<VmListEntry> CurrentList() const {
+    std::vector<VmListEntry> list;
+    for (const SimNode& node : nodes_) {
+      if (node.alive) list.push_back(node.self);
+    }
+    return list;
+  }
+  void DeliverList(int i, const std::vector<VmListEntry>& list, base::Duration age) {
+    if (!Runs(i)) return;
+    Node(i).table->ApplyVmList(list, age, now_);
+    Node(i).list = list;
+  }
+
+  /// Moves time by one tick and runs every node.
+  void Tick(base::Duration step = kSimTick) {
+    now_ += step;
+    DeliverDue();
+    TimeOutCalls();
+    for (int i = 0; i < kSimNodes; ++i) {
+      if (!Runs(i)) continue;
+      SimNode& node = Node(i);
+      node.table->Tick(now_);
+      for (const std::string& peer : node.gossip->ZoneCallsDue(*node.table, now_)) Call(i, std::stoi(peer));
+      if (const auto peer = node.gossip->CrossCallDue(*node.table, now_)) Call(i, std::stoi(*peer));
+      OnTick(i);
+    }
+  }
+
+  SimNode& Node(int i) { return nodes_[static_cast<size_t>(i)]; }
+  const SimNode& Node(int i) const { return nodes_[static_cast<size_t>(i)]; }
+  bool Runs(int i) const { return Node(i).alive && !Node(i).paused; }
+  static size_t RegionIndexOf(int i) { return i >= 3 ? 0 : 1; }
+  static size_t PairIndex(int i, int j) {
+    return static_cast<size_t>(i) * size_t{kSimNodes} + static_cast<size_t>(j);
+  }
+  bool& Blocked(int from, int to) { return blocked_[PairIndex(from, to)]; }
+  void HealAll() {
+    blocked_.fill(false);
+    delay_ = base::Duration{0};
+  }
+
+ protected:
+  virtual void OnStart(int /*i*/) {}
+  virtual void OnTick(int /*i*/) {}
+  virtual void OnHeard(int /*i*/, const VmListEntry& /*from*/, bool /*answer*/) {}
+  virtual void OnMissed(int /*i*/, int /*to*/) {}
+
+  Truth TruthOf(int i) {
+    Truth truth = Node(i).truth;
+    truth[RegionIndexOf(i)] = now_;
+    return truth;
+  }
+
+  void Call(int from, int to) {
+    const Vm* vm = Node(from).table->Find(std::to_string(to));
+    if (vm == nullptr) return;
+    const uint64_t call = ++last_call_;
+    calls_[call] = {from, to, now_};
+    GossipMessage gossip = Node(from).gossip->MessageFor(*vm, *Node(from).table, nullptr, now_);
+    Post({now_, from, to, Node(from).table->own().entry, Node(to).self.incarnation, call, false,
+          std::move(gossip), TruthOf(from)});
+  }
+
+  void Post(SimMessage message) {
+    if (Blocked(message.from, message.to)) return;
+    message.deliver_at = now_ + std::chrono::milliseconds{1 + random_.Below(100)} + delay_;
+    network_.push_back(std::move(message));
+  }
+
+  void DeliverDue() {
+    std::vector<SimMessage> due;
+    for (size_t i = 0; i < network_.size();) {
+      const SimNode& to = Node(network_[i].to);
+      // What waits for a paused node is read when it wakes.
+      if (network_[i].deliver_at > now_ || (to.alive && to.paused)) {
+        ++i;
+        continue;
+      }
+      due.push_back(std::move(network_[i]));
+      network_[i] = std::move(network_.back());
+      network_.pop_back();
+    }
+    for (const SimMessage& message : due) Deliver(message);
+  }
+
+  void Deliver(const SimMessage& message) {
+    const int i = message.to;
+    SimNode& node = Node(i);
+    if (!node.alive || message.to_incarnation != node.self.incarnation) return;
+    if (message.is_answer) {
+      const auto call = calls_.find(message.call);
+      if (call == calls_.end()) return;
+      MergeTruth(node, message.truth);
+      const base::TimePoint started = call->second.started;
+      calls_.erase(call);
+      node.gossip->MergeAnswer(message.sender, message.gossip, started, *node.table, now_);
+      OnHeard(i, message.sender, true);
+      return;
+    }
+    ApplyFault(node, message);
+    MergeTruth(node, message.truth);
+    node.gossip->MergeCall(message.sender, message.gossip, *node.table, now_);
+    OnHeard(i, message.sender, false);
+    const Vm* vm = node.table->Find(message.sender.id);
+    if (vm == nullptr) return;
+    GossipMessage answer = node.gossip->MessageFor(*vm, *node.table, &message.gossip, now_);
+    Post({now_, i, message.from, node.table->own().entry, message.sender.incarnation, message.call, true,
+          std::move(answer), TruthOf(i)});
+  }
+
+  void ApplyFault(SimNode& node, const SimMessage& message) {
+    const Vm* vm = node.table->Find(message.sender.id);
+    const bool older = vm != nullptr && message.sender.incarnation < vm->entry.incarnation;
+    if (fault_ == MembershipFault::kAcceptOlder && older) Forget(node, message.sender.id);
+    if (fault_ == MembershipFault::kAgeFromCalls) {
+      node.gossip->MergeAnswer(message.sender, message.gossip, now_, *node.table, now_);
+    }
+    if (fault_ == MembershipFault::kOneWayEvidence) {
+      for (int n = 0; n < VmTable::kObservations; ++n) {
+        node.table->Answered(message.sender.id, 0, VmState::kLive, now_);
+      }
+    }
+  }
+
+  /// Rebuilds the table without one VM, so that any incarnation of it is taken.
+  void Forget(SimNode& node, const std::string& id) {
+    VmTable table(node.self, now_);
+    for (const auto& [other, vm] : node.table->vms()) {
+      if (vm.suspected) return;
+      if (other != id) table.HeartbeatReceived(vm.entry, now_);
+    }
+    std::vector<VmListEntry> list = node.list;
+    std::erase_if(list, [&](const VmListEntry& entry) { return entry.id == id; });
+    table.ApplyVmList(list, base::Duration{0}, now_);
+    *node.table = std::move(table);
+  }
+
+  static void MergeTruth(SimNode& node, const Truth& truth) {
+    for (size_t i = 0; i < truth.size(); ++i) node.truth[i] = std::max(node.truth[i], truth[i]);
+  }
+
+  void TimeOutCalls() {
+    for (auto it = calls_.begin(); it != calls_.end();) {
+      const SimCall call = it->second;
+      if (now_ - call.started < kSimCallTimeout || (Node(call.from).alive && Node(call.from).paused)) {
+        ++it;
+        continue;
+      }
+      it = calls_.erase(it);
+      if (!Runs(call.from)) continue;
+      Node(call.from).gossip->CallFailed(std::to_string(call.to), *Node(call.from).table, now_);
+      OnMissed(call.from, call.to);
+    }
+  }
+
+  MembershipFault fault_;
+  base::Random random_;
+  base::TimePoint now_ = kSimStart;
+  NameIndex names_;
+  std::array<uint64_t, kSimNodes> incarnations_{};
+  std::array<SimNode, kSimNodes> nodes_;
+  std::array<bool, size_t{kSimNodes} * kSimNodes> blocked_{};
+  std::vector<VmListEntry> list_;  // what the platform shows now; may be old
+  std::vector<SimMessage> network_;
+  std::map<uint64_t, SimCall> calls_;
+  uint64_t last_call_ = 0;
+  base::Duration delay_{0};
+};
+
+}  // namespace cornelplank::membership
