--- /dev/null
+++ b/bench/control/fleet.cc
@@ -0,0 +1,338 @@
+#include "bench/control/fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cornelplank::bench {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Duration kTick = milliseconds{250};
+constexpr base::Duration kCallTimeout = seconds{2};
+constexpr size_t kPatchBytes = 300;    // a typical entry of the log
+constexpr size_t kRequestBytes = 180;  // an HTTP request to the platform
+constexpr size_t kSegmentBytes = 52;   // TCP/IP headers with timestamps
+constexpr int kReplicasPerZone = 46;   // in a zone of 14 VMs; smaller zones have proportionally fewer
+constexpr int kSlots = 300;
+constexpr double kMeanRunning = 225;  // 740 streams a node at 3.3 replicas a node
+constexpr int kClasses = 6;
+
+std::string Name(const char* prefix, int number) {
+  return std::string(prefix).append(std::to_string(number));
+}
+
+membership::NameIndex Names(const FleetShape& shape, int zone) {
+  config::Document document;
+  for (int z = 0; z < shape.zones; ++z) {
+    document.regions[Name("region", z % shape.regions)].zones.push_back(Name("zone", z));
+  }
+  for (int c = 0; c < kClasses; ++c) document.partners[Name("partner", c % 2)].classes[Name("class", c)] = {};
+  const int vms = shape.nodes / shape.zones + (zone < shape.nodes % shape.zones ? 1 : 0);
+  for (int r = 0; r < std::max(1, kReplicasPerZone * vms / 14); ++r) {
+    config::Upstream upstream;
+    upstream.zone = Name("zone", zone);
+    upstream.slots = kSlots;
+    document.upstreams[Name("replica", r)] = upstream;
+  }
+  return membership::NameIndex::FromDocument(document, Name("zone", zone));
+}
+
+membership::VmListEntry EntryOf(const FleetShape& shape, int i) {
+  const int zone = i % shape.zones;
+  return {Name("vm", i),
+          "partner0",
+          Name("region", zone % shape.regions),
+          Name("zone", zone),
+          "10.0.0.1:7000",
+          "10.0.0.1:8000",
+          1,
+          membership::VmState::kLive};
+}
+
+}  // namespace
+
+Fleet::Node::Node(const membership::VmListEntry& entry, const membership::GossipSettings& settings,
+                  const membership::NameIndex& names, uint64_t seed, base::TimePoint now)
+    : table(entry, now),
+      gossip(settings, names, table, seed, now),
+      schedule(seed + 1, now),
+      random(seed + 2),
+      region(std::stoi(entry.region.substr(6))) {}
+
+Fleet::Fleet(const FleetShape& shape)
+    : platform_(loop_),
+      cut_(static_cast<size_t>(shape.regions), false),
+      cut_platform_(static_cast<size_t>(shape.regions), false),
+      random_(shape.seed) {
+  std::vector<membership::VmListEntry> list;
+  for (int i = 0; i < shape.nodes; ++i) list.push_back(EntryOf(shape, i));
+  for (int i = 0; i < shape.nodes; ++i) {
+    index_[list[static_cast<size_t>(i)].id] = i;
+    nodes_.push_back(std::make_unique<Node>(list[static_cast<size_t>(i)], shape.gossip,
+                                            Names(shape, i % shape.zones), random_.Next(), loop_.now()));
+    At(i).table.ApplyVmList(list, base::Duration{0}, loop_.now());
+    At(i).gossip.SetConfig({1, 1}, loop_.now());
+    loop_.After(milliseconds{random_.Below(250)}, [this, i] { Tick(i); });
+  }
+  ResetCounters();
+}
+
+template <typename Work>
+auto Fleet::Timed(Work work) {
+  struct Stopwatch {
+    explicit Stopwatch(double& total) : total_(total), start_(std::chrono::steady_clock::now()) {}
+    ~Stopwatch() {
+      total_ += std::chrono::duration<double>(std::chrono::steady_clock::now() - start_).count();
+    }
+    double& total_;
+    std::chrono::steady_clock::time_point start_;
+  };
+  const Stopwatch stopwatch(cpu_s_);
+  return work();
+}
+
+bool Fleet::Cut(int a, int b) const {
+  return a != b && (cut_[static_cast<size_t>(a)] || cut_[static_cast<size_t>(b)]);
+}
+
+base::Duration Fleet::Delay(const Node& a, const Node& b) const {
+  return a.region == b.region ? milliseconds{1} : milliseconds{80};
+}
+
+void Fleet::Count(int i, size_t message, size_t overhead) {
+  At(i).messages += static_cast<double>(message);
+  At(i).wire += static_cast<double>(message + overhead);
+}
+
+void Fleet::Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail) {
+  Count(i, bytes, membership::kCallerOverheadBytes);
+  auto open = std::make_shared<bool>(true);
+  loop_.After(kCallTimeout, [open, fail = std::move(fail)] {
+    if (std::exchange(*open, false)) fail();
+  });
+  const base::Duration delay = Delay(At(i), At(j));
+  if (Cut(At(i).region, At(j).region)) return;
+  loop_.After(delay, [this, i, j, delay, open, serve = std::move(serve)] {
+    const Reply reply = serve();
+    Count(j, reply.bytes, membership::kCalleeOverheadBytes);
+    if (Cut(At(i).region, At(j).region)) return;
+    loop_.After(delay, [open, merge = reply.merge] {
+      if (std::exchange(*open, false)) merge();
+    });
+  });
+}
+
+void Fleet::Tick(int i) {
+  Node& node = At(i);
+  const base::TimePoint now = loop_.now();
+  std::vector<std::string> calls = Timed([&] {
+    node.table.Tick(now);
+    auto due = node.gossip.ZoneCallsDue(node.table, now);
+    if (auto cross = node.gossip.CrossCallDue(node.table, now)) due.push_back(*cross);
+    if (node.readers_at != node.table.change()) {
+      node.readers_at = node.table.change();
+      node.is_reader = membership::ReaderSelector::IsOwnReader(node.table);
+      node.replicas.clear();
+      const auto& replicas = node.gossip.names().replicas;
+      for (const std::string& replica :
+           membership::ReplicaPollerSelector::OwnReplicas(node.table, replicas)) {
+        node.replicas.push_back(static_cast<uint16_t>(
+            std::lower_bound(replicas.begin(), replicas.end(), replica) - replicas.begin()));
+      }
+    }
+    return due;
+  });
+  for (const std::string& peer : calls) Gossip(i, index_.at(peer));
+  if (now >= node.next_poll) Poll(i);
+  const bool confirmed = Timed([&] { return node.gossip.Confirmed(node.table, now); });
+  if (!confirmed) node.unconfirmed_s += std::chrono::duration<double>(kTick).count();
+  const base::Duration age = node.gossip.confirmation().ConfirmedAge(now);
+  if (Timed([&] { return node.schedule.Due(node.is_reader, age, now); })) ReadPlatform(i);
+  loop_.After(kTick, [this, i] { Tick(i); });
+}
+
+void Fleet::Poll(int i) {
+  Node& node = At(i);
+  const base::TimePoint now = loop_.now();
+  node.next_poll = now + seconds{1};
+  const auto noise = [&] { return (node.random.Unit() + node.random.Unit() + node.random.Unit() - 1.5) * 2; };
+  // Running requests vary around their mean as with Poisson arrivals and a mean duration of 14.4 s.
+  node.running.resize(node.gossip.names().replicas.size(), kMeanRunning);
+  for (const uint16_t replica : node.replicas) {
+    double& load = node.running[replica];
+    load = kMeanRunning + 0.93 * (load - kMeanRunning) + 5.5 * noise();
+    Timed([&] {
+      node.gossip.SetOwnLoad(replica, static_cast<uint16_t>(std::max(0.0, load)), 0,
+                             membership::ReplicaState::kReady, now);
+    });
+  }
+  std::vector<membership::ClassDemand> demand(kClasses);
+  for (auto& entry : demand) entry.rate = static_cast<uint16_t>(std::max(0.0, 8.5 + 2.9 * noise()));
+  Timed([&] { node.gossip.SetOwnDemand(std::move(demand), now); });
+}
+
+void Fleet::Gossip(int i, int j) {
+  const base::TimePoint started = loop_.now();
+  Node& a = At(i);
+  ++a.gossip_calls;
+  const std::string peer_id = At(j).table.own().entry.id;
+  auto call = std::make_shared<membership::GossipMessage>(
+      Timed([&] { return a.gossip.MessageFor(*a.table.Find(peer_id), a.table, nullptr, started); }));
+  const auto serve = [this, i, j, call, started] {
+    Node& b = At(j);
+    const membership::VmListEntry from = At(i).table.own().entry;
+    auto answer = std::make_shared<membership::GossipMessage>(Timed([&] {
+      b.gossip.MergeCall(from, *call, b.table, loop_.now());
+      return b.gossip.MessageFor(*b.table.Find(from.id), b.table, call.get(), loop_.now());
+    }));
+    AfterMerge(j);
+    return Reply{membership::EncodedBytes(*answer), [this, i, j, answer, started] {
+                   Node& a = At(i);
+                   const membership::VmListEntry from = At(j).table.own().entry;
+                   Timed([&] { a.gossip.MergeAnswer(from, *answer, started, a.table, loop_.now()); });
+                   AfterMerge(i);
+                 }};
+  };
+  Call(i, j, membership::EncodedBytes(*call), serve,
+       [this, i, peer_id] { Timed([&] { At(i).gossip.CallFailed(peer_id, At(i).table, loop_.now()); }); });
+}
+
+void Fleet::AfterMerge(int i) {
+  const auto& lead = At(i).gossip.lead();
+  if (lead && lead->seq > At(i).seq) Pull(i, index_.at(lead->peer));
+}
+
+void Fleet::Pull(int i, int j) {
+  if (std::exchange(At(i).pulling, true)) return;
+  const auto serve = [this, i, j] {
+    const uint64_t seq = At(j).seq;
+    const uint64_t entries = seq > At(i).seq ? seq - At(i).seq : 0;
+    return Reply{entries * kPatchBytes, [this, i, j, seq] {
+                   At(i).pulling = false;
+                   const bool other_zone = At(i).table.own().entry.zone != At(j).table.own().entry.zone;
+                   Adopt(i, seq, other_zone);
+                 }};
+  };
+  Call(i, j, 40, serve, [this, i] { At(i).pulling = false; });
+}
+
+void Fleet::Adopt(int i, uint64_t seq, bool push) {
+  Node& node = At(i);
+  if (seq <= node.seq) return;
+  const uint64_t old = std::exchange(node.seq, seq);
+  Timed([&] { node.gossip.SetConfig({seq, static_cast<uint32_t>(seq)}, loop_.now()); });
+  if (seq == platform_.head()) node.head_at = loop_.now();
+  for (uint64_t entry = old + 1; entry <= seq; ++entry) {
+    const auto found = spreads_.find(entry);
+    if (found == spreads_.end() || ++found->second.reached < nodes()) continue;
+    found->second.seconds = std::chrono::duration<double>(loop_.now() - found->second.published).count();
+  }
+  if (!push) return;
+  for (const membership::Vm* vm : node.table.InZone(node.table.own().entry.zone)) {
+    const int j = index_.at(vm->entry.id);
+    if (j == i || vm->suspected) continue;
+    const auto serve = [this, i, j, old, seq] {
+      if (At(j).seq < old) {
+        Pull(j, i);
+      } else {
+        Adopt(j, seq, false);
+      }
+      return Reply{8, [] {}};
+    };
+    Call(i, j, (seq - old) * kPatchBytes, serve, [] {});
+  }
+}
+
+void Fleet::ReadPlatform(int i) {
+  Node& node = At(i);
+  const base::TimePoint asked = loop_.now();
+  const base::Duration wait = node.is_reader ? membership::ReadSchedule::kWatchWait : base::Duration{0};
+  Timed([&] { node.schedule.Started(asked); });
+  Count(i, 0, kRequestBytes + 2 * kSegmentBytes);
+  auto open = std::make_shared<bool>(true);
+  const auto end = [this, i, open](bool answered) {
+    if (std::exchange(*open, false)) At(i).schedule.Ended(answered, loop_.now());
+  };
+  loop_.After(wait + kCallTimeout, [end] { end(false); });
+  const base::Duration delay = node.region == 0 ? milliseconds{1} : milliseconds{80};
+  const auto cut = [this, i] { return cut_platform_[static_cast<size_t>(At(i).region)]; };
+  if (cut()) return;
+  loop_.After(delay, [this, i, asked, wait, delay, open, end, cut] {
+    platform_.Read(At(i).seq, wait, [=, this](FakePlatform::Status status, uint64_t head) {
+      if (status == FakePlatform::Status::kSilent || cut()) return;
+      loop_.After(delay, [=, this] {
+        if (!*open) return;
+        end(status == FakePlatform::Status::kOk);
+        if (status != FakePlatform::Status::kOk) return;
+        // A watch that expired shows the head at the end of its wait.
+        const base::TimePoint as_of = head > At(i).seq ? asked : asked + wait;
+        Adopt(i, head, true);
+        Timed([&] { At(i).gossip.PlatformConfirmed(head, as_of, loop_.now()); });
+      });
+    });
+  });
+}
+
+void Fleet::Publish() {
+  spreads_[platform_.head() + 1] = {loop_.now(), 0, -1};
+  platform_.Publish();
+}
+
+void Fleet::CutRegion(int region, bool platform_too) {
+  cut_[static_cast<size_t>(region)] = true;
+  cut_platform_[static_cast<size_t>(region)] = platform_too;
+}
+
+void Fleet::Heal() {
+  cut_.assign(cut_.size(), false);
+  cut_platform_.assign(cut_platform_.size(), false);
+}
+
+std::vector<double> Fleet::TakeSpread() {
+  std::vector<double> result;
+  for (const auto& [seq, spread] : spreads_) result.push_back(spread.seconds);
+  spreads_.clear();
+  std::sort(result.begin(), result.end());
+  return result;
+}
+
+bool Fleet::AllAtHead() const {
+  return std::all_of(nodes_.begin(), nodes_.end(),
+                     [&](const auto& node) { return node->seq == platform_.head(); });
+}
+
+double Fleet::SecondsToHead(base::TimePoint since) const {
+  if (!AllAtHead()) return -1;
+  base::TimePoint last = since;
+  for (const auto& node : nodes_) last = std::max(last, node->head_at);
+  return std::chrono::duration<double>(last - since).count();
+}
+
+void Fleet::ResetCounters() {
+  for (auto& node : nodes_) node->wire = node->messages = node->gossip_calls = node->unconfirmed_s = 0;
+  cpu_s_ = 0;
+  reset_at_ = loop_.now();
+}
+
+FleetCounters Fleet::Counters() const {
+  FleetCounters counters;
+  counters.cpu_s = cpu_s_;
+  for (const auto& node : nodes_) {
+    counters.messages += node->messages;
+    counters.wire += node->wire;
+    counters.most_wire = std::max(counters.most_wire, node->wire);
+    counters.gossip_calls += node->gossip_calls;
+    counters.unconfirmed_node_s += node->unconfirmed_s;
+  }
+  const auto from = std::chrono::duration_cast<seconds>(reset_at_.time_since_epoch()).count();
+  for (auto it = platform_.calls().lower_bound(from); it != platform_.calls().end(); ++it) {
+    counters.platform_calls += it->second;
+    counters.platform_peak = std::max(counters.platform_peak, it->second);
+  }
+  return counters;
+}
+
+}  // namespace cornelplank::bench
