Add the load generator, weight store loading and stream faults

The generator recomputes the stand-in engine's tokens, so that a fragment or another request's answer is counted as a violation and fails the run. Engines fetch ordered loads from the platform's weight store at its rate, and can end streams early or mix in foreign or repeated chunks.

--- /dev/null
+++ b/apps/load/runner.cc
@@ -0,0 +1,207 @@
+#include "apps/load/runner.h"
+
+#include <utility>
+
+namespace cornelplank::load {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The client waits a little longer than the gateway may take, so that it sees the gateway's own answer.
+constexpr milliseconds kGrace{1000};
+// Keeps streams that are refused at once from becoming a request storm.
+constexpr milliseconds kPauseAfterFailure{200};
+constexpr milliseconds kLongestStep{1000};
+
+double MillisecondsSince(std::chrono::steady_clock::time_point from) {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - from).count();
+}
+
+// Receives the response of one request.
+class Receiver {
+ public:
+  Receiver(const RequestPlan& plan, std::chrono::steady_clock::time_point due)
+      : check_(plan), streamed_(plan.streamed), due_(due) {}
+
+  void OnHead(int status, const http::Headers& headers) {
+    status_ = status;
+    measured_.served_region = http::HeaderValue(headers, "Served-Region");
+    measured_.route_reason = http::HeaderValue(headers, "Route-Reason");
+  }
+
+  void OnBody(std::string_view bytes) {
+    if (status_ != 200 || !streamed_) {
+      body_ += bytes;
+      return;
+    }
+    const uint64_t tokens = check_.Feed(bytes);
+    const double now = MillisecondsSince(due_);
+    for (uint64_t token = 0; token < tokens; ++token) {
+      if (measured_.first_token_ms < 0) {
+        measured_.first_token_ms = now;
+      } else {
+        measured_.gaps_ms.push_back(static_cast<float>(now - last_token_ms_));
+      }
+      last_token_ms_ = now;
+    }
+    measured_.tokens += tokens;
+  }
+
+  Measurement Finish(bool ended, const http::ExchangeState& state) {
+    measured_.total_ms = MillisecondsSince(due_);
+    if (status_ == 0) {
+      measured_.result = state.connected ? Result::kNoAnswer : Result::kNoConnection;
+    } else if (status_ != 200) {
+      measured_.result = ErrorResult(body_);
+      const auto problem = nlohmann::json::parse(body_, nullptr, false);
+      measured_.code = std::to_string(status_);
+      if (problem.is_object()) measured_.code += " " + problem.value("code", "");
+    } else if (streamed_) {
+      measured_.result = check_.StreamResult(ended);
+    } else {
+      measured_.result = ended ? check_.WholeResult(body_) : Result::kTruncated;
+    }
+    return std::move(measured_);
+  }
+
+ private:
+  AnswerCheck check_;
+  bool streamed_;
+  std::chrono::steady_clock::time_point due_;
+  int status_ = 0;
+  std::string body_;
+  double last_token_ms_ = 0;
+  Measurement measured_;
+};
+
+Measurement Receive(const RequestPlan& plan, std::chrono::steady_clock::time_point due,
+                    http::Exchange& exchange) {
+  using Kind = http::ExchangeEvent::Kind;
+  Receiver receiver(plan, due);
+  while (true) {
+    const http::ExchangeEvent event = exchange.Next(kLongestStep);
+    if (event.kind == Kind::kHead) receiver.OnHead(event.status, event.headers);
+    if (event.kind == Kind::kData) receiver.OnBody(event.data);
+    if (event.kind == Kind::kEnd || event.kind == Kind::kFailed) {
+      return receiver.Finish(event.kind == Kind::kEnd, exchange.state());
+    }
+  }
+}
+
+}  // namespace
+
+Runner::Runner(LoadOptions options) : options_(std::move(options)), client_(http::Client::Create()) {}
+
+void Runner::Start() {
+  start_ = Clock::now();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto launch = [this](void (Runner::*run)()) {
+    active_threads_.fetch_add(1);
+    threads_.emplace_back([this, run] {
+      (this->*run)();
+      active_threads_.fetch_sub(1);
+    });
+  };
+  if (options_.rate > 0) launch(&Runner::RunArrivals);
+  for (unsigned stream = 0; stream < options_.streams; ++stream) launch(&Runner::RunStream);
+}
+
+void Runner::StopSending() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  stopped_ = true;
+  changed_.notify_all();
+}
+
+void Runner::Join() {
+  // A thread may add workers until the arrivals have ended, so the list is read under the lock.
+  for (size_t index = 0;; ++index) {
+    std::thread thread;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (index >= threads_.size()) return;
+      thread = std::move(threads_[index]);
+    }
+    thread.join();
+  }
+}
+
+double Runner::seconds() const { return MillisecondsSince(start_) / 1000; }
+
+bool Runner::SleepUntil(Clock::time_point at) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  return !changed_.wait_until(lock, at, [this] { return stopped_; });
+}
+
+void Runner::RunArrivals() {
+  Arrivals arrivals(options_.rate, options_.seed);
+  while (true) {
+    const auto offset = arrivals.Next();
+    if (offset >= options_.duration || !SleepUntil(start_ + offset)) break;
+    Enqueue(next_index_.fetch_add(1), start_ + offset);
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  arrivals_ended_ = true;
+  changed_.notify_all();
+}
+
+void Runner::Enqueue(uint64_t index, Clock::time_point due) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (idle_workers_ <= waiting_.size()) {
+    if (workers_ >= options_.max_in_flight) {
+      Measurement not_sent;
+      not_sent.result = Result::kNotSent;
+      stats_.Add(std::move(not_sent));
+      return;
+    }
+    ++workers_;
+    active_threads_.fetch_add(1);
+    threads_.emplace_back([this] {
+      RunWorker();
+      active_threads_.fetch_sub(1);
+    });
+  }
+  waiting_.emplace_back(index, due);
+  changed_.notify_all();
+}
+
+void Runner::RunWorker() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (true) {
+    ++idle_workers_;
+    changed_.wait(lock, [this] { return !waiting_.empty() || arrivals_ended_; });
+    --idle_workers_;
+    if (waiting_.empty()) return;
+    const auto [index, due] = waiting_.front();
+    waiting_.pop_front();
+    lock.unlock();
+    stats_.Add(Execute(MakePlan(options_, index), due));
+    lock.lock();
+  }
+}
+
+void Runner::RunStream() {
+  while (Clock::now() < start_ + options_.duration) {
+    RequestPlan plan = MakePlan(options_, next_index_.fetch_add(1));
+    plan.streamed = true;
+    Measurement measured = Execute(plan, Clock::now());
+    const bool whole = measured.result == Result::kWhole;
+    stats_.Add(std::move(measured));
+    if (!SleepUntil(Clock::now() + (whole ? milliseconds{0} : kPauseAfterFailure))) return;
+  }
+}
+
+Measurement Runner::Execute(const RequestPlan& plan, Clock::time_point due) {
+  http::ClientRequest request;
+  request.method = "POST";
+  request.url = options_.urls[plan.url] + "/v1/chat/completions";
+  request.headers["Content-Type"] = "application/json";
+  request.headers["Request-Timeout-Ms"] = std::to_string(options_.timeout.count());
+  if (!options_.key.empty()) request.headers["Authorization"] = "Bearer " + options_.key;
+  if (!options_.client_class.empty()) request.headers["Priority-Class"] = options_.client_class;
+  if (!options_.home.empty()) request.headers["Data-Home"] = options_.home;
+  request.body = RequestBody(options_, plan);
+  request.timeout = options_.timeout + kGrace;
+  return Receive(plan, due, *client_->Open(request));
+}
+
+}  // namespace cornelplank::load
--- a/standins/common/program.cc
+++ b/standins/common/program.cc
@@ -25,11 +25,11 @@
 }  // namespace
 
 ParsedOptions ParseOptions(int argc, char** argv, const std::string& summary,
-                           const options::options_description& own) {
+                           const options::options_description& own, bool serves) {
   options::options_description all(summary);
   all.add_options()("help", "print this help")("version", "print the version")(
       "check", "validate the options and the files that they name, then end");
-  if (own.find_nothrow("listen", false) == nullptr) {
+  if (serves && own.find_nothrow("listen", false) == nullptr) {
     all.add_options()("listen", options::value<std::string>()->default_value("127.0.0.1:0"),
                       "IP:PORT to listen on; port 0 means any free port");
   }
@@ -69,6 +69,12 @@
   sigwait(&signals, &received);
 }
 
+bool WaitForTermination(std::chrono::milliseconds limit) {
+  const sigset_t signals = TerminationSignals();
+  const timespec wait{limit.count() / 1000, (limit.count() % 1000) * 1000000};
+  return sigtimedwait(&signals, nullptr, &wait) > 0;
+}
+
 void PrintListening(const std::string& address, unsigned port) {
   std::cout << "listening on " << address.substr(0, address.rfind(':')) << ":" << port << std::endl;
 }
--- a/standins/common/program.h
+++ b/standins/common/program.h
@@ -19,10 +19,10 @@
 };
 
 /// Reads the command line with the options of a program and the common ones (--help, --version, --check,
-/// --listen unless `own` has it). A fault in the command line is printed to standard error and yields exit
-/// code 2.
+/// --listen unless `own` has it or the program does not serve). A fault in the command line is printed to
+/// standard error and yields exit code 2.
 ParsedOptions ParseOptions(int argc, char** argv, const std::string& summary,
-                           const boost::program_options::options_description& own);
+                           const boost::program_options::options_description& own, bool serves = true);
 
 /// The hooks of a server program.
 struct ServeHooks {
@@ -47,4 +47,7 @@
 /// Blocks until SIGTERM or SIGINT arrives.
 void WaitForTermination();
 
+/// Waits at most `limit` for SIGTERM or SIGINT. True when one arrived.
+bool WaitForTermination(std::chrono::milliseconds limit);
+
 }  // namespace cornelplank::standins
--- a/standins/engine/core/engine_core.cc
+++ b/standins/engine/core/engine_core.cc
@@ -268,6 +268,18 @@
   return status;
 }
 
+void EngineCore::FinishLoad(base::TimePoint now) {
+  AdvanceTo(now);
+  orders_.FinishLoad(now);
+  RecordLoad(now);
+}
+
+bool EngineCore::TakeChunkFault(FaultKind kind) {
+  if (fault_ != kind || fault_count_ == 0) return false;
+  if (--fault_count_ == 0) fault_ = FaultKind::kNone;
+  return true;
+}
+
 void EngineCore::Leave(base::TimePoint now) {
   AdvanceTo(now);
   options_.leaving = true;
--- a/standins/engine/core/engine_core.h
+++ b/standins/engine/core/engine_core.h
@@ -79,7 +79,16 @@
 
 enum class RefusalCode { kLeaving, kRejected, kUnknownModel, kQueueFull };
 
-enum class FaultKind { kNone, kDieAfterTokens, kStallAfterTokens, kReject, kSlow };
+enum class FaultKind {
+  kNone,
+  kDieAfterTokens,    // the process ends after n further tokens
+  kStallAfterTokens,  // no token is produced after n further ones; connections stay open
+  kReject,            // the next n requests are refused, all for 0
+  kSlow,              // steps take n times as long
+  kEndAfterTokens,    // streams end after n tokens, in good order but without [DONE]
+  kCrossChunks,       // n chunks of another request's id are mixed in
+  kRepeatChunks,      // n chunks are sent twice
+};
 
 /// The model of one engine: continuous batching in steps, a priority queue, a prefix cache and model loading.
 /// Time is passed in and must not go back. Not thread-safe.
@@ -119,9 +128,15 @@
   bool leaving() const { return options_.leaving; }
   void SetFault(FaultKind kind, uint64_t n, base::TimePoint now);
   bool dead() const { return dead_; }
+  FaultKind fault() const { return fault_; }
+  uint64_t fault_count() const { return fault_count_; }
+  /// Uses up one chunk of the faults that concern chunks. False when `kind` is not in force.
+  bool TakeChunkFault(FaultKind kind);
   /// Takes an order; see OrderBook::Take.
   std::optional<std::string> TakeOrder(const Order& order, base::TimePoint now,
                                        base::Reason<OrderCode>* reason);
+  /// Ends the load in progress; used with external loading.
+  void FinishLoad(base::TimePoint now);
   const OrderBook& orders() const { return orders_; }
   const std::deque<LogRecord>& log() const { return log_; }
   std::vector<LogRecord> OpenRecords() const;
--- a/standins/engine/engine_controls.cc
+++ b/standins/engine/engine_controls.cc
@@ -79,14 +79,18 @@
 }
 
 http::Response EngineApp::SetFault(const http::Request& request) {
-  static const std::map<std::string, FaultKind> kinds = {{"none", FaultKind::kNone},
-                                                         {"die-after-tokens", FaultKind::kDieAfterTokens},
-                                                         {"stall-after-tokens", FaultKind::kStallAfterTokens},
-                                                         {"reject", FaultKind::kReject},
-                                                         {"slow", FaultKind::kSlow}};
+  static const std::map<std::string, FaultKind> kKinds = {
+      {"none", FaultKind::kNone},
+      {"die-after-tokens", FaultKind::kDieAfterTokens},
+      {"stall-after-tokens", FaultKind::kStallAfterTokens},
+      {"reject", FaultKind::kReject},
+      {"slow", FaultKind::kSlow},
+      {"end-after-tokens", FaultKind::kEndAfterTokens},
+      {"cross-chunks", FaultKind::kCrossChunks},
+      {"repeat-chunks", FaultKind::kRepeatChunks}};
   const auto body = ParseObject(request.body);
-  const auto kind = body ? kinds.find(MemberText(*body, "kind")) : kinds.end();
-  if (kind == kinds.end()) return ProblemReply(400, "invalid-fault", "the kind is unknown", "not-run");
+  const auto kind = body ? kKinds.find(MemberText(*body, "kind")) : kKinds.end();
+  if (kind == kKinds.end()) return ProblemReply(400, "invalid-fault", "the kind is unknown", "not-run");
   const uint64_t n = MemberNumber(*body, "n", 0);
   return WithCore([&](EngineCore& core, base::TimePoint now) {
     core.SetFault(kind->second, n, now);
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -3,6 +3,7 @@
 #include "libs/base/base.h"
 #include "standins/common/program.h"
 #include "standins/engine/engine_app.h"
+#include "standins/engine/weight_loader.h"
 
 namespace {
 
@@ -33,6 +34,8 @@
       "orderer", options::value<std::vector<std::string>>()->composing(),
       "who may give orders; repeatable; without it anyone may")(
       "model-gb", options::value<double>()->default_value(1), "size of a model")(
+      "weight-store", options::value<std::string>(),
+      "base URL of the platform whose weight store serves the loads")(
       "load-gb-s", options::value<double>()->default_value(1), "loading rate")(
       "seed", options::value<uint64_t>()->default_value(1), "seed of the lost cache events")(
       "leaving", "start in the state leaving")("drain-ms", options::value<unsigned>()->default_value(5000),
@@ -63,6 +66,7 @@
   engine.leaving = values.contains("leaving");
   engine.orders.ignore_fence = values.contains("ignore-fence");
   engine.orders.model_gb = values["model-gb"].as<double>();
+  engine.orders.external_loading = values.contains("weight-store");
   engine.orders.load_gb_s = values["load-gb-s"].as<double>();
   if (values.contains("orderer")) engine.orders.orderers = values["orderer"].as<std::vector<std::string>>();
   if (values.contains("model")) {
@@ -83,6 +87,7 @@
 
 int main(int argc, char** argv) {
   using cornelplank::standins::engine::EngineApp;
+  using cornelplank::standins::engine::WeightLoader;
   const auto parsed = cornelplank::standins::ParseOptions(
       argc, argv, "standin-engine: a model engine for tests, see docs/standins.md", OwnOptions());
   if (parsed.exit_code) return *parsed.exit_code;
@@ -95,6 +100,10 @@
   if (parsed.check_only) return 0;
   cornelplank::standins::BlockTerminationSignals();
   EngineApp app(engine, parsed.values["kv-bytes-per-token"].as<uint64_t>());
+  std::optional<WeightLoader> loader;
+  if (parsed.values.contains("weight-store")) {
+    loader.emplace(app, parsed.values["weight-store"].as<std::string>(), engine.orders.load_gb_s);
+  }
   cornelplank::standins::ServeHooks hooks;
   hooks.handler = [&app](const auto& request) { return app.Handle(request); };
   hooks.stop = [&app] { app.Leave(); };
--- a/standins/engine/token_stream.cc
+++ b/standins/engine/token_stream.cc
@@ -23,10 +23,18 @@
   });
 }
 
-void TokenStream::AppendChunk(uint64_t index) {
-  pending_ += "data: {\"id\":" + id_ + ",\"index\":" + std::to_string(index) +
-              R"(,"choices":[{"index":0,"delta":{"content":")" + TokenText(prompt_hash_, seed_, index) +
-              "\"}}]}\n\n";
+void TokenStream::AppendChunk(const std::string& id, uint64_t index, const std::string& text) {
+  pending_ += "data: {\"id\":" + id + ",\"index\":" + std::to_string(index) +
+              R"(,"choices":[{"index":0,"delta":{"content":")" + text + "\"}}]}\n\n";
+}
+
+// Appends the chunk of a token, and the chunks that a fault adds.
+void TokenStream::AppendToken(uint64_t index) {
+  const std::string text = TokenText(prompt_hash_, seed_, index);
+  if (app_.core_.TakeChunkFault(FaultKind::kCrossChunks))
+    AppendChunk("\"another-request\"", index, "crossed ");
+  AppendChunk(id_, index, text);
+  if (app_.core_.TakeChunkFault(FaultKind::kRepeatChunks)) AppendChunk(id_, index, text);
 }
 
 // Waits until there is something to send. False when the request ended without its whole answer.
@@ -37,7 +45,13 @@
     view = app_.core_.View(handle_);
     return app_.stopping_ || view.produced > next_index_ || view.state != RequestState::kRunning;
   });
-  for (; next_index_ < view.produced; ++next_index_) AppendChunk(next_index_);
+  for (; next_index_ < view.produced; ++next_index_) {
+    if (app_.core_.fault() == FaultKind::kEndAfterTokens && next_index_ >= app_.core_.fault_count()) {
+      ended_early_ = true;
+      return !pending_.empty();
+    }
+    AppendToken(next_index_);
+  }
   if (view.state == RequestState::kFinished) {
     pending_ += "data: [DONE]\n\n";
     end_written_ = true;
@@ -47,8 +61,8 @@
 
 std::optional<size_t> TokenStream::Read(char* buffer, size_t capacity) {
   if (pending_.empty()) {
-    if (end_written_) return 0;
-    if (!WaitForBytes()) return std::nullopt;
+    if (end_written_ || ended_early_) return 0;
+    if (!WaitForBytes()) return ended_early_ ? std::optional<size_t>(0) : std::nullopt;
   }
   const size_t count = std::min(capacity, pending_.size());
   std::copy_n(pending_.begin(), count, buffer);
--- a/standins/engine/token_stream.h
+++ b/standins/engine/token_stream.h
@@ -17,7 +17,8 @@
   std::optional<size_t> Read(char* buffer, size_t capacity) override;
 
  private:
-  void AppendChunk(uint64_t index);
+  void AppendChunk(const std::string& id, uint64_t index, const std::string& text);
+  void AppendToken(uint64_t index);
   bool WaitForBytes();
 
   EngineApp& app_;
@@ -28,6 +29,7 @@
   uint64_t next_index_;
   std::string pending_;
   bool end_written_ = false;  // the final event is in `pending_` or was sent
+  bool ended_early_ = false;  // by the fault "end-after-tokens"
 };
 
 }  // namespace cornelplank::standins::engine
--- a/standins/platform/platform_app.cc
+++ b/standins/platform/platform_app.cc
@@ -14,13 +14,13 @@
 constexpr std::string_view kWeights = "/v1/weights/";
 
 std::optional<Endpoint> EndpointOf(const std::string& path) {
-  static const std::map<std::string, Endpoint> paths = {{"/v1/config/snapshot", Endpoint::kSnapshot},
-                                                        {"/v1/config/log", Endpoint::kLog},
-                                                        {"/v1/vms", Endpoint::kVms},
-                                                        {"/v1/clients", Endpoint::kClients}};
+  static const std::map<std::string, Endpoint> kPaths = {{"/v1/config/snapshot", Endpoint::kSnapshot},
+                                                         {"/v1/config/log", Endpoint::kLog},
+                                                         {"/v1/vms", Endpoint::kVms},
+                                                         {"/v1/clients", Endpoint::kClients}};
   if (path.starts_with(kWeights)) return Endpoint::kWeights;
-  const auto found = paths.find(path);
-  if (found == paths.end()) return std::nullopt;
+  const auto found = kPaths.find(path);
+  if (found == kPaths.end()) return std::nullopt;
   return found->second;
 }
 
@@ -171,14 +171,14 @@
 }
 
 http::Response PlatformApp::SetMode(const http::Request& request) {
-  static const std::map<std::string, Mode> modes = {{"ok", Mode::kOk},
-                                                    {"unavailable", Mode::kUnavailable},
-                                                    {"no-answer", Mode::kNoAnswer},
-                                                    {"stale", Mode::kStale}};
+  static const std::map<std::string, Mode> kModes = {{"ok", Mode::kOk},
+                                                     {"unavailable", Mode::kUnavailable},
+                                                     {"no-answer", Mode::kNoAnswer},
+                                                     {"stale", Mode::kStale}};
   const auto body = ParseObject(request.body);
   if (!body) return ProblemReply(400, "no-json", "the body is no JSON object", "not-run");
-  const auto mode = modes.find(MemberText(*body, "mode"));
-  if (mode == modes.end()) return ProblemReply(400, "invalid", "the mode is unknown", "not-run");
+  const auto mode = kModes.find(MemberText(*body, "mode"));
+  if (mode == kModes.end()) return ProblemReply(400, "invalid", "the mode is unknown", "not-run");
   std::optional<uint64_t> seq;
   if (body->contains("seq")) seq = MemberNumber(*body, "seq", 0);
   const std::string wanted = MemberText(*body, "endpoint");
--- a/standins/relay/main.cc
+++ b/standins/relay/main.cc
@@ -40,14 +40,14 @@
 
 // Applies a mode to one pair. False when the mode or its direction is unknown.
 bool Apply(Relay& relay, size_t pair, const nlohmann::json& command, Response* response) {
-  static const std::map<std::string, PairMode> modes = {
+  static const std::map<std::string, PairMode> kModes = {
       {"forward", PairMode::kForward}, {"cut", PairMode::kCut}, {"freeze", PairMode::kFreeze}};
-  static const std::map<std::string, Direction> directions = {{"", Direction::kBoth},
-                                                              {"both", Direction::kBoth},
-                                                              {"to-target", Direction::kToTarget},
-                                                              {"to-client", Direction::kToClient}};
+  static const std::map<std::string, Direction> kDirections = {{"", Direction::kBoth},
+                                                               {"both", Direction::kBoth},
+                                                               {"to-target", Direction::kToTarget},
+                                                               {"to-client", Direction::kToClient}};
   const std::string mode = MemberText(command, "mode");
-  if (const auto found = modes.find(mode); found != modes.end()) {
+  if (const auto found = kModes.find(mode); found != kModes.end()) {
     if (relay.SetMode(pair, found->second)) return true;
     *response = ProblemReply(503, "bind", "the pair can't listen again", "ran");
     return true;
@@ -56,8 +56,8 @@
     relay.SetDelay(pair, std::chrono::milliseconds{MemberNumber(command, "ms", 0)});
     return true;
   }
-  const auto direction = directions.find(MemberText(command, "direction"));
-  if (mode != "drop" || direction == directions.end()) return false;
+  const auto direction = kDirections.find(MemberText(command, "direction"));
+  if (mode != "drop" || direction == kDirections.end()) return false;
   relay.DropOpen(pair, direction->second);
   return true;
 }
--- a/standins/service/service_app.cc
+++ b/standins/service/service_app.cc
@@ -105,15 +105,15 @@
 }
 
 http::Response ServiceApp::SetFault(const http::Request& request) {
-  static const std::map<std::string, FaultKind> kinds = {
+  static const std::map<std::string, FaultKind> kKinds = {
       {"none", FaultKind::kNone},
       {"no-answer", FaultKind::kNoAnswer},
       {"slow-answer", FaultKind::kSlowAnswer},
       {"reject", FaultKind::kReject},
       {"close-after-execution", FaultKind::kCloseAfterExecution}};
   const auto body = ParseObject(request.body);
-  const auto kind = body ? kinds.find(MemberText(*body, "kind")) : kinds.end();
-  if (kind == kinds.end()) return ProblemReply(400, "invalid-fault", "the kind is unknown", "not-run");
+  const auto kind = body ? kKinds.find(MemberText(*body, "kind")) : kKinds.end();
+  if (kind == kKinds.end()) return ProblemReply(400, "invalid-fault", "the kind is unknown", "not-run");
   Fault fault{kind->second};
   fault.remaining = MemberNumber(*body, "n", 0);
   fault.delay = std::chrono::milliseconds{MemberNumber(*body, "delay_ms", 0)};
--- /dev/null
+++ b/tests/standins/load_test.cc
@@ -0,0 +1,114 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "apps/load/core/stats.h"
+#include "standins/engine/core/tokens.h"
+
+namespace cornelplank::load {
+namespace {
+
+using standins::engine::PromptHash;
+using standins::engine::TokenText;
+
+LoadOptions TestOptions() {
+  LoadOptions options;
+  options.urls = {"http://127.0.0.1:1", "http://127.0.0.1:2"};
+  options.max_tokens = 3;
+  return options;
+}
+
+std::string Chunk(const RequestPlan& plan, uint64_t index) {
+  const std::string text = TokenText(PromptHash("user:" + plan.prompt + "\n"), plan.seed, index);
+  return "data: {\"id\":\"r\",\"index\":" + std::to_string(index) +
+         R"(,"choices":[{"index":0,"delta":{"content":")" + text + "\"}}]}\n\n";
+}
+
+constexpr char kDone[] = "data: [DONE]\n\n";
+constexpr char kError[] = "event: error\ndata: {\"code\":\"stalled\"}\n\n";
+
+struct StreamCase {
+  const char* name;
+  std::vector<int> tokens;  // indexes; a negative one is a token of another request
+  const char* end;
+  bool ended;
+  Result result;
+};
+
+class StreamCheckTest : public testing::TestWithParam<StreamCase> {};
+
+// Guards against fragments and other requests' answers that pass as whole, and against false alarms.
+TEST_P(StreamCheckTest, TellsTheResult) {
+  const RequestPlan plan = MakePlan(TestOptions(), 1);
+  const RequestPlan other = MakePlan(TestOptions(), 2);
+  std::string stream;
+  for (const int token : GetParam().tokens) stream += token < 0 ? Chunk(other, 1) : Chunk(plan, token);
+  stream += GetParam().end;
+  AnswerCheck check(plan);
+  for (const char byte : stream) check.Feed(std::string_view(&byte, 1));
+  EXPECT_EQ(check.StreamResult(GetParam().ended), GetParam().result);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StreamCheckTest,
+                         testing::Values(StreamCase{"Whole", {0, 1, 2}, kDone, true, Result::kWhole},
+                                         StreamCase{"ErrorEvent", {0, 1}, kError, true, Result::kTruncated},
+                                         StreamCase{"BrokenTransfer", {0, 1}, "", false, Result::kTruncated},
+                                         StreamCase{"NoMark", {0, 1}, "", true, Result::kUnmarkedTruncation},
+                                         StreamCase{
+                                             "EarlyDone", {0, 1}, kDone, true, Result::kUnmarkedTruncation},
+                                         StreamCase{"TooLong", {0, 1, 2, 3}, kDone, true, Result::kWrong},
+                                         StreamCase{"Repeated", {0, 1, 1, 2}, kDone, true, Result::kWrong},
+                                         StreamCase{"Skipped", {0, 2}, kDone, true, Result::kWrong},
+                                         StreamCase{"OtherRequest", {0, -1, 2}, kDone, true, Result::kWrong}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a check of whole answers that accepts a prefix or another answer.
+TEST(WholeCheckTest, TellsTheResult) {
+  const RequestPlan plan = MakePlan(TestOptions(), 1);
+  const uint64_t hash = PromptHash("user:" + plan.prompt + "\n");
+  const auto body = [](const std::string& text) {
+    return nlohmann::json{{"choices", {{{"message", {{"content", text}}}}}}}.dump();
+  };
+  const std::string two = TokenText(hash, plan.seed, 0) + TokenText(hash, plan.seed, 1);
+  const AnswerCheck check(plan);
+  EXPECT_EQ(check.WholeResult(body(two + TokenText(hash, plan.seed, 2))), Result::kWhole);
+  EXPECT_EQ(check.WholeResult(body(two)), Result::kUnmarkedTruncation);
+  EXPECT_EQ(check.WholeResult(body("x")), Result::kWrong);
+}
+
+// Guards against load that differs between runs or whose answers could be taken for each other.
+TEST(PlanTest, IsRepeatableAndUniqueWithSharedPrefixes) {
+  LoadOptions options = TestOptions();
+  options.prefixes = 1;
+  std::set<std::pair<std::string, uint64_t>> seen;
+  const std::string shared = MakePlan(options, 0).prompt.substr(0, 400);
+  for (uint64_t index = 0; index < 200; ++index) {
+    const RequestPlan plan = MakePlan(options, index);
+    EXPECT_EQ(RequestBody(options, plan), RequestBody(options, MakePlan(options, index)));
+    EXPECT_EQ(plan.prompt.substr(0, 400), shared);
+    seen.emplace(plan.prompt, plan.seed);
+  }
+  EXPECT_EQ(seen.size(), 200U);
+}
+
+// Guards against arrivals that miss the rate.
+TEST(ArrivalsTest, KeepTheRate) {
+  Arrivals arrivals(100, 7);
+  base::Duration last{0};
+  for (int arrival = 0; arrival < 10000; ++arrival) last = arrivals.Next();
+  EXPECT_NEAR(std::chrono::duration<double>(last).count(), 100, 3);
+}
+
+// Guards against quantiles that are off by one rank.
+TEST(QuantilesTest, NearestRank) {
+  std::vector<float> values;
+  for (int value = 100; value >= 1; --value) values.push_back(static_cast<float>(value));
+  const Quantiles quantiles = QuantilesOf(values);
+  EXPECT_EQ(quantiles.p50, 50);
+  EXPECT_EQ(quantiles.p95, 95);
+  EXPECT_EQ(quantiles.p99, 99);
+  EXPECT_EQ(quantiles.max, 100);
+}
+
+}  // namespace
+}  // namespace cornelplank::load
--- a/tests/system/standins_test.cc
+++ b/tests/system/standins_test.cc
@@ -109,6 +109,60 @@
   EXPECT_EQ(fleet.Get(fleet.url("engine") + "/standin/log").Json()["requests"][0]["outcome"], "disconnected");
 }
 
+struct StreamFault {
+  const char* kind;
+  unsigned n;
+  const char* result;
+};
+
+class StreamFaultTest : public testing::TestWithParam<StreamFault> {};
+
+// Guards against stream faults that a client can't notice, and against a generator that does not notice them.
+TEST_P(StreamFaultTest, IsNoticedByTheLoadGenerator) {
+  Fleet fleet;
+  StartEngine(fleet, "engine", "1");
+  fleet.Post(fleet.url("engine") + "/standin/fault", {{"kind", GetParam().kind}, {"n", GetParam().n}});
+  Process& load =
+      fleet.Start("load", "cornelplank-load",
+                  {"--url", fleet.url("engine"), "--streams", "1", "--duration-ms", "300", "--json"});
+  EXPECT_EQ(load.WaitExit(seconds{30}), 1);
+  EXPECT_GT(json::parse(load.Output(), nullptr, false)["results"][GetParam().result], 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, StreamFaultTest,
+                         testing::Values(StreamFault{"end-after-tokens", 5, "unmarked-truncation"},
+                                         StreamFault{"cross-chunks", 1, "wrong"},
+                                         StreamFault{"repeat-chunks", 1, "wrong"}),
+                         [](const auto& info) {
+                           std::string name = info.param.kind;
+                           std::erase(name, '-');
+                           return name;
+                         });
+
+// Guards against loads that ignore the weight store's rate, or that never end.
+TEST(EngineProcessTest, LoadsAModelAtTheRateOfTheWeightStore) {
+  Fleet fleet;
+  // Models of 3 MB at 4 MB/s. The bucket starts with the bytes of 1 s, so the second load has to wait.
+  fleet.StartListening("platform", "standin-platform", {"--weights-mb-s", "4", "--model-gb", "0.003"});
+  fleet.StartListening("engine", "standin-engine", {"--weight-store", fleet.url("platform")});
+  const std::string url = fleet.url("engine");
+  const auto started = Clock::now();
+  for (const char* model : {"m", "n"}) {
+    const Reply reply = fleet.Post(url + "/orders", {{"order_id", model},
+                                                     {"fence", 1},
+                                                     {"orderer", "z"},
+                                                     {"action", "load"},
+                                                     {"model", model},
+                                                     {"version", "7"}});
+    EXPECT_EQ(reply.Json()["status"], "accepted");
+  }
+  EXPECT_EQ(fleet.Get(url + "/load").Json()["state"], "loading");
+  EXPECT_TRUE(WaitUntil(seconds{10}, [&] { return fleet.Get(url + "/load").Json()["models"].size() == 2; }));
+  // 6 MB less the 4 MB of the full bucket take half a second.
+  EXPECT_GE(Clock::now() - started, milliseconds{450});
+  EXPECT_EQ(fleet.Get(url + "/load").Json()["state"], "ready");
+}
+
 // Guards against KV cache that can't be moved to another engine.
 TEST(EngineProcessTest, ExportedCacheIsUsedAfterImport) {
   Fleet fleet;
@@ -285,6 +339,22 @@
   EXPECT_GE(Clock::now() - asked, milliseconds{200});
 }
 
+// Guards against a generator that misses wrong answers, or that reports them without a failing exit code.
+TEST_F(RelayProcessTest, LoadGeneratorChecksAnswers) {
+  const std::vector<std::string> load{
+      "--url", url_,     "--rate",       "50", "--streams",      "3",  "--duration-ms",
+      "1000",  "--json", "--max-tokens", "10", "--stream-share", "0.5"};
+  EXPECT_EQ(fleet_.Start("load", "cornelplank-load", load).WaitExit(seconds{30}), 0);
+  const json result = json::parse(fleet_.at("load").Output(), nullptr, false);
+  EXPECT_GT(result["results"]["whole"], 20);
+  EXPECT_EQ(result["results"]["no-connection"], 0);
+  EXPECT_EQ(Command({{"mode", "cut"}}), 200);
+  EXPECT_EQ(fleet_.Start("cut", "cornelplank-load", load).WaitExit(seconds{30}), 0);
+  const json cut = json::parse(fleet_.at("cut").Output(), nullptr, false);
+  EXPECT_EQ(cut["results"]["whole"], 0);
+  EXPECT_GT(cut["results"]["no-connection"], 20);
+}
+
 // Guards against a paused process that the harness takes for a dead one.
 TEST(HarnessTest, StoppedProcessContinues) {
   Fleet fleet;
