--- a/apps/load/core/plan.h
+++ b/apps/load/core/plan.h
@@ -11,6 +11,7 @@
 
 struct LoadOptions {
   std::vector<std::string> urls;  // base URLs, http://IP:PORT
+  bool use_entry_list = false;    // ask the URLs for the entry VMs and use the first that works
   double rate = 0;                // arrivals per second, 0 for none
   unsigned streams = 0;           // streams that are kept open
   std::chrono::milliseconds duration{10000};
--- a/apps/load/core/stats.h
+++ b/apps/load/core/stats.h
@@ -20,6 +20,7 @@
   std::string code;            // of an error response
   std::string served_region;   // header Served-Region
   std::string route_reason;    // header Route-Reason
+  bool entry_leaving = false;  // header Entry-Leaving
   double first_token_ms = -1;  // negative when there was none
   double total_ms = 0;
   std::vector<float> gaps_ms;  // between tokens
--- a/apps/load/main.cc
+++ b/apps/load/main.cc
@@ -12,6 +12,7 @@
   options::options_description own("Load");
   own.add_options()("url", options::value<std::vector<std::string>>()->composing(),
                     "base URL, http://IP:PORT; repeatable")(
+      "entry-list", "ask the URLs for the entry VMs, and use the first entry that works")(
       "rate", options::value<double>()->default_value(0), "open-loop arrivals per second")(
       "streams", options::value<unsigned>()->default_value(0), "streams that are kept open")(
       "duration-ms", options::value<unsigned>()->default_value(10000), "time during which requests are sent")(
@@ -36,6 +37,7 @@
 LoadOptions ReadOptions(const options::variables_map& values) {
   LoadOptions load;
   if (values.contains("url")) load.urls = values["url"].as<std::vector<std::string>>();
+  load.use_entry_list = values.contains("entry-list");
   load.rate = values["rate"].as<double>();
   load.streams = values["streams"].as<unsigned>();
   load.duration = std::chrono::milliseconds{values["duration-ms"].as<unsigned>()};
--- a/apps/load/runner.cc
+++ b/apps/load/runner.cc
@@ -11,6 +11,7 @@
 constexpr milliseconds kGrace{1000};
 // Keeps streams that are refused at once from becoming a request storm.
 constexpr milliseconds kPauseAfterFailure{200};
+constexpr milliseconds kEntryCheck{500};
 constexpr milliseconds kLongestStep{1000};
 
 double MillisecondsSince(std::chrono::steady_clock::time_point from) {
@@ -26,6 +27,7 @@
   void OnHead(int status, const http::Headers& headers) {
     status_ = status;
     measured_.served_region = http::HeaderValue(headers, "Served-Region");
+    measured_.entry_leaving = headers.contains("Entry-Leaving");
     measured_.route_reason = http::HeaderValue(headers, "Route-Reason");
   }
 
@@ -90,7 +92,8 @@
 
 }  // namespace
 
-Runner::Runner(LoadOptions options) : options_(std::move(options)), client_(http::Client::Create()) {}
+Runner::Runner(LoadOptions options)
+    : options_(std::move(options)), client_(http::Client::Create()), entries_(options_.urls) {}
 
 void Runner::Start() {
   start_ = Clock::now();
@@ -102,6 +105,7 @@
       active_threads_.fetch_sub(1);
     });
   };
+  if (options_.use_entry_list) launch(&Runner::RunEntryRefresh);
   if (options_.rate > 0) launch(&Runner::RunArrivals);
   for (unsigned stream = 0; stream < options_.streams; ++stream) launch(&Runner::RunStream);
 }
@@ -191,9 +195,14 @@
 }
 
 Measurement Runner::Execute(const RequestPlan& plan, Clock::time_point due) {
+  return options_.use_entry_list ? ExecuteByEntryList(plan, due)
+                                 : ExecuteAt(options_.urls[plan.url], plan, due);
+}
+
+Measurement Runner::ExecuteAt(const std::string& url, const RequestPlan& plan, Clock::time_point due) {
   http::ClientRequest request;
   request.method = "POST";
-  request.url = options_.urls[plan.url] + "/v1/chat/completions";
+  request.url = url + "/v1/chat/completions";
   request.headers["Content-Type"] = "application/json";
   request.headers["Request-Timeout-Ms"] = std::to_string(options_.timeout.count());
   if (!options_.key.empty()) request.headers["Authorization"] = "Bearer " + options_.key;
@@ -204,4 +213,34 @@
   return Receive(plan, due, *client_->Open(request));
 }
 
+Measurement Runner::ExecuteByEntryList(const RequestPlan& plan, Clock::time_point due) {
+  Measurement measured;
+  for (const std::string& url : entries_.Candidates()) {
+    measured = ExecuteAt(url, plan, due);
+    // A request of which no byte was sent may be sent to the next entry.
+    const bool unreachable = measured.result == Result::kNoConnection;
+    if (unreachable || measured.entry_leaving) entries_.Demote(url);
+    if (!unreachable) break;
+  }
+  return measured;
+}
+
+void Runner::RunEntryRefresh() {
+  do {
+    if (entries_.NeedsRefresh(clock_.Now())) RefreshEntries();
+  } while (Clock::now() < start_ + options_.duration && SleepUntil(Clock::now() + kEntryCheck));
+}
+
+bool Runner::RefreshEntries() {
+  for (const std::string& url : entries_.Candidates()) {
+    http::ClientRequest request;
+    request.url = url + "/v1/entry";
+    request.timeout = kGrace;
+    if (!options_.key.empty()) request.headers["Authorization"] = "Bearer " + options_.key;
+    const auto response = client_->Send(request, nullptr, nullptr);
+    if (response && response->status == 200 && entries_.Adopt(response->body, clock_.Now())) return true;
+  }
+  return false;
+}
+
 }  // namespace cornelplank::load
--- a/apps/load/runner.h
+++ b/apps/load/runner.h
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "apps/load/core/entry_list.h"
 #include "apps/load/core/stats.h"
 
 namespace cornelplank::load {
@@ -39,9 +40,16 @@
   bool SleepUntil(Clock::time_point at);
   void Enqueue(uint64_t index, Clock::time_point due);
   Measurement Execute(const RequestPlan& plan, Clock::time_point due);
+  /// Tries the entries in turn until one takes the request.
+  Measurement ExecuteByEntryList(const RequestPlan& plan, Clock::time_point due);
+  Measurement ExecuteAt(const std::string& url, const RequestPlan& plan, Clock::time_point due);
+  void RunEntryRefresh();
+  bool RefreshEntries();
 
   const LoadOptions options_;
   std::unique_ptr<http::Client> client_;
+  const base::SystemClock clock_;
+  EntryList entries_;
   Stats stats_;
   Clock::time_point start_;
   std::atomic<uint64_t> next_index_{0};
--- a/standins/engine/engine_app.cc
+++ b/standins/engine/engine_app.cc
@@ -29,6 +29,13 @@
   return digit <= kLowestPriority ? digit : kDefaultPriority;
 }
 
+// The start time in milliseconds, then 20 random bits: a restarted engine has a higher number.
+uint64_t NewIncarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+  return (static_cast<uint64_t>(milliseconds) << 20) | (base::EntropySeed() >> 44);
+}
+
 EngineRequest ParseChat(const http::Request& request, const json& body, base::TimePoint now) {
   EngineRequest parsed;
   parsed.id = http::HeaderValue(request.headers, "Request-Id");
@@ -48,7 +55,7 @@
 }  // namespace
 
 EngineApp::EngineApp(EngineOptions options, uint64_t kv_bytes_per_token)
-    : incarnation_(base::EntropySeed()),
+    : incarnation_(NewIncarnation()),
       kv_bytes_per_token_(kv_bytes_per_token),
       core_(std::move(options), clock_.Now()),
       clock_thread_([this] { RunClock(); }) {}
@@ -211,7 +218,7 @@
     }
     const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(core.options().report_lag);
     return JsonReply(200, {{"engine", core.options().name},
-                           {"incarnation", std::to_string(incarnation_)},
+                           {"incarnation", incarnation_},
                            {"state", report.state},
                            {"slots", core.options().slots},
                            {"running", report.running},
--- a/standins/engine/token_stream.cc
+++ b/standins/engine/token_stream.cc
@@ -31,8 +31,9 @@
 // Appends the chunk of a token, and the chunks that a fault adds.
 void TokenStream::AppendToken(uint64_t index) {
   const std::string text = TokenText(prompt_hash_, seed_, index);
-  if (app_.core_.TakeChunkFault(FaultKind::kCrossChunks))
+  if (app_.core_.TakeChunkFault(FaultKind::kCrossChunks)) {
     AppendChunk("\"another-request\"", index, "crossed ");
+  }
   AppendChunk(id_, index, text);
   if (app_.core_.TakeChunkFault(FaultKind::kRepeatChunks)) AppendChunk(id_, index, text);
 }
--- a/tests/standins/load_test.cc
+++ b/tests/standins/load_test.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "apps/load/core/entry_list.h"
 #include "apps/load/core/stats.h"
 #include "standins/engine/core/tokens.h"
 
@@ -76,6 +77,24 @@
   EXPECT_EQ(check.WholeResult(body("x")), Result::kWrong);
 }
 
+// Guards against a client that stays with an entry VM that is gone, or that forgets the ones it was set up
+// with.
+TEST(EntryListTest, DemotesUntilTheNextList) {
+  constexpr base::TimePoint kStart{std::chrono::seconds{1000}};
+  EntryList entries({"http://127.0.0.1:9"});
+  EXPECT_TRUE(entries.NeedsRefresh(kStart));
+  EXPECT_FALSE(entries.Adopt(R"({"lifetime_s":30,"entries":[]})", kStart));
+  const char* list = R"({"lifetime_s":30,"entries":[{"http":"127.0.0.1:1"},{"http":"127.0.0.1:2"}]})";
+  EXPECT_TRUE(entries.Adopt(list, kStart));
+  EXPECT_FALSE(entries.NeedsRefresh(kStart + std::chrono::seconds{29}));
+  EXPECT_TRUE(entries.NeedsRefresh(kStart + std::chrono::seconds{30}));
+  const std::vector<std::string> expected{"http://127.0.0.1:2", "http://127.0.0.1:1", "http://127.0.0.1:9"};
+  entries.Demote("http://127.0.0.1:1");
+  EXPECT_EQ(entries.Candidates(), expected);
+  EXPECT_TRUE(entries.Adopt(list, kStart));
+  EXPECT_EQ(entries.Candidates()[0], "http://127.0.0.1:1");
+}
+
 // Guards against load that differs between runs or whose answers could be taken for each other.
 TEST(PlanTest, IsRepeatableAndUniqueWithSharedPrefixes) {
   LoadOptions options = TestOptions();
--- a/tests/system/standins_test.cc
+++ b/tests/system/standins_test.cc
@@ -82,6 +82,16 @@
   EXPECT_EQ(fleet.at("engine").WaitExit(seconds{5}), 3);
 }
 
+// Guards against a restarted engine whose reports count as older than those of its predecessor.
+TEST(EngineProcessTest, RestartRaisesTheIncarnation) {
+  Fleet fleet;
+  StartEngine(fleet, "first", "1");
+  const uint64_t first = fleet.Get(fleet.url("first") + "/load").Json()["incarnation"].get<uint64_t>();
+  fleet.Kill("first");
+  StartEngine(fleet, "second", "1");
+  EXPECT_GT(fleet.Get(fleet.url("second") + "/load").Json()["incarnation"].get<uint64_t>(), first);
+}
+
 // Guards against a resumed stream that repeats or skips tokens.
 TEST(EngineProcessTest, ResumedStreamContinuesTheSameAnswer) {
   Fleet fleet;
