Fuzz the stand-in engine

The fuzzer drives two equal engines, one of which is polled more often, and compares them; it also checks slots, priorities, fences and the log.

--- /dev/null
+++ b/tests/standins/engine_fuzz_test.cc
@@ -0,0 +1,16 @@
+#include "tests/standins/engine_fuzz.h"
+
+#include <gtest/gtest.h>
+
+namespace cornelplank::standins::engine {
+namespace {
+
+// Guards against an engine whose results depend on how often it is polled, that loses or doubles requests, or
+// that ignores slots, priorities or fences.
+TEST(EngineFuzzTest, KeepsItsRules) {
+  const auto violation = RunEngineFuzz(20261204, 20000);
+  EXPECT_FALSE(violation) << *violation;
+}
+
+}  // namespace
+}  // namespace cornelplank::standins::engine
