--- a/tests/standins/engine_fuzz.cc
+++ b/tests/standins/engine_fuzz.cc
@@ -180,7 +180,7 @@
   uint64_t fence_ = 0;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget({"standin_engine", RunEngineFuzz});
+const bool kRegistered = fuzz::RegisterFuzzTarget({"standin_engine", RunEngineFuzz});
 
 }  // namespace
 
