--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -199,7 +199,8 @@
   {
     const std::lock_guard<std::mutex> lock(core_->fleet.mutex);
     const membership::Vm* vm = core_->fleet.table.Find(ticket->vm);
-    if (vm != nullptr && vm->entry.incarnation == ticket->incarnation) owner = vm->entry;
+    // The VM list may not know the incarnation yet, or lag; the VM itself judges whether the ticket is its own.
+    if (vm != nullptr && vm->entry.incarnation <= ticket->incarnation) owner = vm->entry;
   }
   if (!owner) {
     return Refused(409, "ticket-owner-gone", "the VM that minted the ticket is not known any more",
