--- a/libs/gateway/internal/completion_run.cc
+++ b/libs/gateway/internal/completion_run.cc
@@ -85,7 +85,9 @@
   const std::string name = AttemptName(work_.request_id, number);
   auto attempt = dispatcher_->Open(work_, choice, name, static_cast<uint32_t>(assembler_.next()), failure);
   if (!attempt) {
-    place.is_zone ? excluded_.AddZone(place.zone) : excluded_.AddReplica(place.key);
+    // A full pool is no fault of the replica: the next choice leaves out the whole zone.
+    const bool whole_zone = place.is_zone || failure->code == "not-admitted";
+    whole_zone ? excluded_.AddZone(place.zone) : excluded_.AddReplica(place.key);
     return false;
   }
   const auto id = tracker_.Start(place.key, kind, core_->clock.Now());
--- a/libs/gateway/internal/request_reader.cc
+++ b/libs/gateway/internal/request_reader.cc
@@ -94,6 +94,13 @@
   work.config_seq = view.version.seq;
   const std::string_view home = http::HeaderValue(request.headers, "Data-Home");
   work.home = home.empty() ? client->home : std::string(home);
+  const auto rule = view.document->residency.find(work.residency);
+  const bool permitted =
+      work.home == client->home ||
+      (rule != view.document->residency.end() && routing::IsAllowed(rule->second, client->home, work.home));
+  if (!permitted) {
+    return Refuse(failure, 403, "home-not-allowed", "the client's residency rule does not allow this home");
+  }
   if (!view.document->regions.contains(work.home)) {
     return Refuse(failure, 400, "unknown-region", "the home of the data is no region of the configuration");
   }
--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -199,7 +199,8 @@
   {
     const std::lock_guard<std::mutex> lock(core_->fleet.mutex);
     const membership::Vm* vm = core_->fleet.table.Find(ticket->vm);
-    // The VM list may not know the incarnation yet, or lag; the VM itself judges whether the ticket is its own.
+    // The VM list may not know the incarnation yet, or lag; the VM itself judges whether the ticket is its
+    // own.
     if (vm != nullptr && vm->entry.incarnation <= ticket->incarnation) owner = vm->entry;
   }
   if (!owner) {
--- a/libs/routing/internal/eligibility.cc
+++ b/libs/routing/internal/eligibility.cc
@@ -9,7 +9,9 @@
       (!request.may_borrow || world.Lent(replica.partner, request.partner) <= 0)) {
     return Eligibility::kShare;
   }
-  if (request.excluded.HasReplica(replica.key)) return Eligibility::kExcluded;
+  if (request.excluded.HasReplica(replica.key) || request.excluded.HasZone(replica.zone)) {
+    return Eligibility::kExcluded;
+  }
   if (replica.cell->Ejected()) {
     return request.idempotent && replica.cell->ProbeDue(request.now) ? Eligibility::kProbeDue
                                                                      : Eligibility::kEjected;
--- a/tests/config/ctl_test.cc
+++ b/tests/config/ctl_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <sstream>
@@ -64,7 +65,7 @@
   }
 
   std::string WriteFile(const char* name, const std::string& text) {
-    std::string path = testing::TempDir() + "/ctl_test_" + name;
+    std::string path = testing::TempDir() + "/ctl_test_" + std::to_string(getpid()) + "_" + name;
     std::ofstream(path) << text;
     return path;
   }
@@ -141,7 +142,7 @@
 TEST_F(CtlTest, SnapshotFoldsTheLog) {
   EXPECT_EQ(Run("snapshot"), kDone) << Said();
   EXPECT_EQ(config::ParseSnapshot(out_.str(), nullptr), Head().ToSnapshot());
-  options_.output_file = testing::TempDir() + "/ctl_test_snapshot.json";
+  options_.output_file = testing::TempDir() + "/ctl_test_" + std::to_string(getpid()) + "_snapshot.json";
   EXPECT_EQ(Run("snapshot"), kDone) << Said();
   EXPECT_EQ(config::ParseSnapshot(ReadFile(options_.output_file).value(), nullptr), Head().ToSnapshot());
   options_.output_file = "/nonexistent/snapshot.json";
