--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -17,9 +17,6 @@
 
 constexpr std::chrono::milliseconds kSendStep{1000};
 constexpr size_t kIdleHandlesPerHost = 32;
-// libcurl's defaults are 16 KB and 64 KB a transfer; at 750 streams that is 60 MB for events of 100 bytes.
-constexpr long kReceiveBufferBytes = 4096;
-constexpr long kSendBufferBytes = 16384;  // the least that libcurl takes
 
 std::string_view Trim(std::string_view text) {
   const size_t first = text.find_first_not_of(" \t\r\n");
@@ -128,8 +125,6 @@
   curl_easy_setopt(easy_, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy_, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
-  curl_easy_setopt(easy_, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
   curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
   if (request_.method == "GET") {
     curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
