--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -93,12 +93,7 @@
 
   void Offer(const RouteDecision& decision, bool spare) {
     ++considered_;
-    // A forwarded request of a class that waits takes the best of the spare replicas: a refusal costs a round
-    // trip.
-    const bool forwarded = request_.route.Hops() > 0;
-    const bool decided_by_spare = request_.may_wait && forwarded && considered_ > 1 && spare != best_spare_;
-    if (decided_by_spare && !spare) return;
-    if (!decided_by_spare && considered_ > 1 && decision.terms.total >= best_.terms.total) return;
+    if (considered_ > 1 && decision.terms.total >= best_.terms.total) return;
     best_ = decision;
     best_spare_ = spare;
   }
