Leave slots of a busy zone to the requests that are bound to it

Cause: at the daily peak a region takes movable requests until its last slot, and the 31% that are bound to it wait. Own replicas are rated by the best of five, other zones by their mean wait, so staying looked too cheap. Change: a request that may go elsewhere pays for the own zone's mean wait, weighted by the objective.

--- a/libs/routing/internal/decision.h
+++ b/libs/routing/internal/decision.h
@@ -54,6 +54,7 @@
   double price = 0;        // cost units of the whole request
   double away = 0;         // score units for leaving the home region
   double ramp = 0;         // score units for exceeding the slots given during a ramp
+  double pressure = 0;     // score units for a slot of a busy zone that requests bound to it need
   double total = 0;        // weighted sum; the lowest wins
   uint32_t cached_tokens = 0;
   uint32_t considered = 0;  // replicas and zones that were scored
--- a/libs/routing/internal/estimate.cc
+++ b/libs/routing/internal/estimate.cc
@@ -67,11 +67,17 @@
   return kBusyMs * std::min(use, 1.0) + steady + std::max(use - 0.98, 0.0) * slot_time;
 }
 
+const ObjectiveWeights& WeightsOf(const RouteRequest& request, const World& world,
+                                  const ScoreOptions& options) {
+  const PartnerPolicy* policy = world.Policy(request.partner);
+  const bool latency = policy != nullptr && policy->objective == config::Objective::kLatency;
+  return latency ? options.latency : options.cost;
+}
+
 void AddScore(const RouteRequest& request, const World& world, Index region, double price,
               const ScoreOptions& options, RouteTerms* terms) {
   const PartnerPolicy* policy = world.Policy(request.partner);
-  const bool cost_first = policy == nullptr || policy->objective == config::Objective::kCost;
-  const ObjectiveWeights& weights = cost_first ? options.cost : options.latency;
+  const ObjectiveWeights& weights = WeightsOf(request, world, options);
   const double tokens =
       static_cast<double>(request.prompt_tokens) - terms->cached_tokens + request.output_tokens;
   terms->price = request.service != kNone ? price : price * std::max(tokens, 0.0) / kTokensPerPrice;
@@ -79,8 +85,9 @@
   terms->away = policy != nullptr && region != home ? policy->away_penalty : 0;
   const double first_token = FirstToken(*terms);
   const double late = std::max(first_token - static_cast<double>(options.target.count()), 0.0);
-  terms->total = weights.per_ms * first_token + weights.late * late + weights.per_cost * terms->price +
-                 terms->away + terms->ramp;
+  const double suspect = terms->suspect ? options.suspect_penalty : 0;
+  terms->total = weights.per_ms * first_token + weights.late * late + weights.per_cost * terms->price;
+  terms->total += terms->away + terms->ramp + terms->pressure + suspect;
 }
 
 }  // namespace cornelplank::routing
--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -11,11 +11,13 @@
   double per_ms = 1;    // score units per millisecond to the first token
   double per_cost = 0;  // score units per cost unit
   double late = 0;      // further score units per millisecond beyond the first-token target
+  double pressure =
+      0;  // score units per millisecond of the own zone's mean wait, for requests that may go elsewhere
 };
 
 struct ScoreOptions {
-  ObjectiveWeights cost{0.2, 1000, 2};
-  ObjectiveWeights latency{1, 50, 2};
+  ObjectiveWeights cost{0.2, 1000, 2, 0.25};
+  ObjectiveWeights latency{1, 50, 2, 0.5};
   /// The p95 target of the first token; the `late` weight applies beyond it.
   std::chrono::milliseconds target{1400};
   /// Time that a request holds its slot: 232 tokens at 62 ms.
@@ -57,6 +59,10 @@
 /// The wait of `ReplicaQueue` for a whole zone, which is busy before every slot is taken.
 double ZoneQueue(double load, double slots, const ScoreOptions& options);
 
+/// Weights of the partner's objective; of `cost` for an unknown partner.
+const ObjectiveWeights& WeightsOf(const RouteRequest& request, const World& world,
+                                  const ScoreOptions& options);
+
 /// Completes `terms` with the price and the weighted total.
 void AddScore(const RouteRequest& request, const World& world, Index region, double price,
               const ScoreOptions& options, RouteTerms* terms);
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -35,6 +35,13 @@
       return;
     }
     if (scan.Size() == 0) return;
+    // Requests bound to their home can only wait here, so one that may go elsewhere pays for the slot it
+    // takes.
+    const bool movable = request_.route.MayForward() && (allowed_ & ~RegionBit(world_.OwnRegion())) != 0;
+    if (movable) {
+      pressure_ = WeightsOf(request_, world_, options_).pressure *
+                  ZoneQueue(scan.TotalLoad() + 1, scan.TotalGiven(), options_);
+    }
     const size_t owner =
         request_.prefix != 0 ? scan.PrefixOwner(request_.prefix, options_.owner_load_bound) : scan.Size();
     if (owner < scan.Size()) OfferReplica(scan, owner, true);
@@ -127,6 +134,7 @@
     decision.terms.borrowed = borrowed;
     decision.terms.suspect = scan.OnlySuspects();
     decision.terms.ramp = RampPenalty(candidate.load, candidate.given, candidate.slots, options_);
+    decision.terms.pressure = pressure_;
     AddScore(request_, world_, world_.OwnRegion(), replica.price, options_, &decision.terms);
     Offer(decision, spare);
   }
@@ -204,6 +212,7 @@
   Rejections rejections_;
   RouteDecision best_;
   uint32_t considered_ = 0;
+  double pressure_ = 0;
   bool best_spare_ = false;
   bool probing_ = false;
 };
--- a/libs/routing/internal/zone_scan.h
+++ b/libs/routing/internal/zone_scan.h
@@ -26,6 +26,9 @@
            Rejections* rejections);
 
   size_t Size() const { return size_; }
+  /// Sums over the candidates, in requests and in given slots.
+  double TotalLoad() const { return total_load_; }
+  double TotalGiven() const { return total_given_; }
   const Candidate& At(size_t position) const { return candidates_[position]; }
   /// An ejected replica whose probe is due.
   std::optional<uint32_t> Probe() const { return probe_; }
