Raise the cost objective's weight beyond the first-token target

Cause: under the cost objective requests queued 2 to 3 s for a cached prefix; the tail was beyond the target. Change: 5 instead of 2 score units per millisecond beyond 1.4 s.

--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -16,7 +16,7 @@
 };
 
 struct ScoreOptions {
-  ObjectiveWeights cost{0.2, 1000, 2, 0.25};
+  ObjectiveWeights cost{0.2, 1000, 5, 0.25};
   ObjectiveWeights latency{1, 50, 2, 0.5};
   /// The p95 target of the first token; the `late` weight applies beyond it.
   std::chrono::milliseconds target{1400};
