Compare late reports with the own requests of their time; rate service calls by their own time

Cause: a report that arrives D late was measured among the own requests of D ago, but was compared with the ones of now, so own requests that began since were taken for a part of it. Calls of plain services were rated with the slot time and the zone sums of engines, which could exceed their deadline. Change: the table samples own in-flight counts at each tick and interpolates the count at the time of measurement. Service calls hold a slot for 50 ms and don't see the engines' sums.

--- /dev/null
+++ b/libs/http/placeholder.cc
@@ -0,0 +1,1 @@
+int cornelplank_http_placeholder;
--- a/libs/routing/internal/estimate.cc
+++ b/libs/routing/internal/estimate.cc
@@ -39,32 +39,30 @@
   return {own + estimate, std::sqrt(changes + kLeastVariance)};
 }
 
-double ReplicaQueue(double load, double uncertainty, double slots, const ScoreOptions& options) {
-  const double slot_time = static_cast<double>(options.slot_time.count());
+double ReplicaQueue(double load, double uncertainty, double slots, double slot_ms) {
   const double busy = kBusyMs * std::min(load / slots, 1.0);
   const double excess = load + 1 - slots;
   const double scale = uncertainty * kSoftplusScale;
   // Far from the bend the expected excess is the excess itself, or nothing.
-  if (excess > kFarFromBend * scale) return busy + excess * slot_time / slots;
+  if (excess > kFarFromBend * scale) return busy + excess * slot_ms / slots;
   if (excess < -kFarFromBend * scale) return busy;
-  return busy + scale * std::log1p(std::exp(excess / scale)) * slot_time / slots;
+  return busy + scale * std::log1p(std::exp(excess / scale)) * slot_ms / slots;
 }
 
-double RampPenalty(double load, double given, double slots, const ScoreOptions& options) {
+double RampPenalty(double load, double given, double slots, double slot_ms) {
   if (given >= slots) return 0;
-  return std::max(load + 1 - given, 0.0) * static_cast<double>(options.slot_time.count()) / slots;
+  return std::max(load + 1 - given, 0.0) * slot_ms / slots;
 }
 
-double ZoneQueue(double load, double slots, const ScoreOptions& options) {
-  if (slots <= 0) return static_cast<double>(options.slot_time.count());
-  const double slot_time = static_cast<double>(options.slot_time.count());
+double ZoneQueue(double load, double slots, double slot_ms) {
+  if (slots <= 0) return slot_ms;
   const double use = load / slots;
   // Sakasegawa's approximation of the mean wait of a queue with many servers, continued linearly where the
   // queue would grow without bound.
   const double capped = std::min(use, 0.98);
   const double exponent = std::sqrt(2 * (slots + 1)) - 1;
-  const double steady = slot_time / slots * std::pow(capped, exponent) / (1 - capped);
-  return kBusyMs * std::min(use, 1.0) + steady + std::max(use - 0.98, 0.0) * slot_time;
+  const double steady = slot_ms / slots * std::pow(capped, exponent) / (1 - capped);
+  return kBusyMs * std::min(use, 1.0) + steady + std::max(use - 0.98, 0.0) * slot_ms;
 }
 
 const ObjectiveWeights& WeightsOf(const RouteRequest& request, const World& world,
--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -22,6 +22,8 @@
   std::chrono::milliseconds target{1400};
   /// Time that a request holds its slot: 232 tokens at 62 ms.
   std::chrono::milliseconds slot_time{14400};
+  /// The same for a call of a plain service.
+  std::chrono::milliseconds call_time{50};
   /// Prefill time of one prompt token that is not cached.
   std::chrono::nanoseconds prefill_per_token{100000};
   /// A report of this age counts half; the rest is the mean of the zone.
@@ -43,6 +45,12 @@
   double uncertainty = 0;
 };
 
+/// Time in milliseconds that the request holds its slot.
+inline double SlotMs(const RouteRequest& request, const ScoreOptions& options) {
+  const auto time = request.service != kNone ? options.call_time : options.slot_time;
+  return static_cast<double>(time.count());
+}
+
 /// Load of a replica in requests: own requests, and the ones of other nodes by the report, which counts less
 /// the older it is. `mean_share` is the zone's mean load per slot and stands in for what is not known.
 LoadEstimate EstimateLoad(const upstreams::ReplicaCell& cell, double slots, double mean_share,
@@ -50,14 +58,14 @@
 
 /// Expected time in milliseconds until a new request gets a slot at a replica with `slots` slots. An
 /// uncertain load makes a nearly full replica cost something before it is full.
-double ReplicaQueue(double load, double uncertainty, double slots, const ScoreOptions& options);
+double ReplicaQueue(double load, double uncertainty, double slots, double slot_ms);
 
 /// Score units for using more than the `given` slots of a replica that ramps up. The slots exist, so this is
 /// no wait: a request that has no better place still gets one.
-double RampPenalty(double load, double given, double slots, const ScoreOptions& options);
+double RampPenalty(double load, double given, double slots, double slot_ms);
 
 /// The wait of `ReplicaQueue` for a whole zone, which is busy before every slot is taken.
-double ZoneQueue(double load, double slots, const ScoreOptions& options);
+double ZoneQueue(double load, double slots, double slot_ms);
 
 /// Weights of the partner's objective; of `cost` for an unknown partner.
 const ObjectiveWeights& WeightsOf(const RouteRequest& request, const World& world,
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -22,7 +22,8 @@
         world_(world),
         options_(options),
         random_(random),
-        allowed_(world.Allowed(request)) {}
+        allowed_(world.Allowed(request)),
+        slot_ms_(SlotMs(request, options)) {}
 
   void OwnZone() {
     if ((allowed_ & RegionBit(world_.OwnRegion())) == 0) {
@@ -40,7 +41,7 @@
     const bool movable = request_.route.MayForward() && (allowed_ & ~RegionBit(world_.OwnRegion())) != 0;
     if (movable) {
       pressure_ = WeightsOf(request_, world_, options_).pressure *
-                  ZoneQueue(scan.TotalLoad() + 1, scan.TotalGiven(), options_);
+                  ZoneQueue(scan.TotalLoad() + 1, scan.TotalGiven(), slot_ms_);
     }
     const size_t owner =
         request_.prefix != 0 ? scan.PrefixOwner(request_.prefix, options_.owner_load_bound) : scan.Size();
@@ -127,13 +128,13 @@
     // A suspect replica looks idle because its requests fail.
     const bool spare = !scan.OnlySuspects() && candidate.load + 1 <= candidate.given * options_.spare_share;
     RouteDecision decision = OwnZoneDecision(candidate.replica);
-    decision.terms.queue_ms = ReplicaQueue(candidate.load, candidate.uncertainty, candidate.slots, options_);
+    decision.terms.queue_ms = ReplicaQueue(candidate.load, candidate.uncertainty, candidate.slots, slot_ms_);
     decision.terms.cached_tokens = CachedTokens(*replica.cell, owner);
     decision.terms.prefill_ms = Prefill(decision.terms.cached_tokens);
     decision.terms.prefix_owner = owner;
     decision.terms.borrowed = borrowed;
     decision.terms.suspect = scan.OnlySuspects();
-    decision.terms.ramp = RampPenalty(candidate.load, candidate.given, candidate.slots, options_);
+    decision.terms.ramp = RampPenalty(candidate.load, candidate.given, candidate.slots, slot_ms_);
     decision.terms.pressure = pressure_;
     AddScore(request_, world_, world_.OwnRegion(), replica.price, options_, &decision.terms);
     Offer(decision, spare);
@@ -160,6 +161,8 @@
   }
 
   double ZoneLoad(const upstreams::ZoneCell& cell, const upstreams::ZoneSum& sum, double slots) const {
+    // The sums and the forwards in flight are about engines, which services don't share.
+    if (request_.service != kNone) return kUnknownZoneUse * slots;
     const double own = cell.InFlight();
     if (sum.measured == base::TimePoint{}) return own + kUnknownZoneUse * slots;
     const double age = std::max(Milliseconds(request_.now - sum.measured), 0.0);
@@ -175,7 +178,8 @@
     const upstreams::ZoneCell& cell = *world_.Replicas().Forwarded(zone);
     const upstreams::ZoneSum sum = cell.Sum();
     const ZoneOffer& offer = world_.Offer(zone, request_.model, request_.service, able.partner);
-    const double slots = sum.measured == base::TimePoint{} ? std::max(offer.slots, 1U) : sum.slots;
+    const bool use_offer = request_.service != kNone || sum.measured == base::TimePoint{};
+    const double slots = use_offer ? std::max(offer.slots, 1U) : sum.slots;
     const double load = ZoneLoad(cell, sum, slots);
     const bool borrowed = able.partner != request_.partner;
     if (borrowed && load + 1 > slots) {
@@ -196,7 +200,7 @@
       }
       terms.link_ms = Milliseconds(delay);
     }
-    terms.queue_ms = ZoneQueue(load, slots, options_);
+    terms.queue_ms = ZoneQueue(load, slots, slot_ms_);
     terms.distance_ms = 2 * Milliseconds(*world_.Distance(zone));
     terms.prefill_ms = Prefill(0);
     terms.borrowed = borrowed;
@@ -209,6 +213,7 @@
   const ScoreOptions& options_;
   base::Random& random_;
   RegionMask allowed_;
+  double slot_ms_;
   Rejections rejections_;
   RouteDecision best_;
   uint32_t considered_ = 0;
--- a/libs/upstreams/internal/replica_table.cc
+++ b/libs/upstreams/internal/replica_table.cc
@@ -109,8 +109,10 @@
   entry.response_leaving_at = {};
 }
 
-void ReplicaTable::SetLoad(Entry& entry, uint32_t running, uint32_t queued, base::TimePoint measured) {
-  entry.cell->SetLoad(LoadView{running, queued, entry.cell->InFlight(), measured});
+void ReplicaTable::SetLoad(Entry& entry, uint32_t running, uint32_t queued, base::TimePoint measured,
+                           base::TimePoint now) {
+  const uint32_t own = entry.in_flight.At(measured, entry.cell->InFlight(), now);
+  entry.cell->SetLoad(LoadView{running, queued, own, measured});
 }
 
 Update ReplicaTable::OnLoadReport(const LoadReport& report, base::TimePoint now) {
@@ -131,7 +133,7 @@
   }
   entry->models_reported = true;
   entry->cell->SetModelMask(MaskOf(report.models));
-  SetLoad(*entry, report.running, report.queued, measured);
+  SetLoad(*entry, report.running, report.queued, measured, now);
   return Update::kApplied;
 }
 
@@ -140,7 +142,7 @@
   if (entry == nullptr) return Update::kUnknownUpstream;
   const auto load = ParseEngineLoad(header);
   if (!load) return Update::kMalformed;
-  SetLoad(*entry, load->running, load->queued, now);
+  SetLoad(*entry, load->running, load->queued, now, now);
   return Update::kApplied;
 }
 
@@ -285,7 +287,8 @@
 
 void ReplicaTable::Tick(base::TimePoint now) {
   std::map<std::pair<Index, Index>, ResultWindow> groups;
-  for (const auto& [id, entry] : entries_) {
+  for (auto& [id, entry] : entries_) {
+    entry.in_flight.Add(entry.cell->InFlight(), now);
     ResultWindow& group = groups[{entry.zone, entry.service}];
     group.successes += entry.outlier.Window().successes;
     group.failures += entry.outlier.Window().failures;
--- a/libs/upstreams/internal/replica_table.h
+++ b/libs/upstreams/internal/replica_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libs/config/config.h"
+#include "libs/upstreams/internal/in_flight_history.h"
 #include "libs/upstreams/internal/load_report.h"
 #include "libs/upstreams/internal/outlier.h"
 #include "libs/upstreams/internal/snapshot.h"
@@ -91,6 +92,7 @@
     uint64_t cache_incarnation = 0;
     uint64_t cache_seq = 0;
     OutlierState outlier;
+    InFlightHistory in_flight;
   };
 
   Entry* Find(std::string_view upstream);
@@ -99,7 +101,8 @@
   void ClearStaleLeaving(Entry& entry, base::TimePoint measured, base::TimePoint now);
   void ReadmitBeyondBound(base::TimePoint now);
   void ConsiderEjection(Entry& entry, base::TimePoint now);
-  void SetLoad(Entry& entry, uint32_t running, uint32_t queued, base::TimePoint measured);
+  void SetLoad(Entry& entry, uint32_t running, uint32_t queued, base::TimePoint measured,
+               base::TimePoint now);
   uint64_t MaskOf(const std::vector<std::string>& models) const;
 
   std::map<std::string, Entry, std::less<>> entries_;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -96,6 +96,28 @@
   EXPECT_EQ(reason_.code, RouteCode::kStaleNames);
 }
 
+// Guards against service calls that are rated by the load of the engines or sent to an engine.
+TEST_P(HardRuleTest, ServiceCallGoesToTheZoneOfTheService) {
+  config::Document document = MakeDocument(3, 1, 2);
+  document.services["ledger"].partner = document.models["m0"].partner;
+  config::Upstream ledger = document.upstreams["r1/z0/e0"];
+  ledger.kind = config::UpstreamKind::kService;
+  ledger.service = "ledger";
+  ledger.models.clear();
+  document.upstreams["r1/z0/ledger"] = ledger;
+  for (const char* region : {"r0", "r1"}) {
+    WorldFixture fixture(document, {region, "z0"});
+    fixture.table.OnZoneSum("r1", "z0", {16, 16, 400, 0, {}}, seconds{0}, fixture.now);
+    RouteRequest request = fixture.world->Resolve({"p0", "", "ledger", "any", "r0"});
+    request.now = fixture.now;
+    request.deadline = fixture.now + seconds{2};
+    const auto decision = Choose(fixture, request);
+    ASSERT_TRUE(decision.has_value());
+    EXPECT_EQ(decision->zone, fixture.world->Names().Zone("r1", "z0"));
+    EXPECT_EQ(decision->target == RouteTarget::kUpstream, fixture.node.region == "r1");
+  }
+}
+
 // Guards against full replicas of another partner that crowd the own one out of the random choices.
 TEST(ScoredRouterTest, BusyLentReplicasDoNotHideOwnOnes) {
   config::Document document = MakeDocument(1, 1, 20);
