Keep slots ready for the owner's usual load against borrowers and overloaded classes

Cause: with 24 slots the highest class missed the target under overload by a borrower (first token up to 3.7 times solo) or by the lowest class, because its load of 60% of 4.8 guaranteed slots passes them 7% of the time. Change: slots are kept ready for the whole usual load of a class whose mean fits its guarantee, against borrowers and against classes of lower priority whose mean passes their guarantee. When nothing runs one item may always start.

--- a/libs/admission/internal/pool.cc
+++ b/libs/admission/internal/pool.cc
@@ -161,12 +161,20 @@
 
 void Pool::Observe(base::TimePoint now) {
   for (auto& [key, flow] : flows_) {
-    if (flow.guaranteed <= 0) continue;
-    const auto wanted = static_cast<double>(flow.running() + flow.queues.waiting());
-    flow.demand.Observe(std::min(wanted, flow.guaranteed), now);
+    if (!flow.owner) continue;
+    const size_t wanted = flow.running() + flow.queues.waiting();
+    flow.demand.Observe(static_cast<double>(std::min(wanted, slots_)), now);
   }
 }
 
+// A load whose mean fits its guarantee passes it now and then. For that time it comes before borrowers, and
+// before classes of lower priority whose mean passes their guarantee, so slots are kept ready against those.
+bool Pool::ComesBefore(const Flow& other, const Flow& flow) {
+  if (!other.owner || other.demand.mean() > other.guaranteed) return false;
+  if (!flow.owner) return true;
+  return flow.demand.mean() > flow.guaranteed && other.terms.priority < flow.terms.priority;
+}
+
 // The slots that the flow may use in all: its guaranteed ones, or more while the other flows' slots that are
 // in use, or are kept ready for their usual load, leave room.
 double Pool::Limit(const Flow& flow) const {
@@ -174,9 +182,11 @@
   for (const auto& [key, other] : flows_) {
     if (&other == &flow) continue;
     const double usual = other.demand.mean() < kIdle ? 0 : other.demand.Cover();
-    const double ready = Whole(std::min(other.guaranteed, usual));
+    const double ready = Whole(ComesBefore(other, flow) ? usual : std::min(other.guaranteed, usual));
     spare -= std::max(static_cast<double>(other.running()), ready);
   }
+  // Nothing runs, so the loads that slots are kept ready for have ended.
+  if (running_ == 0) spare = std::max(spare, 1.0);
   const auto used = static_cast<double>(flow.running());
   if (!flow.owner) spare = std::min(spare, flow.greatest - (PartnerRunning(flow.key.partner) - used));
   return std::max(WholeUp(flow.guaranteed), spare);
--- a/libs/admission/internal/pool.h
+++ b/libs/admission/internal/pool.h
@@ -25,7 +25,7 @@
   double guaranteed = 0;  // slots
   double greatest = 0;    // slots that the flow's partner may use in all
   ClientQueues queues;
-  Occupancy demand;  // of the guaranteed slots
+  Occupancy demand;  // running and waiting items, at most all slots
   std::optional<base::TimePoint> starved_since;
   std::map<uint64_t, uint64_t> cancellable;  // start order -> id of running items
   size_t cancelling = 0;
@@ -71,6 +71,7 @@
   void Observe(base::TimePoint now);
 
  private:
+  static bool ComesBefore(const Flow& other, const Flow& flow);
   double Limit(const Flow& flow) const;
   double PartnerRunning(const std::string& partner) const;
   Flow* PickVictimFlow();
