--- a/tests/admission/admission_fuzz.cc
+++ b/tests/admission/admission_fuzz.cc
@@ -97,7 +97,7 @@
       controller_->Tick(now_);
       Drain();
     }
-    if (!items_.empty()) Violate("an item waits although nothing runs");
+    Forbid(!items_.empty(), "an item waits although nothing runs");
   }
 
  private:
@@ -120,8 +120,8 @@
     std::set<size_t> waiting_clients;
   };
 
-  void Violate(const std::string& text) {
-    if (violation.empty()) violation = text;
+  void Forbid(bool seen, std::string_view text) {
+    if (seen && violation.empty()) violation = text;
   }
 
   void Restart() {
@@ -247,13 +247,13 @@
     if (verdict.kind == VerdictKind::kRefused) OnRefusal(verdict.refusal);
     Drain();
     const size_t limit = flow_index == 0 ? 14 : flow_index == 2 ? 8 : 6;
-    if (!naive && Counts()[item.flow].waiting > limit) Violate("more items wait than the class allows");
+    Forbid(!naive && Counts()[item.flow].waiting > limit, "more items wait than the class allows");
   }
 
   void OfferAgain(uint64_t id) {
     if (real_ == nullptr) return;
     const Verdict verdict = controller_->Offer(Work(id, items_.at(id), now_ + seconds(9)), now_);
-    if (verdict.kind != VerdictKind::kRefused) Violate("an id was taken twice");
+    Forbid(verdict.kind != VerdictKind::kRefused, "an id was taken twice");
   }
 
   uint64_t Pick(State state, size_t a) const {
@@ -281,9 +281,9 @@
 
   void OnGrant(uint64_t id) {
     const auto found = items_.find(id);
-    if (found == items_.end()) return Violate("granted an item that was refused or has ended");
+    if (found == items_.end()) return Forbid(true, "granted an item that was refused or has ended");
     Item& item = found->second;
-    if (item.state != State::kWaiting) return Violate("granted twice");
+    if (item.state != State::kWaiting) return Forbid(true, "granted twice");
     item.state = State::kRunning;
     if (now_ > item.offered) ++delayed_[item.flow];
     CheckTurn(item);
@@ -296,8 +296,8 @@
       const bool same = std::string(kFlows[flow.second].partner) == kFlows[item.flow.second].partner;
       if (same) partner += static_cast<double>(count.running);
     }
-    if (total > Slots(item.flow.first)) Violate("more items run than there are slots");
-    if (partner > Lent(item.flow)) Violate("a partner runs more than it was lent");
+    Forbid(total > Slots(item.flow.first), "more items run than there are slots");
+    Forbid(partner > Lent(item.flow), "a partner runs more than it was lent");
     const double own = static_cast<double>(counts.at(item.flow).running);
     if (own > std::ceil(Guaranteed(item.flow) - kRounding)) borrowed_granted_.insert(item.flow.first);
   }
@@ -314,7 +314,7 @@
       if (running.contains(item.client)) {
         item.overtaken.clear();
       } else if (++item.overtaken[granted.client] > kTurns) {
-        Violate("a client is served again and again before another");
+        Forbid(true, "a client is served again and again before another");
       }
     }
     for (auto& [id, item] : items_) {
@@ -324,8 +324,8 @@
 
   void OnRefusal(const Refusal& refusal) {
     const auto found = items_.find(refusal.id);
-    if (found == items_.end()) return Violate("refused an item that has ended");
-    if (found->second.state != State::kWaiting) return Violate("refused an item that ran");
+    if (found == items_.end()) return Forbid(true, "refused an item that has ended");
+    if (found->second.state != State::kWaiting) return Forbid(true, "refused an item that ran");
     const bool by_terms = found->second.offered == now_ && refusal.retry_after == base::Duration{0};
     if (!by_terms) ++refused_[found->second.flow];
     items_.erase(found);
@@ -334,13 +334,13 @@
   void OnCancel(uint64_t id) {
     const auto found = items_.find(id);
     if (found == items_.end() || found->second.state != State::kRunning) {
-      return Violate("cancelled what does not run");
+      return Forbid(true, "cancelled what does not run");
     }
     Item& item = found->second;
-    if (!item.cancellable) Violate("cancelled work that must not be repeated");
+    Forbid(!item.cancellable, "cancelled work that must not be repeated");
     const Count count = Counts()[item.flow];
     const auto kept = static_cast<double>(count.running - count.cancelling);
-    if (kept <= std::ceil(Guaranteed(item.flow) - kRounding)) Violate("cancelled guaranteed work");
+    Forbid(kept <= std::ceil(Guaranteed(item.flow) - kRounding), "cancelled guaranteed work");
     item.state = State::kCancelling;
     ++cancelled_[item.flow];
   }
@@ -359,16 +359,12 @@
     }
     std::erase_if(starved_since_, [&](const auto& entry) { return !starved.contains(entry.first); });
     for (const FlowId& flow : starved) {
-      if (running[flow.first] < Slots(flow.first)) {
-        Violate("a guaranteed share is not honoured: a slot is free");
-      }
-      if (waited_before_.contains(flow) && borrowed_granted_.contains(flow.first)) {
-        Violate("a guaranteed share is not honoured: borrowed work was started");
-      }
+      Forbid(running[flow.first] < Slots(flow.first), "a guaranteed share is not honoured: a slot is free");
+      Forbid(waited_before_.contains(flow) && borrowed_granted_.contains(flow.first),
+             "a guaranteed share is not honoured: borrowed work was started");
       const auto since = starved_since_.emplace(flow, now_).first->second;
-      if (now_ - since > seconds(2) && victims[flow.first] > 0 && cancelling[flow.first] == 0) {
-        Violate("a guaranteed share is not honoured: borrowed capacity is not called back");
-      }
+      Forbid(now_ - since > seconds(2) && victims[flow.first] > 0 && cancelling[flow.first] == 0,
+             "a guaranteed share is not honoured: borrowed capacity is not called back");
     }
     CheckLedger();
   }
@@ -389,7 +385,7 @@
         seen[std::string(kFlows[flow.second].partner) + kFlows[flow.second].priority_class][kind] += count;
       }
     }
-    if (counted != seen) Violate("a displacement is not in the ledger");
+    Forbid(counted != seen, "a displacement is not in the ledger");
   }
 
   AdmissionFault fault_;
--- a/tests/retry/retry_fuzz.cc
+++ b/tests/retry/retry_fuzz.cc
@@ -54,8 +54,8 @@
   void End() {}
 
  private:
-  void Violate(const std::string& text) {
-    if (violation.empty()) violation = text;
+  void Forbid(bool seen, std::string_view text) {
+    if (seen && violation.empty()) violation = text;
   }
 
   struct Sent {
@@ -105,17 +105,15 @@
   void Start(Request* request, size_t replica, AttemptKind kind) {
     const auto id = request->tracker.Start(replica, kind, now_);
     if (!id) {
-      if (kind == AttemptKind::kFirst) Violate("the first attempt was not started");
+      Forbid(kind == AttemptKind::kFirst, "the first attempt was not started");
       return;
     }
-    if (request->ended || request->closed) Violate("an attempt of an ended request");
+    Forbid(request->ended || request->closed, "an attempt of an ended request");
     for (const Sent& sent : request->attempts) {
-      if (sent.id == *id) Violate("an attempt id was used twice");
-      if (!request->idempotent && sent.may_have_run) {
-        Violate("a call that must not be repeated was repeated");
-      }
+      Forbid(sent.id == *id, "an attempt id was used twice");
+      Forbid(!request->idempotent && sent.may_have_run, "a call that must not be repeated was repeated");
     }
-    if (now_ >= request->deadline) Violate("an attempt past the deadline");
+    Forbid(now_ >= request->deadline, "an attempt past the deadline");
     request->attempts.push_back(Sent{*id, replica, now_, true, false, false, false, false});
   }
 
@@ -146,14 +144,12 @@
     if (!decision) return CheckRefusal(*request, query, reason.code);
     ++retry_count_;
     request->wants_retry = false;
-    if (query.part_passed_on && !query.resumable) Violate("retried after a part that can't be continued");
+    Forbid(query.part_passed_on && !query.resumable, "retried after a part that can't be continued");
     bool untried = false;
     for (size_t replica = 0; replica < kReplicas; ++replica) untried |= !WasTried(*request, replica);
-    if (untried && WasTried(*request, decision->replica)) {
-      Violate("the same replica although others are left");
-    }
+    Forbid(untried && WasTried(*request, decision->replica), "the same replica although others are left");
     if (!WasTried(*request, decision->replica) && decision->backoff > base::Duration{0}) {
-      Violate("a wait before an untried replica");
+      Forbid(true, "a wait before an untried replica");
     }
     Start(request, decision->replica, AttemptKind::kRetry);
   }
@@ -161,10 +157,10 @@
   // A policy that refused everything would break no other rule.
   void CheckRefusal(const Request& request, const RetryQuery& query, RetryCode code) {
     const bool time_left = query.now + seconds(3) < request.deadline;
-    if (code == RetryCode::kDeadline && time_left) Violate("refused for the deadline with time left");
-    if (code == RetryCode::kBudget && retries_.tokens() >= 1) Violate("refused with budget left");
-    if (code == RetryCode::kNoReplica) Violate("four replicas are no replica");
-    if (code == RetryCode::kNotIdempotent && request.idempotent) Violate("an idempotent request is not");
+    Forbid(code == RetryCode::kDeadline && time_left, "refused for the deadline with time left");
+    Forbid(code == RetryCode::kBudget && retries_.tokens() >= 1, "refused with budget left");
+    Forbid(code == RetryCode::kNoReplica, "four replicas are no replica");
+    Forbid(code == RetryCode::kNotIdempotent && request.idempotent, "an idempotent request is not");
   }
 
   bool WasTried(const Request& request, size_t replica) const {
@@ -188,8 +184,8 @@
     const auto replica = policy_.DecideHedge(query, &hedges_, nullptr);
     if (!replica) return;
     ++hedge_count_;
-    if (now_ - request->started < *query.delay) Violate("hedged before the delay");
-    if (WasTried(*request, *replica)) Violate("hedged on the same replica");
+    Forbid(now_ - request->started < *query.delay, "hedged before the delay");
+    Forbid(WasTried(*request, *replica), "hedged on the same replica");
     Start(request, *replica, AttemptKind::kHedge);
   }
 
@@ -204,19 +200,19 @@
     if (disposition != Disposition::kAccept) {
       const bool expected = own != request->attempts.end() && !own->failed && !own->lost && !own->ended &&
                             !request->closed && request->passed_from.empty() && !request->ended;
-      if (expected) Violate("the response of an open attempt was dropped");
+      Forbid(expected, "the response of an open attempt was dropped");
       return;
     }
     if (own == request->attempts.end()) {
-      Violate("a part of another request was passed on");
+      Forbid(true, "a part of another request was passed on");
       return;
     }
-    if (own->failed || own->lost || own->ended) Violate("a late part was passed on");
+    Forbid(own->failed || own->lost || own->ended, "a late part was passed on");
     for (Sent& other : request->attempts) other.lost = other.lost || (other.id != id && !other.failed);
-    if (request->ended) Violate("a part after the end");
-    if (request->closed) Violate("a part after the client left");
+    Forbid(request->ended, "a part after the end");
+    Forbid(request->closed, "a part after the client left");
     request->passed_from.insert(id.number);
-    if (request->passed_from.size() > 1) Violate("parts of two attempts were passed on");
+    Forbid(request->passed_from.size() > 1, "parts of two attempts were passed on");
     if (!end) delay_.Record(now_ - own->started);
     if (!end) return;
     own->ended = true;
@@ -240,23 +236,17 @@
   void Cancel(Request* request) {
     for (const Attempt& loser : request->tracker.TakeLosers()) {
       Sent& sent = request->attempts[loser.id.number - 1];
-      if (sent.cancelled) Violate("an attempt was cancelled twice");
-      if (sent.ended || sent.failed) Violate("an ended attempt was cancelled");
-      if (request->passed_from.contains(loser.id.number) && !request->closed) {
-        Violate("the winner was cancelled");
-      }
+      Forbid(sent.cancelled, "an attempt was cancelled twice");
+      Forbid(sent.ended || sent.failed, "an ended attempt was cancelled");
+      Forbid(request->passed_from.contains(loser.id.number) && !request->closed, "the winner was cancelled");
       sent.cancelled = true;
     }
   }
 
   void CheckBudgets() {
     const auto requests = static_cast<double>(request_count_);
-    if (static_cast<double>(retry_count_) > 0.10 * requests + kBurst) {
-      Violate("more retries than the budget");
-    }
-    if (static_cast<double>(hedge_count_) > 0.05 * requests + kBurst) {
-      Violate("more hedges than the budget");
-    }
+    Forbid(static_cast<double>(retry_count_) > 0.10 * requests + kBurst, "more retries than the budget");
+    Forbid(static_cast<double>(hedge_count_) > 0.05 * requests + kBurst, "more hedges than the budget");
   }
 
   RetryFault fault_;
--- a/tests/retry/stream_fuzz.cc
+++ b/tests/retry/stream_fuzz.cc
@@ -35,7 +35,7 @@
     if (name == "start") Start();
     if (name == "give-up" && b % 8 == 0) {
       const bool was_open = assembler_.state() == StreamState::kOpen;
-      if (assembler_.Fail() != was_open) Violate("a stream that has ended can't fail");
+      Forbid(assembler_.Fail() != was_open, "a stream that has ended can't fail");
       failed_ = failed_ || was_open;
     }
     Check();
@@ -49,12 +49,12 @@
     network_.push_back(Message{{engines_.back().id, kLength, {}}, true});
     while (!network_.empty()) Deliver(0);
     Check();
-    if (violation.empty() && !ended_ && !failed_) Violate("a whole stream was not ended");
+    Forbid(violation.empty() && !ended_ && !failed_, "a whole stream was not ended");
   }
 
  private:
-  void Violate(const std::string& text) {
-    if (violation.empty()) violation = text;
+  void Forbid(bool seen, std::string_view text) {
+    if (seen && violation.empty()) violation = text;
   }
 
   struct Engine {
@@ -77,7 +77,7 @@
     if (fault_ == StreamFault::kTokenTwice && from > 0) --from;
     engines_.push_back(Engine{id, from, false});
     const bool taken = assembler_.SetSource(id);
-    if (taken != (assembler_.state() == StreamState::kOpen)) Violate("a later attempt was not taken");
+    Forbid(taken != (assembler_.state() == StreamState::kOpen), "a later attempt was not taken");
   }
 
   void Emit(Engine* engine, uint64_t count) {
@@ -97,19 +97,17 @@
       uint64_t total = message.chunk.first;
       if (fault_ == StreamFault::kEndWithGap) total = assembler_.next();
       const StreamEvent event = assembler_.End(message.chunk.attempt, total);
-      if (event == StreamEvent::kEnded && ended_) Violate("two terminal events");
+      Forbid(event == StreamEvent::kEnded && ended_, "two terminal events");
       if (event == StreamEvent::kEnded) ended_ = true;
-      if (event == StreamEvent::kEnded && failed_) Violate("a terminal event after the failure");
+      Forbid(event == StreamEvent::kEnded && failed_, "a terminal event after the failure");
       return;
     }
     std::vector<std::string> passed;
     const StreamEvent event = assembler_.Accept(message.chunk, &passed);
     if (fault_ == StreamFault::kTokenTwice && event == StreamEvent::kPassed) passed = message.chunk.tokens;
-    if ((event == StreamEvent::kPassed) != !passed.empty()) {
-      Violate("the event does not tell what was passed");
-    }
-    if (!passed.empty() && (ended_ || failed_)) Violate("a token after the end");
-    if (!passed.empty() && !current) Violate("a token of a replaced attempt");
+    Forbid((event == StreamEvent::kPassed) != !passed.empty(), "the event does not tell what was passed");
+    Forbid(!passed.empty() && (ended_ || failed_), "a token after the end");
+    Forbid(!passed.empty() && !current, "a token of a replaced attempt");
     client_.insert(client_.end(), passed.begin(), passed.end());
   }
 
@@ -122,15 +120,11 @@
 
   void Check() {
     for (size_t i = 0; i < client_.size(); ++i) {
-      if (client_[i] != std::to_string(i)) {
-        Violate("token " + client_[i] + " at place " + std::to_string(i));
-      }
-    }
-    if (ended_ && client_.size() != kLength) Violate("ended with tokens missing");
-    if (ended_ != (assembler_.state() == StreamState::kComplete)) {
-      Violate("complete without a terminal event");
+      Forbid(client_[i] != std::to_string(i), "token " + client_[i] + " at place " + std::to_string(i));
     }
-    if (failed_ != (assembler_.state() == StreamState::kFailed)) Violate("the failure is not marked");
+    Forbid(ended_ && client_.size() != kLength, "ended with tokens missing");
+    Forbid(ended_ != (assembler_.state() == StreamState::kComplete), "complete without a terminal event");
+    Forbid(failed_ != (assembler_.state() == StreamState::kFailed), "the failure is not marked");
   }
 
   StreamFault fault_;
--- a/tests/tickets/tickets_fuzz.cc
+++ b/tests/tickets/tickets_fuzz.cc
@@ -102,8 +102,8 @@
       Told(text, model.client, model.client, table_->Lookup(text, Binding(model.client), model.client, now_));
     }
     if (!sends_.empty()) ApplyToSend(name, &Recent(sends_, a));
-    if (table_->size() > limits_.max_tickets) Violate("more entries than allowed");
-    if (table_->result_bytes() > limits_.max_total_bytes) Violate("more result bytes than allowed");
+    Forbid(table_->size() > limits_.max_tickets, "more entries than allowed");
+    Forbid(table_->result_bytes() > limits_.max_total_bytes, "more result bytes than allowed");
   }
 
   // Everything that has left arrives in the end, so that a wrong `not-run` shows.
@@ -112,8 +112,8 @@
   }
 
  private:
-  void Violate(const std::string& text) {
-    if (violation.empty()) violation = text;
+  void Forbid(bool seen, std::string_view text) {
+    if (seen && violation.empty()) violation = text;
   }
 
   struct Message {
@@ -170,7 +170,7 @@
     if (cut_ || paused_) return;
     const auto minted = table_->Mint(Binding(client), now_, nullptr);
     if (!minted) return;
-    if (models_.contains(minted->text)) Violate("the same ticket was minted twice");
+    Forbid(models_.contains(minted->text), "the same ticket was minted twice");
     models_[minted->text] = Model{client, generation_, now_ + minted->expires_in, false};
     if (!implicit) texts_.push_back(minted->text);
     if (implicit) Call(minted->text, SIZE_MAX, client, true);
@@ -210,9 +210,9 @@
       start = true;
     }
     if (!start) return Told(call.text, call.client, call.request, answer);
-    if (now_ >= call.deadline) Violate("started after the deadline");
-    if (standing_ != Standing::kCurrent) Violate("started without standing");
-    if (own_config_ < call.config) Violate("started under an older configuration");
+    Forbid(now_ >= call.deadline, "started after the deadline");
+    Forbid(standing_ != Standing::kCurrent, "started without standing");
+    Forbid(own_config_ < call.config, "started under an older configuration");
     sends_.push_back(Send{call, answer.send, generation_, false, false, false});
   }
 
@@ -221,9 +221,8 @@
     const bool open = now_ < call.deadline && standing_ == Standing::kCurrent && own_config_ >= call.config;
     const bool fresh = !model->touched && now_ < model->expiry;
     model->touched = true;
-    if (fresh && open && fault_ == TicketFault::kNone && answer.decision != TicketDecision::kStart) {
-      Violate("a fresh ticket was not started: " + std::string(TicketCodeName(answer.code)));
-    }
+    Forbid(fresh && open && fault_ == TicketFault::kNone && answer.decision != TicketDecision::kStart,
+           "a fresh ticket was not started: " + std::string(TicketCodeName(answer.code)));
   }
 
   void Drop(size_t index, bool refused_connection) {
@@ -244,8 +243,8 @@
     if (name == "send" && owner_acts) send->left = true;
     if (name == "execute" && send->left && !send->executed) {
       send->executed = true;
-      if (++executions_[send->call.text] > 1) Violate("executed twice: " + send->call.text);
-      if (not_run_.contains(send->call.text)) Violate("executed after not-run: " + send->call.text);
+      Forbid(++executions_[send->call.text] > 1, "executed twice: " + send->call.text);
+      Forbid(not_run_.contains(send->call.text), "executed after not-run: " + send->call.text);
     }
     if (name == "answer" && owner_acts && send->executed) {
       table_->Complete(send->id, StoredResult{200, "", Body(send->call)}, now_);
@@ -269,18 +268,16 @@
   void Told(const std::string& text, size_t client, size_t request, const TicketAnswer& answer) {
     if (answer.outcome == base::Outcome::kNotRun) NotRun(text);
     if (answer.outcome != base::Outcome::kRan) return;
-    if (executions_[text] != 1) Violate("reported ran, but executed another number of times");
+    Forbid(executions_[text] != 1, "reported ran, but executed another number of times");
     Message own;
     own.text = text;
     own.client = client;
     own.request = request;
-    if (answer.result != nullptr && answer.result->body != Body(own)) {
-      Violate("the result of another call");
-    }
+    Forbid(answer.result != nullptr && answer.result->body != Body(own), "the result of another call");
   }
 
   void NotRun(const std::string& text) {
-    if (executions_[text] > 0) Violate("not-run after an execution: " + text);
+    Forbid(executions_[text] > 0, "not-run after an execution: " + text);
     not_run_.insert(text);
   }
 
