Check the addresses of the operator tool and widen the patches of the fuzzer

Cause: a platform or gateway that is no http://IP:PORT or IP:PORT was found out only by a failed connection. The fuzzer's patches reached whole sections only by replacing the root, though PatchScope treats them separately.

Change: FindOptionFault for options and settings; IsName and IsAddress are public. The fuzzer copies, replaces and removes sections and moves entries between them.

--- a/apps/ctl/commands/options.cc
+++ b/apps/ctl/commands/options.cc
@@ -2,38 +2,54 @@
 
 #include <fstream>
 #include <iterator>
+#include <string_view>
+
+#include "libs/config/config.h"
 
 namespace cornelplank::ctl {
 namespace {
 
 constexpr const char* kSection = "ctl";
 
-/// An address that may be absent.
-std::string OptionalAddress(base::Settings* settings, const char* key) {
-  return settings->Text(kSection, key, "").empty() ? "" : settings->Address(kSection, key, "");
-}
-
 }  // namespace
 
 std::vector<base::SettingsFault> ReadSettings(base::Settings settings, std::string* token_file,
                                               Options* options) {
-  const std::string platform = settings.Text(kSection, "platform", "");
-  if (!platform.empty() && !platform.starts_with("http://")) {
-    settings.AddFault(kSection, "platform", "must be http://IP:PORT");
-  }
-  const std::string address = OptionalAddress(&settings, "address");
-  const std::vector<std::string> gateways = settings.List(kSection, "gateways");
+  Options read;
+  read.platform = settings.Text(kSection, "platform", "");
+  if (const auto fault = FindOptionFault(read)) settings.AddFault(kSection, "platform", *fault);
+  Options addresses;
+  addresses.address = settings.Text(kSection, "address", "");
+  if (const auto fault = FindOptionFault(addresses)) settings.AddFault(kSection, "address", *fault);
+  Options gateways;
+  gateways.gateways = settings.List(kSection, "gateways");
+  if (const auto fault = FindOptionFault(gateways)) settings.AddFault(kSection, "gateways", *fault);
   const std::string settings_token_file = settings.Text(kSection, "token_file", "");
   if (token_file->empty() && !settings_token_file.empty() && !ReadFile(settings_token_file)) {
     settings.AddFault(kSection, "token_file", "the file can't be read");
   }
-  if (options->platform.empty()) options->platform = platform;
-  if (options->address.empty()) options->address = address;
-  if (options->gateways.empty()) options->gateways = gateways;
+  if (options->platform.empty()) options->platform = read.platform;
+  if (options->address.empty()) options->address = addresses.address;
+  if (options->gateways.empty()) options->gateways = gateways.gateways;
   if (token_file->empty()) *token_file = settings_token_file;
   return settings.Finish();
 }
 
+std::optional<std::string> FindOptionFault(const Options& options) {
+  constexpr std::string_view kScheme = "http://";
+  std::string_view platform = options.platform;
+  while (platform.ends_with('/')) platform.remove_suffix(1);
+  const bool is_url = platform.starts_with(kScheme) && config::IsAddress(platform.substr(kScheme.size()));
+  if (!platform.empty() && !is_url) return "platform '" + options.platform + "' must be http://IP:PORT";
+  if (!options.address.empty() && !config::IsAddress(options.address)) {
+    return "address '" + options.address + "' must be IP:PORT";
+  }
+  for (const std::string& gateway : options.gateways) {
+    if (!config::IsAddress(gateway)) return "gateway '" + gateway + "' must be IP:PORT";
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream stream(path, std::ios::binary);
   if (!stream) return std::nullopt;
--- a/apps/ctl/commands/options.h
+++ b/apps/ctl/commands/options.h
@@ -42,6 +42,9 @@
 std::vector<base::SettingsFault> ReadSettings(base::Settings settings, std::string* token_file,
                                               Options* options);
 
+/// Checks the forms of the platform's URL and of the addresses. Nothing, or a sentence about the first fault.
+std::optional<std::string> FindOptionFault(const Options& options);
+
 /// The whole file, or nothing.
 std::optional<std::string> ReadFile(const std::string& path);
 
--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -148,6 +148,10 @@
     if (line.settings_file.empty()) std::cerr << "--check needs --settings FILE\n";
     return line.settings_file.empty() ? kUsage : kDone;
   }
+  if (const auto fault = cornelplank::ctl::FindOptionFault(line.options)) {
+    std::cerr << *fault << "\n";
+    return kUsage;
+  }
   if (!ReadArgument(&line) || !ReadToken(&line)) return kUsage;
   if (line.command.empty()) {
     std::cerr << kCommands;
--- a/libs/config/config.h
+++ b/libs/config/config.h
@@ -7,6 +7,7 @@
 #include "libs/config/internal/document_text.h"
 #include "libs/config/internal/freshness.h"
 #include "libs/config/internal/log_entry.h"
+#include "libs/config/internal/names.h"
 #include "libs/config/internal/patch.h"
 #include "libs/config/internal/reason.h"
 #include "libs/config/internal/snapshot.h"
--- a/libs/config/internal/json_reader.cc
+++ b/libs/config/internal/json_reader.cc
@@ -1,23 +1,14 @@
 #include "libs/config/internal/json_reader.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <limits>
 #include <sstream>
 
 namespace cornelplank::config {
 namespace {
 
-constexpr size_t kMaxNameBytes = 64;
 constexpr size_t kMaxTextBytes = 256;
 
-bool IsAlphanumeric(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
-}
-
 template <typename T>
 std::string RangeText(std::string_view kind, T low, T high) {
   std::ostringstream text;
@@ -85,23 +76,6 @@
   return text;
 }
 
-bool IsName(std::string_view text) {
-  if (text.empty() || text.size() > kMaxNameBytes || !IsAlphanumeric(text[0])) return false;
-  return std::all_of(text.begin(), text.end(),
-                     [](char c) { return IsAlphanumeric(c) || c == '.' || c == '_' || c == '-'; });
-}
-
-bool IsAddress(std::string_view text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return false;
-  in_addr address{};
-  if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address) != 1) return false;
-  const std::string_view digits = text.substr(colon + 1);
-  uint16_t port = 0;
-  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  return error == std::errc{} && end == digits.data() + digits.size() && port != 0;
-}
-
 ObjectReader::ObjectReader(const Json& value, const Place& place, Faults* faults)
     : value_(value), place_(place), faults_(faults), ok_(value.is_object()) {
   if (!ok_) faults_->push_back({place_.Text(), "must be an object"});
--- a/libs/config/internal/json_reader.h
+++ b/libs/config/internal/json_reader.h
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libs/config/internal/names.h"
 #include "libs/config/internal/reason.h"
 
 namespace cornelplank::config {
@@ -39,11 +40,6 @@
 /// The JSON pointer made of `tokens`, with '~' and '/' escaped.
 std::string JoinPointer(std::initializer_list<std::string_view> tokens);
 
-/// True for 1 to 64 characters out of letters, digits, '.', '_' and '-' that start with a letter or digit.
-bool IsName(std::string_view text);
-/// True for IPV4:PORT with a port from 1 to 65535.
-bool IsAddress(std::string_view text);
-
 /// Reads the fields of one JSON object and collects every fault. Accessors return the fallback on a fault.
 class ObjectReader {
  public:
--- a/tests/config/ctl_test.cc
+++ b/tests/config/ctl_test.cc
@@ -259,11 +259,13 @@
   std::string token_file;
   options.address = "10.0.0.9:1";
   const auto faults = ReadSettings(
-      base::Settings::Parse("ctl.ini", "[ctl]\nplatform = 10.0.0.1:9\naddress = 10.0.0.2:1\ntokenfile = x\n"),
+      base::Settings::Parse("ctl.ini",
+                            "[ctl]\nplatform = 10.0.0.1:9\naddress = 10.0.0.2:1\ngateways = a:1\nkey = x\n"),
       &token_file, &options);
-  ASSERT_EQ(faults.size(), 2U);
-  EXPECT_EQ(faults[0].Text(), "ctl.ini:2: [ctl] platform: must be http://IP:PORT");
-  EXPECT_EQ(faults[1].Text(), "ctl.ini:4: [ctl] tokenfile: unknown key");
+  ASSERT_EQ(faults.size(), 3U);
+  EXPECT_EQ(faults[0].Text(), "ctl.ini:2: [ctl] platform: platform '10.0.0.1:9' must be http://IP:PORT");
+  EXPECT_EQ(faults[1].Text(), "ctl.ini:4: [ctl] gateways: gateway 'a:1' must be IP:PORT");
+  EXPECT_EQ(faults[2].Text(), "ctl.ini:5: [ctl] key: unknown key");
   EXPECT_EQ(options.address, "10.0.0.9:1");
 }
 
--- a/tests/config/random_patch.h
+++ b/tests/config/random_patch.h
@@ -88,7 +88,16 @@
   }
 
   Json Odd() {
-    switch (random_.Below(8)) {
+    const std::vector<std::string> sections = {"/models", "/upstreams", "/residency", "/links", "/services"};
+    switch (random_.Below(12)) {
+      case 8:
+        return Json::array({{{"op", "copy"}, {"from", Pick(sections)}, {"path", Pick(sections)}}});
+      case 9:
+        return Json::array({Replace(Pick(sections), Json::object())});
+      case 10:
+        return Json::array({{{"op", "remove"}, {"path", Pick(sections)}}});
+      case 11:
+        return Json::array({{{"op", "move"}, {"from", Upstream()}, {"path", Pick(sections) + "/n0"}}});
       case 0:
         return Json::object();
       case 1:
