--- a/libs/membership/internal/gossip_exchange.cc
+++ b/libs/membership/internal/gossip_exchange.cc
@@ -126,7 +126,11 @@
 void GossipState::MergeAnswer(const VmListEntry& from, const GossipMessage& message,
                               base::TimePoint call_started, VmTable& table, base::TimePoint now) {
   if (const auto found = peers_.find(from.id); found != peers_.end()) found->second.calling = false;
-  table.Answered(from.id, from.incarnation, message.leaving ? VmState::kLeaving : from.state, now);
+  // The VM may have been removed while the call was under way.
+  VmListEntry entry = from;
+  if (message.leaving) entry.state = VmState::kLeaving;
+  table.LearnFromPeer(entry, now - call_started, now);
+  table.Answered(entry.id, entry.incarnation, entry.state, now);
   const Vm* vm = table.Find(from.id);
   if (vm == nullptr || vm->entry.incarnation != from.incarnation) return;
   MergeFreshness(from, message, call_started, now);
