Keep the fleet confirmed through a platform outage

Change: of two random regions the one with the older news is called; without a confirmation for 8 s the calls double. The own zone is cached, suspected VMs and required regions are counted once per change.

--- a/libs/membership/internal/gossip_calls.cc
+++ b/libs/membership/internal/gossip_calls.cc
@@ -13,6 +13,10 @@
 
 }  // namespace
 
+bool GossipState::Strained(base::TimePoint now) const {
+  return confirmation_.ConfirmedAge(now) >= settings_.strained_after;
+}
+
 std::vector<std::string> GossipState::ZoneCallsDue(const VmTable& table, base::TimePoint now) {
   std::vector<std::string> calls;
   struct Candidate {
@@ -23,7 +27,7 @@
   std::vector<Candidate> regular;
   const bool round = now >= next_round_;
   size_t usable = 1;
-  for (const Vm* vm : table.InZone(zone_)) {
+  for (const Vm* vm : table.OwnZone()) {
     if (vm->entry.id == own_id_) continue;
     if (!vm->suspected) ++usable;
     Peer& peer = PeerOf(vm->entry);
@@ -44,7 +48,8 @@
   const auto gone = [&](const auto& item) { return table.Find(item.first) == nullptr; };
   std::erase_if(published_vms_, gone);
   std::erase_if(peers_, gone);
-  const size_t fanout = usable > settings_.small_zone ? 1 : static_cast<size_t>(settings_.fanout);
+  const bool thin = usable > settings_.small_zone && !Strained(now);
+  const size_t fanout = thin ? 1 : static_cast<size_t>(settings_.fanout);
   const size_t count = std::min(fanout, regular.size());
   std::partial_sort(regular.begin(), regular.begin() + static_cast<std::ptrdiff_t>(count), regular.end(),
                     [](const Candidate& a, const Candidate& b) { return a.contact < b.contact; });
@@ -63,20 +68,21 @@
   return vm.suspected && AgeOf(peer.last_call, now) >= settings_.suspected_round;
 }
 
-base::Duration GossipState::NewsAge(const VmListEntry& entry, bool by_region, base::TimePoint now) const {
-  base::Duration age = base::Duration::max();
-  if (by_region) {
-    age =
-        entry.region == region_ ? base::Duration{0} : confirmation_.RegionAge(RegionIndex(entry.region), now);
-  } else if (const size_t zone = ZoneIndex(entry.zone); zone < sums_.size()) {
-    age = AgeOf(sums_[zone].as_of, now);
-  }
-  const auto tried = zone_tried_at_.find(entry.zone);
-  return tried == zone_tried_at_.end() ? age : std::min(age, now - tried->second);
+base::Duration GossipState::SumAge(const VmListEntry& entry, base::TimePoint now) const {
+  const size_t zone = ZoneIndex(entry.zone);
+  const base::Duration age = zone < sums_.size() ? AgeOf(sums_[zone].as_of, now) : base::Duration::max();
+  const auto tried = tried_at_.find(entry.zone);
+  return tried == tried_at_.end() ? age : std::min(age, now - tried->second);
+}
+
+base::Duration GossipState::RegionNewsAge(const VmListEntry& entry, base::TimePoint now) const {
+  const base::Duration age = confirmation_.RegionAge(RegionIndex(entry.region), now);
+  const auto tried = tried_at_.find(entry.region);
+  return tried == tried_at_.end() ? age : std::min(age, now - tried->second);
 }
 
 std::optional<std::string> GossipState::CrossProbeDue(const VmTable& table, base::TimePoint now) {
-  if (now < next_probe_) return std::nullopt;
+  if (now < next_probe_ || table.suspected() == 0) return std::nullopt;
   const std::string* choice = nullptr;
   Peer* choice_peer = nullptr;
   bool choice_half = false;
@@ -104,36 +110,56 @@
 std::optional<std::string> GossipState::CrossCallDue(const VmTable& table, base::TimePoint now) {
   if (auto probe = CrossProbeDue(table, now)) return probe;
   if (now < next_cross_) return std::nullopt;
-  // The zone to call is the one of which this node has the oldest news. Half of the calls look at regions,
-  // because the confirmed rule needs news of each region within 14 s.
-  const bool by_region = random_.Below(2) == 0;
+  // Of two random regions the one with the older news is called, as the confirmed rule needs news of each
+  // region within 14 s; in it the zone of which this node has the oldest sum. With the oldest of all regions,
+  // nodes that share their news would call the same region while all others grow old. The own region counts
+  // by its sums.
+  struct Candidates {
+    base::Duration age = base::Duration::min();       // of the region
+    base::Duration zone_age = base::Duration::min();  // of the oldest sum
+    std::vector<const Vm*> vms;                       // of that zone, or of zones of equal age
+  };
+  std::map<std::string_view, Candidates> regions;
+  std::map<std::string_view, base::Duration> zones;
   size_t usable = 0;
-  base::Duration oldest = base::Duration::min();
-  std::vector<const Vm*> choice;
-  std::map<std::string_view, base::Duration> ages;
   for (const auto& [id, vm] : table.vms()) {
     if (InZone(vm.entry)) {
       usable += vm.suspected ? 0 : 1;
       continue;
     }
-    auto [age, fresh] = ages.try_emplace(vm.entry.zone);
-    if (fresh) age->second = NewsAge(vm.entry, by_region, now);
-    if (age->second < oldest) continue;
-    if (age->second > oldest) choice.clear();
-    oldest = age->second;
-    choice.push_back(&vm);
+    const auto [zone, first] = zones.try_emplace(vm.entry.zone);
+    if (first) zone->second = SumAge(vm.entry, now);
+    Candidates& region = regions[vm.entry.region];
+    if (first) {
+      const bool own = vm.entry.region == region_;
+      region.age = std::max(region.age, own ? zone->second : RegionNewsAge(vm.entry, now));
+    }
+    if (zone->second < region.zone_age) continue;
+    if (zone->second > region.zone_age) region.vms.clear();
+    region.zone_age = zone->second;
+    region.vms.push_back(&vm);
+  }
+  std::vector<const Vm*> choice;
+  if (!regions.empty()) {
+    const auto draw = [&] {
+      return std::next(regions.begin(), static_cast<int>(random_.Below(regions.size())));
+    };
+    const auto first = draw();
+    const auto second = draw();
+    choice = std::move((first->second.age >= second->second.age ? first : second)->second.vms);
   }
   // All nodes of the zone share its calls, so each waits in proportion to their number.
+  const int calls = std::max(settings_.cross_calls, 1) * (Strained(now) ? 2 : 1);
   const base::Duration mean =
-      std::max(settings_.cross_round,
-               settings_.cross_round * static_cast<int>(usable) / std::max(settings_.cross_calls, 1));
+      std::max(settings_.cross_round, settings_.cross_round * static_cast<int>(usable) / calls);
   next_cross_ = now + mean / 2 + Jitter(mean);
   if (std::any_of(choice.begin(), choice.end(), [](const Vm* vm) { return !vm->suspected; })) {
     std::erase_if(choice, [](const Vm* vm) { return vm->suspected; });
   }
   if (choice.empty()) return std::nullopt;
   const VmListEntry& entry = choice[random_.Below(choice.size())]->entry;
-  zone_tried_at_[entry.zone] = now;
+  tried_at_[entry.zone] = now;
+  tried_at_[entry.region] = now;
   Peer& peer = PeerOf(entry);
   if (peer.calling) return std::nullopt;
   peer.calling = true;
--- a/libs/membership/internal/gossip_exchange.cc
+++ b/libs/membership/internal/gossip_exchange.cc
@@ -90,7 +90,7 @@
 
 void GossipState::AddVmChanges(GossipMessage& message, const VmListEntry& peer, const Peer& state,
                                const VmTable& table, base::TimePoint now) {
-  for (const Vm* vm : table.InZone(zone_)) {
+  for (const Vm* vm : table.OwnZone()) {
     if (vm->entry.id == own_id_ || vm->entry.id == peer.id || vm->entry.incarnation == 0) continue;
     Published& published = published_vms_[vm->entry.id];
     if (published.change != vm->change) published = {vm->change, ++version_};
--- a/libs/membership/internal/gossip_state.cc
+++ b/libs/membership/internal/gossip_state.cc
@@ -80,6 +80,7 @@
     for (auto& [id, peer] : peers_) peer.demand.clear();
   }
   names_ = std::move(names);
+  required_change_ = 0;
 }
 
 void GossipState::SetConfig(ConfigMark mark, base::TimePoint now) {
@@ -138,13 +139,15 @@
   return confirmation_.Confirmed(RequiredRegions(table), now);
 }
 
-std::vector<bool> GossipState::RequiredRegions(const VmTable& table) const {
-  std::vector<bool> required(names_.regions.size(), false);
+const std::vector<bool>& GossipState::RequiredRegions(const VmTable& table) const {
+  if (required_change_ == table.change()) return required_;
+  required_change_ = table.change();
+  required_.assign(names_.regions.size(), false);
   for (const auto& [id, vm] : table.vms()) {
     const size_t region = RegionIndex(vm.entry.region);
-    if (region < required.size()) required[region] = true;
+    if (region < required_.size()) required_[region] = true;
   }
-  return required;
+  return required_;
 }
 
 std::optional<ReplicaLoad> GossipState::LoadOf(uint16_t index, base::TimePoint now) const {
--- a/libs/membership/internal/gossip_state.h
+++ b/libs/membership/internal/gossip_state.h
@@ -27,6 +27,9 @@
   double load_threshold = 0.1;  // change that counts, as a share of the replica's slots; at least 2 requests
   base::Duration cross_round = std::chrono::seconds{2};  // calls of a zone: `cross_calls` each such time
   int cross_calls = 2;
+  /// Without a confirmation by the platform for this long the calls are doubled, since then the confirmed
+  /// rule rests on news of every region.
+  base::Duration strained_after = std::chrono::seconds{8};
   base::Duration sum_refresh = std::chrono::seconds{6};  // of an unchanged zone sum within the zone
   size_t max_sums = 12;                                  // youngest zone sums in one message between zones
 };
@@ -120,7 +123,10 @@
   /// A suspected VM of another zone to call; one a second at most, as a whole region may be suspected.
   std::optional<std::string> CrossProbeDue(const VmTable& table, base::TimePoint now);
   bool ProbeDue(const Vm& vm, const Peer& peer, base::TimePoint now) const;
-  base::Duration NewsAge(const VmListEntry& entry, bool by_region, base::TimePoint now) const;
+  bool Strained(base::TimePoint now) const;
+  /// Time since news of the entry's zone or region, or since the last attempt to get some.
+  base::Duration SumAge(const VmListEntry& entry, base::TimePoint now) const;
+  base::Duration RegionNewsAge(const VmListEntry& entry, base::TimePoint now) const;
   bool InZone(const VmListEntry& entry) const { return entry.zone == zone_; }
   void AddZoneParts(GossipMessage& message, const VmListEntry& peer, const Peer& state, const VmTable& table,
                     const GossipMessage* asked, base::TimePoint now);
@@ -138,7 +144,7 @@
   bool NamesMatch(const VmListEntry& from, const GossipMessage& message) const;
   size_t RegionIndex(std::string_view region) const;
   size_t ZoneIndex(std::string_view zone) const;
-  std::vector<bool> RequiredRegions(const VmTable& table) const;
+  const std::vector<bool>& RequiredRegions(const VmTable& table) const;
   base::Duration Jitter(base::Duration span);
 
   GossipSettings settings_;
@@ -158,13 +164,15 @@
   uint32_t demand_version_ = 0;
   std::map<std::string, Peer, std::less<>> peers_;
   std::map<std::string, Published, std::less<>> published_vms_;
-  std::map<std::string, base::TimePoint, std::less<>> zone_tried_at_;
+  std::map<std::string, base::TimePoint, std::less<>> tried_at_;  // last call, by zone and by region
   base::TimePoint next_round_;
   base::TimePoint next_cross_;
   base::TimePoint next_probe_;
   bool urgent_ = false;
   std::optional<Lead> lead_;
   uint64_t digest_conflicts_ = 0;
+  mutable std::vector<bool> required_;  // cache of RequiredRegions for one change of the table
+  mutable uint64_t required_change_ = 0;
 };
 
 }  // namespace cornelplank::membership
--- a/libs/membership/internal/vm_table.cc
+++ b/libs/membership/internal/vm_table.cc
@@ -18,7 +18,7 @@
 
 void VmTable::Replace(Vm& vm, const VmListEntry& entry, base::TimePoint now) {
   vm.entry = entry;
-  vm.suspected = false;
+  SetSuspected(vm, false);
   vm.doubted = false;
   vm.misses = 0;
   vm.answers = 0;
@@ -41,6 +41,7 @@
     // A VM that comes back is what it was, suspected or leaving, unless it has started anew.
     Vm& vm = vms_[entry.id] = tomb->second.vm;
     vm.change = ++change_;
+    suspected_ += vm.suspected ? 1 : 0;
     tombstones_.erase(tomb);
     return Update(vm, entry, now);
   }
@@ -93,6 +94,7 @@
 void VmTable::SetSuspected(Vm& vm, bool suspected) {
   if (vm.suspected == suspected) return;
   vm.suspected = suspected;
+  suspected_ += suspected ? 1 : -1;
   ++change_;
 }
 
@@ -147,6 +149,7 @@
       continue;
     }
     tombstones_[it->first] = {vm, now};
+    suspected_ -= vm.suspected ? 1 : 0;
     ++change_;
     it = vms_.erase(it);
   }
@@ -165,6 +168,14 @@
   return found == vms_.end() ? nullptr : &found->second;
 }
 
+const std::vector<const Vm*>& VmTable::OwnZone() const {
+  if (own_zone_change_ != change_) {
+    own_zone_ = InZone(own().entry.zone);
+    own_zone_change_ = change_;
+  }
+  return own_zone_;
+}
+
 std::vector<const Vm*> VmTable::InZone(std::string_view zone) const {
   std::vector<const Vm*> result;
   for (const auto& [id, vm] : vms_) {
--- a/libs/membership/internal/vm_table.h
+++ b/libs/membership/internal/vm_table.h
@@ -64,6 +64,9 @@
   static constexpr size_t kMaxVms = 4096;
 
   VmTable(const VmListEntry& own, base::TimePoint now);
+  VmTable(const VmTable&) = delete;
+  VmTable(VmTable&&) = default;
+  VmTable& operator=(VmTable&&) = default;
 
   /// Applies a whole VM list that the platform produced `age` ago. A list produced before the newest one
   /// seen is ignored.
@@ -86,6 +89,9 @@
   const std::map<std::string, Vm, std::less<>>& vms() const { return vms_; }
   /// Every VM of the zone, by id.
   std::vector<const Vm*> InZone(std::string_view zone) const;
+  /// Every VM of the own zone, by id. The pointers hold until the next change.
+  const std::vector<const Vm*>& OwnZone() const;
+  size_t suspected() const { return suspected_; }
   /// Rises with each change of an entry, of suspicion or of the set of VMs.
   uint64_t change() const { return change_; }
 
@@ -109,6 +115,10 @@
   base::TimePoint last_now_;
   base::TimePoint last_tick_;
   uint64_t change_ = 1;
+  size_t suspected_ = 0;
+  // Built on demand, since the calls of each round walk the own zone while the whole table is much larger.
+  mutable std::vector<const Vm*> own_zone_;
+  mutable uint64_t own_zone_change_ = 0;
 };
 
 }  // namespace cornelplank::membership
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -91,6 +91,7 @@
   for (int i = 0; i < 9; ++i) {
     a.table.HeartbeatReceived({std::to_string(i), "p", "ost", "ost-1", "", "", 1, VmState::kLive}, kStart);
   }
+  a.gossip.PlatformConfirmed(0, kStart, kStart);
   a.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kReady, kStart);
   EXPECT_LE(a.gossip.ZoneCallsDue(a.table, kStart + seconds{1}).size(), 1U);
   a.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kLeaving, kStart);
--- a/tests/membership/zone_sim.h
+++ b/tests/membership/zone_sim.h
@@ -42,7 +42,8 @@
   bool alive = true;
   bool paused = false;
   Truth truth{};
-  std::vector<VmListEntry> list;  // last VM list delivered
+  std::vector<VmListEntry> list;  // newest VM list delivered
+  base::TimePoint list_produced_at{};
 };
 
 struct SimMessage {
@@ -91,6 +92,7 @@
     node.paused = false;
     node.truth.fill(base::TimePoint{});
     node.list.clear();
+    node.list_produced_at = base::TimePoint{};
     // A starting node reads the VM list before it serves.
     DeliverList(i, list_, std::chrono::seconds{1});
     OnStart(i);
@@ -107,6 +109,8 @@
   void DeliverList(int i, const std::vector<VmListEntry>& list, base::Duration age) {
     if (!Runs(i)) return;
     Node(i).table->ApplyVmList(list, age, now_);
+    if (now_ - age < Node(i).list_produced_at) return;
+    Node(i).list_produced_at = now_ - age;
     Node(i).list = list;
   }
 
