--- /dev/null
+++ b/tests/gateway/completion_test.cc
@@ -0,0 +1,201 @@
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tests/gateway/fake_fleet.h"
+
+namespace cornelplank::gateway {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+/// The texts of the tokens of a stream, with "DONE" and "error" for those events.
+std::string Tokens(const std::string& stream) {
+  std::string tokens;
+  http::SseParser parser;
+  parser.Feed(stream, [&](const http::SseEvent& event) {
+    if (event.event == "error") {
+      tokens += "error:" + json::parse(event.data)["outcome"].get<std::string>();
+    } else {
+      tokens += event.data == http::kSseDone ? "DONE" : json::parse(event.data)["text"].get<std::string>();
+    }
+    return true;
+  });
+  return tokens;
+}
+
+FakeUpstream::Behaviour Stream(const StreamScript& script) {
+  return [script](const http::Request& request) { return ScriptedStream(request, script); };
+}
+
+struct BrokenCase {
+  const char* name;
+  StreamScript broken;  // of the first engine that is asked
+};
+class BrokenStreamTest : public testing::TestWithParam<BrokenCase> {};
+
+// Guards against fragments, repeated tokens and another request's tokens when a stream breaks and is resumed.
+TEST_P(BrokenStreamTest, IsResumedElsewhereWithEachTokenOnce) {
+  std::atomic<int> calls{0};
+  const auto behaviour = [&calls](const http::Request& request) {
+    if (calls++ == 0) return ScriptedStream(request, GetParam().broken);
+    return ScriptedStream(request, {.count = 6});
+  };
+  FakeUpstream first(behaviour);
+  FakeUpstream second(behaviour);
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", first.address());
+  fleet.AddEngine("a", "e2", second.address());
+  const size_t vm = fleet.StartVm("a");
+  bool whole = false;
+  const std::string stream = fleet.ReadStream(fleet.Completion(vm, true), &whole);
+  EXPECT_EQ(Tokens(stream), "t0t1t2t3t4t5DONE");
+  EXPECT_TRUE(whole);
+  EXPECT_EQ(calls, 2);
+}
+INSTANTIATE_TEST_SUITE_P(Table, BrokenStreamTest,
+                         testing::Values(BrokenCase{"CutShort", {.count = 3, .done = false}},
+                                         BrokenCase{"EndsWithoutTerminalEvent", {.count = 0, .done = false}},
+                                         BrokenCase{"EventsOfAnotherRequest", {.count = 6, .id = "another"}},
+                                         BrokenCase{"StartsTooLate", {.first = 2, .count = 6}},
+                                         BrokenCase{"GoesSilent",
+                                                    {.count = 3, .silence = milliseconds{1200}}}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a cut stream that looks like a whole one: no terminal event, an error event, a broken
+// transfer.
+TEST(CompletionTest, MarksAStreamThatCannotBeContinued) {
+  FakeUpstream engine(Stream({.count = 3, .done = false}));
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", engine.address());
+  const size_t vm = fleet.StartVm("a");
+  bool whole = true;
+  const std::string stream = fleet.ReadStream(fleet.Completion(vm, true), &whole);
+  EXPECT_EQ(Tokens(stream), "t0t1t2error:unknown");
+  EXPECT_FALSE(whole);
+}
+
+// Guards against a whole answer of another request.
+TEST(CompletionTest, NeverPassesAnotherRequestsWholeAnswer) {
+  FakeUpstream engine([](const http::Request&) {
+    http::Response response;
+    response.body = R"({"id":"another","choices":[]})";
+    return response;
+  });
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", engine.address());
+  const size_t vm = fleet.StartVm("a");
+  const auto response = fleet.Send(fleet.Completion(vm, false));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 503);
+  EXPECT_EQ(json::parse(response->body)["outcome"], "unknown");
+}
+
+// Guards against `not-run` for a request whose bytes may have reached an engine, and the opposite.
+TEST(CompletionTest, SaysNotRunOnlyWhenNothingWasSent) {
+  FakeUpstream engine(Stream({.count = 0, .done = false}));
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", engine.address());
+  const size_t vm = fleet.StartVm("a");
+  auto response = fleet.Send(fleet.Completion(vm, true));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(json::parse(response->body)["outcome"], "unknown");
+  engine.Stop();
+  response = fleet.Send(fleet.Completion(vm, true));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(json::parse(response->body)["outcome"], "not-run");
+}
+
+// Guards against work that goes on after its client has left.
+TEST(CompletionTest, CancelsTheEngineWhenTheClientLeaves) {
+  FakeUpstream engine(Stream({.count = 1000, .gap = milliseconds{20}}));
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", engine.address());
+  const size_t vm = fleet.StartVm("a");
+  {
+    const auto client = http::Client::Create();
+    const auto exchange = client->Open(fleet.Completion(vm, true));
+    while (exchange->Next(milliseconds{1000}).kind != http::ExchangeEvent::Kind::kData) {
+    }
+  }
+  bool cancelled = false;
+  for (int i = 0; i < 200 && !cancelled; ++i) {
+    std::this_thread::sleep_for(milliseconds{20});
+    for (const auto& request : engine.Received()) cancelled = cancelled || request.method == "DELETE";
+  }
+  EXPECT_TRUE(cancelled);
+}
+
+// Guards against a graceful shutdown that cuts off a stream, and against a leaving VM in entry lists.
+TEST(CompletionTest, DrainsWithoutCuttingAStream) {
+  FakeUpstream engine(Stream({.count = 40, .gap = milliseconds{50}}));
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", engine.address());
+  const size_t vm = fleet.StartVm("a");
+  bool whole = false;
+  std::string stream;
+  std::thread client([&] { stream = fleet.ReadStream(fleet.Completion(vm, true), &whole); });
+  while (engine.Received().empty()) std::this_thread::sleep_for(milliseconds{5});
+  bool drained = false;
+  std::thread drain([&] { drained = fleet.vm(vm).Drain(); });
+  std::this_thread::sleep_for(milliseconds{200});
+  const auto entries = fleet.Send(fleet.Request(vm, "GET", "/v1/entry"));
+  drain.join();
+  client.join();
+  EXPECT_TRUE(drained);
+  EXPECT_TRUE(whole);
+  EXPECT_TRUE(Tokens(stream).ends_with("t39DONE"));
+  ASSERT_TRUE(entries);
+  EXPECT_EQ(http::HeaderValue(entries->headers, "Entry-Leaving"), "1");
+  EXPECT_TRUE(json::parse(entries->body)["entries"].empty());
+}
+
+struct RefusedCase {
+  const char* name;
+  http::Headers headers;
+  std::string body;
+  int status;
+  const char* code;
+};
+class RefusedTest : public testing::TestWithParam<RefusedCase> {};
+
+// Guards against bad input that reaches an engine or is answered without a clear reason.
+TEST_P(RefusedTest, IsRefusedAsNotRunWithAReason) {
+  FakeUpstream engine(Stream({.count = 1}));
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", engine.address());
+  const size_t vm = fleet.StartVm("a");
+  auto request = fleet.Completion(vm, true);
+  for (const auto& [name, value] : GetParam().headers) request.headers[name] = value;
+  if (!GetParam().body.empty()) request.body = GetParam().body;
+  const auto response = fleet.Send(request);
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, GetParam().status);
+  const auto problem = json::parse(response->body);
+  EXPECT_EQ(problem["code"], GetParam().code);
+  EXPECT_EQ(problem["outcome"], "not-run");
+  EXPECT_TRUE(engine.Received().empty());
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, RefusedTest,
+    testing::Values(
+        RefusedCase{"UnknownKey", {{"Authorization", "Bearer nobody"}}, "", 401, "unknown-client"},
+        RefusedCase{"NoJson", {}, "{", 400, "invalid-request"},
+        RefusedCase{"NoMessages", {}, R"({"model":"m"})", 400, "invalid-request"},
+        RefusedCase{"UnknownModel", {}, R"({"model":"x","messages":[{"content":"c"}]})", 404, "no-route"},
+        RefusedCase{"ForeignClass", {{"Priority-Class", "tax"}}, "", 403, "class-not-allowed"},
+        RefusedCase{"ForeignHome",
+                    {{"Authorization", "Bearer two"}, {"Data-Home", "a"}},
+                    "",
+                    403,
+                    "home-not-allowed"},
+        RefusedCase{"BadTimeout", {{"Request-Timeout-Ms", "-1"}}, "", 400, "invalid-request"},
+        RefusedCase{"LongBody", {}, std::string(20000, 'x'), 413, "body-too-long"},
+        // The client's data may be processed only in region b, and no VM of region b is there.
+        RefusedCase{"NoAllowedRegion", {{"Authorization", "Bearer two"}}, "", 404, "no-route"}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace cornelplank::gateway
