Measure a heavy client by its part of the guaranteed slots, and leave it out of the usual load

Cause: with 12 slots a light client waited up to 8 s although three slots were free: a trace showed that a heavy client that was alone for a moment counted as within its equal part of all slots and took them. Its own load was also part of the load that slots are kept free for, until it became heavy. Change: the equal part is one of the guaranteed slots; while all demands fit, the greatest is not counted as usual load.

--- a/libs/admission/internal/client_queues.cc
+++ b/libs/admission/internal/client_queues.cc
@@ -41,8 +41,8 @@
   return true;
 }
 
-std::optional<uint64_t> ClientQueues::Pop(double limit, base::TimePoint now) {
-  Client* client = Peek(limit, now);
+std::optional<uint64_t> ClientQueues::Pop(const Allowance& allowance, base::TimePoint now) {
+  Client* client = Peek(allowance, now);
   if (client == nullptr) return std::nullopt;
   return Take(client);
 }
@@ -105,9 +105,9 @@
   client->deficit = std::min(client->deficit, 0.0);
 }
 
-bool ClientQueues::IsHeavy(const Client& client, double limit) const {
+bool ClientQueues::IsHeavy(const Client& client, double guaranteed) const {
   if (client.demand() <= fair_.level) return false;
-  const double equal_part = limit / static_cast<double>(std::max<int64_t>(1, demand_.active()));
+  const double equal_part = guaranteed / static_cast<double>(std::max<int64_t>(1, demand_.active()));
   return static_cast<double>(client.running + 1) > equal_part;
 }
 
@@ -119,22 +119,22 @@
   return static_cast<double>(running_ + 1) + std::floor(spare) <= limit;
 }
 
-ClientQueues::Client* ClientQueues::Peek(double limit, base::TimePoint now) {
+ClientQueues::Client* ClientQueues::Peek(const Allowance& allowance, base::TimePoint now) {
   Observe(now);
-  fair_ = demand_.Fair(limit);
-  if (waiting_ == 0 || static_cast<double>(running_ + 1) > limit) return nullptr;
+  fair_ = demand_.Fair(allowance.limit);
+  if (waiting_ == 0 || static_cast<double>(running_ + 1) > allowance.limit) return nullptr;
   while (!light_.empty()) {
     Client* client = Turn(&light_);
-    if (!IsHeavy(*client, limit)) return client;
+    if (!IsHeavy(*client, allowance.guaranteed)) return client;
     Leave(client);
     Enter(client, Ring::kHeavy);
   }
   Client* client = Turn(&heavy_);
-  if (!IsHeavy(*client, limit) || HeavyMayStart(limit)) return client;
+  if (!IsHeavy(*client, allowance.guaranteed) || HeavyMayStart(allowance.limit)) return client;
   // Others may have become light since they entered the ring: surely those below their equal part, of which
   // the one with the fewest running requests is one.
   Client* least = std::get<2>(*heavy_by_running_.begin());
-  if (!IsHeavy(*least, limit)) return least;
+  if (!IsHeavy(*least, allowance.guaranteed)) return least;
   heavy_.splice(heavy_.end(), heavy_, heavy_.begin());
   return nullptr;
 }
@@ -167,6 +167,11 @@
   return item.id;
 }
 
-void ClientQueues::Observe(base::TimePoint now) { light_use_.Observe(static_cast<double>(fair_.below), now); }
+void ClientQueues::Observe(base::TimePoint now) {
+  // While every demand fits, the client with the greatest one is left out: it is the one that becomes heavy
+  // next.
+  const bool all_fit = fair_.level == DemandTree::kLevels;
+  light_use_.Observe(static_cast<double>(fair_.below - (all_fit ? fair_.greatest : 0)), now);
+}
 
 }  // namespace cornelplank::admission
--- a/libs/admission/internal/client_queues.h
+++ b/libs/admission/internal/client_queues.h
@@ -16,21 +16,27 @@
 
 namespace cornelplank::admission {
 
+/// The slots that a class may use.
+struct Allowance {
+  double limit = 0;       // in all, at present
+  double guaranteed = 0;  // of these
+};
+
 /// The waiting requests of one class, one queue per client, and the clients' running counts.
 ///
 /// Clients whose whole demand fits under the max-min fair level ("light") are served by deficit round robin
-/// before the others ("heavy"). A heavy client gets a slot beyond its equal part only while enough slots stay
-/// free for the usual variation of the light ones: requests hold a slot for seconds, so a light client would
-/// otherwise wait for a heavy client's request to end.
+/// before the others ("heavy"). A heavy client gets a slot beyond its equal part of the guaranteed ones only
+/// while enough slots stay free for the usual variation of the light ones: requests hold a slot for seconds,
+/// so a light client would otherwise wait for a heavy client's request to end.
 class ClientQueues {
  public:
   void Push(uint64_t id, const std::string& client, double cost, base::TimePoint now);
   /// Removes a waiting item; false when it does not wait here.
   bool Remove(uint64_t id, const std::string& client, base::TimePoint now);
-  /// True when an item may start, where `limit` is the number of slots that the class may use in all.
-  bool CanPop(double limit, base::TimePoint now) { return Peek(limit, now) != nullptr; }
-  /// The next item under `limit`, which becomes running, or nothing.
-  std::optional<uint64_t> Pop(double limit, base::TimePoint now);
+  /// True when an item may start.
+  bool CanPop(const Allowance& allowance, base::TimePoint now) { return Peek(allowance, now) != nullptr; }
+  /// The next item, which becomes running, or nothing.
+  std::optional<uint64_t> Pop(const Allowance& allowance, base::TimePoint now);
   void OnFinish(const std::string& client, base::TimePoint now);
   /// The newest item of the client with the most waiting items, for refusal when the queue is full.
   uint64_t NewestOfLongest() const;
@@ -63,9 +69,9 @@
   void SetRunning(Client* client, size_t running);
   void Enter(Client* client, Ring ring);
   void Leave(Client* client);
-  bool IsHeavy(const Client& client, double limit) const;
+  bool IsHeavy(const Client& client, double guaranteed) const;
   bool HeavyMayStart(double limit) const;
-  Client* Peek(double limit, base::TimePoint now);
+  Client* Peek(const Allowance& allowance, base::TimePoint now);
   static Client* Turn(std::list<Client*>* ring);
   uint64_t Take(Client* client);
   void Observe(base::TimePoint now);
--- a/libs/admission/internal/demand_tree.h
+++ b/libs/admission/internal/demand_tree.h
@@ -25,6 +25,7 @@
   struct Level {
     size_t level = kLevels;  // kLevels when every demand fits
     int64_t below = 0;       // sum of the demands up to the level
+    int64_t greatest = 0;    // demand of the client with the greatest one
   };
   Level Fair(double capacity) const {
     size_t position = 0;
@@ -41,10 +42,22 @@
       count = next_count;
       sum = next_sum;
     }
-    return {position, sum};
+    return {position, sum, Greatest()};
   }
 
  private:
+  int64_t Greatest() const {
+    size_t position = 0;
+    int64_t count = 0;
+    for (size_t step = kLevels; step > 0; step /= 2) {
+      const size_t next = position + step;
+      if (next > kLevels || count + counts_[next] >= active_) continue;
+      position = next;
+      count += counts_[next];
+    }
+    return active_ == 0 ? 0 : static_cast<int64_t>(position + 1);
+  }
+
   void Add(size_t level, int64_t sign) {
     active_ += sign;
     for (size_t i = level; i <= kLevels; i += i & (~i + 1)) {
--- a/libs/admission/internal/pool.cc
+++ b/libs/admission/internal/pool.cc
@@ -59,7 +59,7 @@
   using Rank = std::tuple<int, double, int, double>;
   std::optional<Rank> best;
   Flow* chosen = nullptr;
-  double chosen_limit = 0;
+  Allowance chosen_allowance;
   const bool full = running_ >= slots_;
   for (auto& [key, flow] : flows_) {
     const bool waits = flow.queues.waiting() > 0;
@@ -67,8 +67,8 @@
       flow.starved_since.reset();
       continue;
     }
-    const double limit = Limit(flow);
-    if (!flow.queues.CanPop(limit, now)) {
+    const Allowance allowance{Limit(flow), flow.guaranteed};
+    if (!flow.queues.CanPop(allowance, now)) {
       flow.starved_since.reset();
       continue;
     }
@@ -88,10 +88,10 @@
     if (best && *best <= rank) continue;
     best = rank;
     chosen = &flow;
-    chosen_limit = limit;
+    chosen_allowance = allowance;
   }
   if (chosen == nullptr) return std::nullopt;
-  const auto id = chosen->queues.Pop(chosen_limit, now);
+  const auto id = chosen->queues.Pop(chosen_allowance, now);
   if (!id) return std::nullopt;
   ++running_;
   return std::make_pair(chosen, *id);
