Keep a client's turn when it changes between light and heavy

Change: a turn is a number that the client keeps when it changes its ring; it gets a new one only after it was served. Clients that have become light are moved back, two at most per call. The oracle takes refusals first.

--- a/libs/admission/internal/client_queues.cc
+++ b/libs/admission/internal/client_queues.cc
@@ -21,7 +21,10 @@
   entry->items.push_back(Item{id, std::clamp(cost, kMinCost, kMaxCost)});
   ++waiting_;
   Changed(entry, demand, length);
-  if (entry->ring == Ring::kNone) Enter(entry, Ring::kLight);
+  if (entry->ring == Ring::kNone) {
+    entry->turn = next_turn_++;
+    Enter(entry, Ring::kLight);
+  }
 }
 
 bool ClientQueues::Remove(uint64_t id, const std::string& client, base::TimePoint now) {
@@ -51,7 +54,7 @@
   Observe(now);
   Client* entry = Get(client);
   const size_t demand = entry->demand();
-  SetRunning(entry, entry->running - 1);
+  --entry->running;
   --running_;
   Changed(entry, demand, entry->items.size());
 }
@@ -75,6 +78,7 @@
 // Keeps the indices in step with a client whose items or running count have changed; forgets an idle client.
 void ClientQueues::Changed(Client* client, size_t old_demand, size_t old_length) {
   demand_.Move(old_demand, client->demand());
+  Reindex(client);
   if (old_length != client->items.size()) {
     if (old_length > 0) by_length_.erase({old_length, client->order, client});
     if (!client->items.empty()) by_length_.insert({client->items.size(), client->order, client});
@@ -82,27 +86,37 @@
   if (client->demand() == 0) clients_.erase(std::string(client->name));
 }
 
-void ClientQueues::SetRunning(Client* client, size_t running) {
-  const bool heavy = client->ring == Ring::kHeavy;
-  if (heavy) heavy_by_running_.erase({client->running, client->order, client});
-  client->running = running;
-  if (heavy) heavy_by_running_.insert({running, client->order, client});
+void ClientQueues::Reindex(Client* client) {
+  if (client->indexed) {
+    heavy_by_demand_.erase({client->key_demand, client->order, client});
+    heavy_by_running_.erase({client->key_running, client->order, client});
+  }
+  client->indexed = client->ring == Ring::kHeavy;
+  if (!client->indexed) return;
+  client->key_demand = client->demand();
+  client->key_running = client->running;
+  heavy_by_demand_.insert({client->key_demand, client->order, client});
+  heavy_by_running_.insert({client->key_running, client->order, client});
 }
 
 void ClientQueues::Enter(Client* client, Ring ring) {
-  std::list<Client*>& list = ring == Ring::kLight ? light_ : heavy_;
   client->ring = ring;
-  client->place = list.insert(list.end(), client);
-  if (ring == Ring::kHeavy) heavy_by_running_.insert({client->running, client->order, client});
+  RingOf(ring)[client->turn] = client;
+  Reindex(client);
 }
 
 void ClientQueues::Leave(Client* client) {
   if (client->ring == Ring::kNone) return;
-  if (client->ring == Ring::kHeavy) heavy_by_running_.erase({client->running, client->order, client});
-  (client->ring == Ring::kLight ? light_ : heavy_).erase(client->place);
+  RingOf(client->ring).erase(client->turn);
   client->ring = Ring::kNone;
-  // Unused turns are not saved up; what was taken in excess stays to be paid for.
-  client->deficit = std::min(client->deficit, 0.0);
+  Reindex(client);
+}
+
+void ClientQueues::GoToEnd(Client* client) {
+  std::map<uint64_t, Client*>& ring = RingOf(client->ring);
+  ring.erase(client->turn);
+  client->turn = next_turn_++;
+  ring[client->turn] = client;
 }
 
 bool ClientQueues::IsHeavy(const Client& client, double guaranteed) const {
@@ -119,33 +133,41 @@
   return static_cast<double>(running_ + 1) + std::floor(spare) <= limit;
 }
 
+// Moves clients that have become light back to the light ring, a bounded number each time: a change of the
+// fair level can concern all clients at once.
+void ClientQueues::PromoteLight(double guaranteed) {
+  for (const Index* index : {&heavy_by_demand_, &heavy_by_running_}) {
+    if (index->empty()) continue;
+    Client* client = std::get<2>(*index->begin());
+    if (IsHeavy(*client, guaranteed)) continue;
+    Leave(client);
+    Enter(client, Ring::kLight);
+  }
+}
+
 ClientQueues::Client* ClientQueues::Peek(const Allowance& allowance, base::TimePoint now) {
   Observe(now);
   fair_ = demand_.Fair(allowance.limit);
   if (waiting_ == 0 || static_cast<double>(running_ + 1) > allowance.limit) return nullptr;
+  PromoteLight(allowance.guaranteed);
   while (!light_.empty()) {
-    Client* client = Turn(&light_);
+    Client* client = Turn(Ring::kLight);
     if (!IsHeavy(*client, allowance.guaranteed)) return client;
     Leave(client);
     Enter(client, Ring::kHeavy);
   }
-  Client* client = Turn(&heavy_);
-  if (!IsHeavy(*client, allowance.guaranteed) || HeavyMayStart(allowance.limit)) return client;
-  // Others may have become light since they entered the ring: surely those below their equal part, of which
-  // the one with the fewest running requests is one.
-  Client* least = std::get<2>(*heavy_by_running_.begin());
-  if (!IsHeavy(*least, allowance.guaranteed)) return least;
-  heavy_.splice(heavy_.end(), heavy_, heavy_.begin());
-  return nullptr;
+  Client* client = Turn(Ring::kHeavy);
+  return !IsHeavy(*client, allowance.guaranteed) || HeavyMayStart(allowance.limit) ? client : nullptr;
 }
 
 // The client whose turn it is.
-ClientQueues::Client* ClientQueues::Turn(std::list<Client*>* ring) {
-  while (ring->front()->deficit <= 0) {
-    ring->front()->deficit += kQuantum;
-    if (ring->front()->deficit <= 0) ring->splice(ring->end(), *ring, ring->begin());
+ClientQueues::Client* ClientQueues::Turn(Ring ring) {
+  while (true) {
+    Client* client = RingOf(ring).begin()->second;
+    if (client->deficit <= 0) client->deficit += kQuantum;
+    if (client->deficit > 0) return client;
+    GoToEnd(client);
   }
-  return ring->front();
 }
 
 uint64_t ClientQueues::Take(Client* client) {
@@ -154,14 +176,15 @@
   const size_t length = client->items.size();
   client->deficit -= item.cost;
   client->items.pop_front();
-  SetRunning(client, client->running + 1);
+  ++client->running;
   --waiting_;
   ++running_;
+  // Unused turns are not saved up; what was taken in excess stays to be paid for.
   if (client->items.empty()) {
     Leave(client);
+    client->deficit = std::min(client->deficit, 0.0);
   } else if (client->deficit <= 0) {
-    std::list<Client*>& list = client->ring == Ring::kLight ? light_ : heavy_;
-    list.splice(list.end(), list, client->place);
+    GoToEnd(client);
   }
   Changed(client, demand, length);
   return item.id;
--- a/libs/admission/internal/client_queues.h
+++ b/libs/admission/internal/client_queues.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 #include <deque>
-#include <list>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -60,19 +60,26 @@
     size_t running = 0;
     double deficit = 0;
     Ring ring = Ring::kNone;
-    std::list<Client*>::iterator place;
+    uint64_t turn = 0;  // the client with the lowest turn of a ring is served next
+    // Keys in the indices of heavy clients.
+    bool indexed = false;
+    size_t key_demand = 0;
+    size_t key_running = 0;
     size_t demand() const { return items.size() + running; }
   };
 
   Client* Get(const std::string& name);
   void Changed(Client* client, size_t old_demand, size_t old_length);
-  void SetRunning(Client* client, size_t running);
+  void Reindex(Client* client);
   void Enter(Client* client, Ring ring);
+  void GoToEnd(Client* client);
   void Leave(Client* client);
+  std::map<uint64_t, Client*>& RingOf(Ring ring) { return ring == Ring::kLight ? light_ : heavy_; }
   bool IsHeavy(const Client& client, double guaranteed) const;
   bool HeavyMayStart(double limit) const;
+  void PromoteLight(double guaranteed);
   Client* Peek(const Allowance& allowance, base::TimePoint now);
-  static Client* Turn(std::list<Client*>* ring);
+  Client* Turn(Ring ring);
   uint64_t Take(Client* client);
   void Observe(base::TimePoint now);
 
@@ -81,10 +88,13 @@
 
   std::unordered_map<std::string, Client> clients_;  // clients with demand
   uint64_t next_order_ = 1;
-  Index by_length_;         // clients with waiting items, by their number
-  Index heavy_by_running_;  // clients of heavy_
-  std::list<Client*> light_;
-  std::list<Client*> heavy_;
+  Index by_length_;  // clients with waiting items, by their number
+  Index heavy_by_demand_;
+  Index heavy_by_running_;
+  // Ordered by turn. A client that changes its ring keeps its turn.
+  std::map<uint64_t, Client*> light_;
+  std::map<uint64_t, Client*> heavy_;
+  uint64_t next_turn_ = 1;
   DemandTree demand_;
   DemandTree::Level fair_;
   Occupancy light_use_;
--- a/tests/admission/admission_fuzz.cc
+++ b/tests/admission/admission_fuzz.cc
@@ -270,11 +270,12 @@
   }
 
   void Drain() {
-    while (const auto grant = controller_->Next(now_)) OnGrant(grant->id);
+    // Refusals first: an item whose deadline has passed no longer waits when the others are granted.
     for (const Refusal& refusal : controller_->TakeRefusals(now_)) {
       OnRefusal(refusal);
       if (fault_ == AdmissionFault::kRefusedRuns) OnGrant(refusal.id);
     }
+    while (const auto grant = controller_->Next(now_)) OnGrant(grant->id);
     if (fault_ == AdmissionFault::kKeepBorrowed) return;
     for (const uint64_t id : controller_->TakeCancels(now_)) OnCancel(id);
   }
