Name the flow beyond its guarantee as the cause of a displacement

Change: for the owner's classes the cause is the flow that uses most beyond its guarantee, if that is more than the bearer itself does. A borrower at its lending cap is held back by itself, below it by the flow that uses most.

--- a/libs/admission/internal/pool.cc
+++ b/libs/admission/internal/pool.cc
@@ -136,15 +136,19 @@
 }
 
 const FlowKey& Pool::Cause(const Flow& bearer) const {
+  // A borrower that has all that it may have is held back by its own load.
+  const bool lent_out = !bearer.owner && PartnerRunning(bearer.key.partner) + 1 > bearer.greatest;
+  if (lent_out) return bearer.key;
   const Flow* cause = &bearer;
-  double most = 0;
+  // The owner's classes are held back by what others use beyond their guarantee, if that is more than the
+  // bearer itself uses beyond its own. Borrowers are held back by whoever uses most: all capacity is the
+  // owner's.
+  double most = static_cast<double>(bearer.running()) - bearer.guaranteed;
+  if (bearer.entitled()) most = 0;
   for (const auto& [key, flow] : flows_) {
     if (&flow == &bearer) continue;
-    const auto used = static_cast<double>(flow.running());
-    // Held back from guaranteed slots: by who uses most beyond its own. From spare ones: by who uses most.
-    const double weight = bearer.entitled() ? used - flow.guaranteed : used;
-    const double floor = bearer.entitled() ? 0 : static_cast<double>(bearer.running());
-    if (weight <= floor || weight <= most) continue;
+    const double weight = static_cast<double>(flow.running()) - (bearer.owner ? flow.guaranteed : 0);
+    if (weight <= most) continue;
     most = weight;
     cause = &flow;
   }
--- a/tests/admission/admission_test.cc
+++ b/tests/admission/admission_test.cc
@@ -97,6 +97,36 @@
   EXPECT_GE(hasty.refusal.retry_after, seconds(1));
 }
 
+// Guards against capacity that is not given back, and against a displacement that names the wrong cause.
+TEST(AdmissionTest, BorrowedCapacityComesBackWithinTwoSecondsAndIsAccounted) {
+  Terms terms = OneClass();
+  terms.partners["p"].classes["desk"].guaranteed = 0.5;
+  terms.partners["p"].lends["q"] = 1;
+  terms.partners["q"].classes["draft"] = {5, 0, 20, false};
+  AdmissionController controller(terms, 1.0);
+  base::TimePoint now{seconds(1000)};
+  for (uint64_t id = 1; id <= 8; ++id) {
+    controller.Offer({id, "p/engine", "q", "draft", "b", now + seconds(60), 1, id != 8}, now);
+  }
+  const base::TimePoint start = now;
+  for (uint64_t id = 11; id <= 14; ++id) controller.Offer(Work(id, "a", now + seconds(60)), now);
+  std::vector<uint64_t> cancels;
+  for (; cancels.empty() && now - start < seconds(3); now += milliseconds(100)) {
+    controller.Tick(now);
+    cancels = controller.TakeCancels(now);
+  }
+  EXPECT_THAT(cancels,
+              testing::ElementsAre(7, 6, 5, 4));  // the newest first, and not the one that must not be
+  for (const uint64_t id : cancels) controller.Finish(id, now);
+  for (uint64_t id = 11; id <= 14; ++id) EXPECT_EQ(controller.Next(now)->id, id);
+  EXPECT_LE(now - start, seconds(2));
+  const FlowKey owner{"p", "desk"};
+  const FlowKey borrower{"q", "draft"};
+  const auto& ledger = controller.ledger().entries();
+  EXPECT_EQ(ledger.at({owner, borrower}).of(Displacement::kCancelled), 4U);
+  EXPECT_EQ(ledger.at({borrower, owner}).of(Displacement::kDelayed), 4U);
+}
+
 // Guards against fractions that a partition alone raises above the zone's capacity.
 TEST(NodeShareTest, PartitionAloneNeverRaisesTheSum) {
   constexpr size_t kNodes = 6;
