--- a/libs/admission/internal/pool.cc
+++ b/libs/admission/internal/pool.cc
@@ -59,7 +59,7 @@
   using Rank = std::tuple<int, double, int, double>;
   std::optional<Rank> best;
   Flow* chosen = nullptr;
-  double chosen_limit = 0;
+  Allowance chosen_allowance;
   const bool full = running_ >= slots_;
   for (auto& [key, flow] : flows_) {
     const bool waits = flow.queues.waiting() > 0;
@@ -67,8 +67,8 @@
       flow.starved_since.reset();
       continue;
     }
-    const double limit = Limit(flow);
-    if (!flow.queues.CanPop(limit, now)) {
+    const Allowance allowance{Limit(flow), flow.guaranteed};
+    if (!flow.queues.CanPop(allowance, now)) {
       flow.starved_since.reset();
       continue;
     }
@@ -88,10 +88,10 @@
     if (best && *best <= rank) continue;
     best = rank;
     chosen = &flow;
-    chosen_limit = limit;
+    chosen_allowance = allowance;
   }
   if (chosen == nullptr) return std::nullopt;
-  const auto id = chosen->queues.Pop(chosen_limit, now);
+  const auto id = chosen->queues.Pop(chosen_allowance, now);
   if (!id) return std::nullopt;
   ++running_;
   return std::make_pair(chosen, *id);
@@ -136,15 +136,19 @@
 }
 
 const FlowKey& Pool::Cause(const Flow& bearer) const {
+  // A borrower that has all that it may have is held back by its own load.
+  const bool lent_out = !bearer.owner && PartnerRunning(bearer.key.partner) + 1 > bearer.greatest;
+  if (lent_out) return bearer.key;
   const Flow* cause = &bearer;
-  double most = 0;
+  // The owner's classes are held back by what others use beyond their guarantee, if that is more than the
+  // bearer itself uses beyond its own. Borrowers are held back by whoever uses most: all capacity is the
+  // owner's.
+  double most = static_cast<double>(bearer.running()) - bearer.guaranteed;
+  if (bearer.entitled()) most = 0;
   for (const auto& [key, flow] : flows_) {
     if (&flow == &bearer) continue;
-    const auto used = static_cast<double>(flow.running());
-    // Held back from guaranteed slots: by who uses most beyond its own. From spare ones: by who uses most.
-    const double weight = bearer.entitled() ? used - flow.guaranteed : used;
-    const double floor = bearer.entitled() ? 0 : static_cast<double>(bearer.running());
-    if (weight <= floor || weight <= most) continue;
+    const double weight = static_cast<double>(flow.running()) - (bearer.owner ? flow.guaranteed : 0);
+    if (weight <= most) continue;
     most = weight;
     cause = &flow;
   }
