Report the faults of ownership together with those of the document

Cause: check-patch has to print every fault, but the ownership was checked only once the document was valid, so an author learned of it on the second try.

Change: the ownership is checked on an invalid document too. The reason stays the first fault. verdict says "in force" for accepted entries only, and "judged" for refused ones.

--- a/apps/ctl/commands/verdict.cc
+++ b/apps/ctl/commands/verdict.cc
@@ -12,7 +12,7 @@
 /// What one region's gateways said.
 struct RegionReport {
   int asked = 0;
-  int in_force = 0;
+  int reached = 0;  // gateways that have judged the entry
 };
 
 /// The position of a gateway: `region` and `config` {seq, version, digest} of its status.
@@ -24,18 +24,19 @@
 
 class InForceReport {
  public:
-  InForceReport(const Options& options, Transport* transport, const config::Version& version,
+  InForceReport(const Options& options, Transport* transport, const config::Verdict& verdict,
                 const Output& output)
-      : options_(options), transport_(transport), version_(version), output_(output) {}
+      : options_(options), transport_(transport), verdict_(verdict), output_(output) {}
 
   /// False when a gateway did not answer or has another digest.
   bool Run() {
     bool complete = true;
     for (const std::string& gateway : options_.gateways) complete = Ask(gateway) && complete;
+    const char* done = verdict_.accepted ? "in force" : "judged";
     for (const auto& [region, report] : regions_) {
-      output_.out << "region " << region << ": "
-                  << (report.in_force == report.asked ? "in force" : "not in force everywhere") << " ("
-                  << report.in_force << " of " << report.asked << " gateways)\n";
+      output_.out << "region " << region << ": " << (report.reached == report.asked ? "" : "not ") << done
+                  << (report.reached == report.asked ? "" : " everywhere") << " (" << report.reached << " of "
+                  << report.asked << " gateways)\n";
     }
     return complete;
   }
@@ -66,17 +67,17 @@
     if (!position) return false;
     RegionReport& report = regions_[position->region];
     ++report.asked;
-    if (position->seq >= version_.seq) ++report.in_force;
+    if (position->seq >= verdict_.version.seq) ++report.reached;
     output_.out << "gateway " << gateway << " (" << position->region << "): seq " << position->seq << "\n";
-    if (position->seq != version_.seq || position->digest == version_.digest) return true;
+    if (position->seq != verdict_.version.seq || position->digest == verdict_.version.digest) return true;
     output_.err << "ALARM: gateway " << gateway << " has digest " << position->digest << " at seq "
-                << position->seq << ", the published log gives " << version_.digest << "\n";
+                << position->seq << ", the published log gives " << verdict_.version.digest << "\n";
     return false;
   }
 
   const Options& options_;
   Transport* transport_;
-  const config::Version& version_;
+  const config::Verdict& verdict_;
   const Output& output_;
   std::map<std::string, RegionReport> regions_;
 };
@@ -121,7 +122,7 @@
   if (!verdict->accepted) {
     output.out << "  " << config::CodeName(verdict->reason.code) << ": " << verdict->reason.detail << "\n";
   }
-  const bool complete = InForceReport(options, transport, verdict->version, output).Run();
+  const bool complete = InForceReport(options, transport, *verdict, output).Run();
   if (!complete) return kUnavailable;
   return verdict->accepted ? kDone : kRefused;
 }
--- a/libs/config/internal/document_codec.cc
+++ b/libs/config/internal/document_codec.cc
@@ -196,31 +196,30 @@
           {"leaving", upstream.leaving}};
 }
 
-bool IsFormatUnknown(const Json& value, int known_format) {
+}  // namespace
+
+bool IsFormatUnknown(const Json& value, int known_format, ConfigReason* reason) {
   if (!value.is_object()) return false;
   const auto format = value.find("format");
-  return format != value.end() && format->is_number_unsigned() &&
-         format->get<uint64_t>() > static_cast<uint64_t>(known_format);
+  if (format == value.end() || !format->is_number_unsigned()) return false;
+  if (format->get<uint64_t>() <= static_cast<uint64_t>(known_format)) return false;
+  base::SetReason(
+      reason, ConfigCode::kFormatUnknown,
+      "format " + format->dump() + " is above the newest known format " + std::to_string(known_format));
+  return true;
 }
 
-}  // namespace
+Document ReadDocument(const Json& value, Document rest, int known_format, Faults* faults) {
+  Document document = DocumentReader(std::move(rest), faults).Read(value, known_format);
+  CheckDocument(document, faults);
+  return document;
+}
 
 std::optional<Document> DocumentFromJson(const Json& value, int known_format, ConfigReason* reason,
                                          Faults* faults) {
-  return DocumentFromJson(value, {}, known_format, reason, faults);
-}
-
-std::optional<Document> DocumentFromJson(const Json& value, Document rest, int known_format,
-                                         ConfigReason* reason, Faults* faults) {
-  if (IsFormatUnknown(value, known_format)) {
-    base::SetReason(reason, ConfigCode::kFormatUnknown,
-                    "format " + value["format"].dump() + " is above the newest known format " +
-                        std::to_string(known_format));
-    return std::nullopt;
-  }
+  if (IsFormatUnknown(value, known_format, reason)) return std::nullopt;
   const size_t first = faults->size();
-  Document document = DocumentReader(std::move(rest), faults).Read(value, known_format);
-  CheckDocument(document, faults);
+  Document document = ReadDocument(value, {}, known_format, faults);
   if (faults->size() == first) return document;
   base::SetReason(reason, ConfigCode::kInvalid, (*faults)[first].Text());
   return std::nullopt;
--- a/libs/config/internal/patch.cc
+++ b/libs/config/internal/patch.cc
@@ -104,14 +104,14 @@
   if (!IsFormatStep(value, document.format)) {
     return Refuse(ConfigCode::kInvalid, {{"/format", "may only stay or rise by one"}});
   }
-  auto next = DocumentFromJson(value, scope.Rest(document), known_format, &reason, &faults);
-  if (!next) {
-    if (reason.code == ConfigCode::kFormatUnknown) return {std::nullopt, std::move(reason), {}};
-    return Refuse(ConfigCode::kInvalid, std::move(faults));
-  }
-  CheckOwnership(document, *next, author, &faults);
+  if (IsFormatUnknown(value, known_format, &reason)) return {std::nullopt, std::move(reason), {}};
+  Document next = ReadDocument(value, scope.Rest(document), known_format, &faults);
+  const bool is_invalid = !faults.empty();
+  // Ownership is checked on an invalid document too, so that its author learns of all faults at once.
+  CheckOwnership(document, next, author, &faults);
+  if (is_invalid) return Refuse(ConfigCode::kInvalid, std::move(faults));
   if (!faults.empty()) return Refuse(ConfigCode::kOwnership, std::move(faults));
-  if (DocumentSize(*next) > kMaxDocumentBytes) {
+  if (DocumentSize(next) > kMaxDocumentBytes) {
     return Refuse(ConfigCode::kTooLarge,
                   {{"", "the document would exceed " + std::to_string(kMaxDocumentBytes) + " bytes"}});
   }
--- a/libs/config/internal/patch.h
+++ b/libs/config/internal/patch.h
@@ -22,7 +22,8 @@
 
 /// Applies an RFC 6902 patch by `author` to the canonical form of `document` and judges the result: all
 /// operations succeed, the format stays or rises by one, the document is valid and within kMaxDocumentBytes,
-/// and the author changed only what it owns. Pure; `document` is not changed.
+/// and the author changed only what it owns. All faults of the result are reported. Pure; `document` is not
+/// changed.
 PatchResult ApplyPatch(const Document& document, std::string_view author, std::string_view patch_json,
                        int known_format = kNewestFormat);
 
--- a/libs/config/internal/snapshot.cc
+++ b/libs/config/internal/snapshot.cc
@@ -30,13 +30,7 @@
   ObjectReader reader(value, root, faults);
   // Looked at first: under a format that is not known, nothing else can be judged.
   const Json* format = reader.Require("format");
-  if (format != nullptr && format->is_number_unsigned() &&
-      format->get<uint64_t>() > static_cast<uint64_t>(known_format)) {
-    base::SetReason(
-        reason, ConfigCode::kFormatUnknown,
-        "format " + format->dump() + " is above the newest known format " + std::to_string(known_format));
-    return std::nullopt;
-  }
+  if (IsFormatUnknown(value, known_format, reason)) return std::nullopt;
   Snapshot snapshot;
   snapshot.version.seq = reader.Unsigned("seq");
   snapshot.version.number = reader.Unsigned("version");
