Shorten a reader's longest retry to 5 s

Cause: with one region the platform is the only path after a partition, and a lost watch (4 s) plus 8 s of back-off leaves little of the 14 s.

--- a/libs/membership/internal/read_schedule.h
+++ b/libs/membership/internal/read_schedule.h
@@ -17,9 +17,9 @@
   static constexpr base::Duration kFallbackInterval = std::chrono::seconds{5};
   static constexpr base::Duration kMaxBackoff = std::chrono::seconds{30};
   /// First retry and longest retry of a reader. The longest lies below the 14 s after which a node is
-  /// unconfirmed, so that a healed partition to the platform is noticed in time.
+  /// unconfirmed even with the deadline of a lost call (4 s), so that a healed partition is noticed in time.
   static constexpr base::Duration kReaderBackoff = std::chrono::seconds{1};
-  static constexpr base::Duration kReaderMaxBackoff = std::chrono::seconds{8};
+  static constexpr base::Duration kReaderMaxBackoff = std::chrono::seconds{5};
   /// Shortest time between two watches of a reader, even when each is answered at once.
   static constexpr base::Duration kReaderSpacing = std::chrono::milliseconds{100};
   /// Wait that a reader asks for in a watch. A pending watch confirms nothing, so with the 25 s of the design
