--- a/bench/control/fleet.cc
+++ b/bench/control/fleet.cc
@@ -94,8 +94,18 @@
   return work();
 }
 
-bool Fleet::Cut(int a, int b) const {
-  return a != b && (cut_[static_cast<size_t>(a)] || cut_[static_cast<size_t>(b)]);
+bool Fleet::Cut(const Node& a, const Node& b) const {
+  if (!a.alive || !b.alive) return true;
+  return a.region != b.region && (cut_[static_cast<size_t>(a.region)] || cut_[static_cast<size_t>(b.region)]);
+}
+
+bool Fleet::SuspectedByItsZone(int i) {
+  const membership::VmListEntry& entry = At(i).table.own().entry;
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+    if (!node->alive || node->table.own().entry.zone != entry.zone) return true;
+    const membership::Vm* vm = node->table.Find(entry.id);
+    return vm == nullptr || vm->suspected;
+  });
 }
 
 base::Duration Fleet::Delay(const Node& a, const Node& b) const {
@@ -114,11 +124,11 @@
     if (std::exchange(*open, false)) fail();
   });
   const base::Duration delay = Delay(At(i), At(j));
-  if (Cut(At(i).region, At(j).region)) return;
+  if (Cut(At(i), At(j))) return;
   loop_.After(delay, [this, i, j, delay, open, serve = std::move(serve)] {
     const Reply reply = serve();
     Count(j, reply.bytes, membership::kCalleeOverheadBytes);
-    if (Cut(At(i).region, At(j).region)) return;
+    if (Cut(At(i), At(j))) return;
     loop_.After(delay, [open, merge = reply.merge] {
       if (std::exchange(*open, false)) merge();
     });
@@ -127,6 +137,7 @@
 
 void Fleet::Tick(int i) {
   Node& node = At(i);
+  if (!node.alive) return;
   const base::TimePoint now = loop_.now();
   std::vector<std::string> calls = Timed([&] {
     node.table.Tick(now);
--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -46,6 +46,10 @@
   /// Cuts a region off from all others and, if asked, from the platform.
   void CutRegion(int region, bool platform_too);
   void Heal();
+  /// Ends one VM without notice.
+  void Kill(int i) { At(i).alive = false; }
+  /// Whether every live VM of the zone of `i` suspects it.
+  bool SuspectedByItsZone(int i);
   void StopPlatform() { platform_.Stop(); }
   void StartPlatform() { platform_.up = true; }
 
@@ -68,6 +72,7 @@
     membership::ReadSchedule schedule;
     base::Random random;
     int region;
+    bool alive = true;
     uint64_t seq = 1;
     base::TimePoint head_at{};
     bool pulling = false;
@@ -102,7 +107,7 @@
   void ReadPlatform(int i);
   void Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail);
   void Count(int i, size_t message, size_t overhead);
-  bool Cut(int region_a, int region_b) const;
+  bool Cut(const Node& a, const Node& b) const;
   base::Duration Delay(const Node& a, const Node& b) const;
   /// Runs library code and adds the time that it took.
   template <typename Work>
--- a/bench/control/main.cc
+++ b/bench/control/main.cc
@@ -29,10 +29,11 @@
   double memory_kb = 0;     // a node
   double spread_p50 = 0;    // seconds from publication to in force everywhere
   double spread_max = 0;
-  double healed = 0;              // seconds from the heal to in force everywhere
-  double returned = 0;            // seconds from the platform's return to in force everywhere
-  int return_peak = 0;            // platform calls in the busiest second after its return
-  double unconfirmed = 0;         // share of node time, quiet
+  double healed = 0;       // seconds from the heal to in force everywhere
+  double returned = 0;     // seconds from the platform's return to in force everywhere
+  int return_peak = 0;     // platform calls in the busiest second after its return
+  double suspected = 0;    // seconds from a VM's death until its whole zone suspects it, longest of four
+  double unconfirmed = 0;  // share of node time, quiet
   double unconfirmed_outage = 0;  // share of node time, last half of a platform outage
 };
 
@@ -111,6 +112,16 @@
   fleet.RunFor(seconds{30});
   row.returned = fleet.SecondsToHead(returned_at);
   row.return_peak = fleet.Counters().platform_peak;
+
+  // One VM after another dies; its zone must notice.
+  for (int victim = 0; victim < std::min(4, shape.nodes / 2); ++victim) {
+    fleet.Kill(victim);
+    const base::TimePoint died_at = fleet.now();
+    while (!fleet.SuspectedByItsZone(victim) && fleet.now() - died_at < seconds{60}) {
+      fleet.RunFor(std::chrono::milliseconds{100});
+    }
+    row.suspected = std::max(row.suspected, std::chrono::duration<double>(fleet.now() - died_at).count());
+  }
   return row;
 }
 
@@ -140,14 +151,15 @@
 void Print(const std::vector<Row>& rows) {
   std::printf(
       "nodes zones | msg B/s wire B/s busiest +changes | cpu ppm | calls/s | KB/node | spread p50   max | "
-      "healed | returned peak | unconfirmed quiet outage\n");
+      "healed | returned peak | suspected | unconfirmed quiet outage\n");
   for (const Row& row : rows) {
     std::printf(
         "%5d %5d | %7.0f %8.0f %7.0f %8.0f | %7.0f | %7.1f | %7.1f | %8.3f s %5.3f | %5.2f s | %6.2f s %5d | "
+        "%7.1f s | "
         "%10.4f %10.4f\n",
         row.nodes, row.zones, row.messages, row.wire, row.most_wire, row.wire_changes, row.cpu, row.platform,
         row.memory_kb, row.spread_p50, row.spread_max, row.healed, row.returned, row.return_peak,
-        row.unconfirmed, row.unconfirmed_outage);
+        row.suspected, row.unconfirmed, row.unconfirmed_outage);
   }
   PrintFit("message bytes a node a second", rows, [](const Row& row) { return row.messages; });
   PrintFit("wire bytes a node a second", rows, [](const Row& row) { return row.wire_changes; });
@@ -166,6 +178,8 @@
   po::options_description options("cornelplank-bench-control [options]");
   options.add_options()("help", "print this text")("version", "print the version")(
       "seed", po::value<uint64_t>()->default_value(1), "seed of the run")(
+      "round-ms", po::value<int>()->default_value(1000), "time between two gossip rounds of a node, ms")(
+      "small-zone", po::value<int>()->default_value(4), "VMs of a zone up to which a round makes two calls")(
       "nodes", po::value<std::vector<int>>()->multitoken(), "fleet sizes; default 2 10 25 50 100 and 370");
   po::variables_map values;
   try {
@@ -189,6 +203,8 @@
   for (const int nodes : sizes) {
     auto shape = cornelplank::bench::ShapeOf(nodes);
     shape.seed = values["seed"].as<uint64_t>();
+    shape.gossip.round = std::chrono::milliseconds{values["round-ms"].as<int>()};
+    shape.gossip.small_zone = static_cast<size_t>(values["small-zone"].as<int>());
     rows.push_back(cornelplank::bench::Measure(shape));
   }
   cornelplank::bench::Print(rows);
--- a/libs/membership/internal/gossip_state.h
+++ b/libs/membership/internal/gossip_state.h
@@ -30,8 +30,8 @@
   /// Without a confirmation by the platform for this long the calls are doubled, since then the confirmed
   /// rule rests on news of every region.
   base::Duration strained_after = std::chrono::seconds{8};
-  base::Duration sum_refresh = std::chrono::seconds{6};  // of an unchanged zone sum within the zone
-  size_t max_sums = 12;                                  // youngest zone sums in one message between zones
+  base::Duration sum_refresh = std::chrono::seconds{10};  // of an unchanged zone sum within the zone
+  size_t max_sums = 12;                                   // youngest zone sums in one message between zones
 };
 
 /// What a node sends to its peers and merges from them. Not thread-safe.
