Tell the zone of a missed call at once

Cause: with one call a round in a zone of 14 VMs a dead VM was called by each peer only in its turn. Change: the first missed call makes the next round urgent; peers then call the doubted VM themselves. Suspicion still rests on own calls only. Calls within a zone time out after 1 s.

--- a/bench/control/fleet.cc
+++ b/bench/control/fleet.cc
@@ -12,6 +12,7 @@
 
 constexpr base::Duration kTick = milliseconds{250};
 constexpr base::Duration kCallTimeout = seconds{2};
+constexpr base::Duration kZoneCallTimeout = seconds{1};
 constexpr size_t kPatchBytes = 300;    // a typical entry of the log
 constexpr size_t kRequestBytes = 180;  // an HTTP request to the platform
 constexpr size_t kSegmentBytes = 52;   // TCP/IP headers with timestamps
@@ -120,7 +121,8 @@
 void Fleet::Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail) {
   Count(i, bytes, membership::kCallerOverheadBytes);
   auto open = std::make_shared<bool>(true);
-  loop_.After(kCallTimeout, [open, fail = std::move(fail)] {
+  const bool same_zone = At(i).table.own().entry.zone == At(j).table.own().entry.zone;
+  loop_.After(same_zone ? kZoneCallTimeout : kCallTimeout, [open, fail = std::move(fail)] {
     if (std::exchange(*open, false)) fail();
   });
   const base::Duration delay = Delay(At(i), At(j));
--- a/libs/membership/internal/gossip_calls.cc
+++ b/libs/membership/internal/gossip_calls.cc
@@ -34,6 +34,7 @@
     if (peer.calling) continue;
     if (urgent_ || ProbeDue(*vm, peer, now)) {
       peer.calling = true;
+      peer.probe = false;
       peer.last_call = now;
       calls.push_back(vm->entry.id);
     } else if (!vm->suspected && round) {
@@ -64,7 +65,7 @@
 bool GossipState::ProbeDue(const Vm& vm, const Peer& peer, base::TimePoint now) const {
   // A change that one observation supports is settled by the next round, on top of the regular calls.
   const bool half = vm.suspected ? vm.answers > 0 : vm.doubted;
-  if (half) return AgeOf(peer.last_call, now) >= settings_.round;
+  if (half || peer.probe) return AgeOf(peer.last_call, now) >= settings_.round;
   return vm.suspected && AgeOf(peer.last_call, now) >= settings_.suspected_round;
 }
 
@@ -169,7 +170,13 @@
 
 void GossipState::CallFailed(const std::string& id, VmTable& table, base::TimePoint now) {
   if (const auto found = peers_.find(id); found != peers_.end()) found->second.calling = false;
+  const Vm* vm = table.Find(id);
+  const bool first = vm != nullptr && InZone(vm->entry) && !vm->doubted && !vm->suspected;
   table.Missed(id, now);
+  // The peers are told at once, so that they call the VM themselves without waiting for its turn.
+  if (!first || AgeOf(alarm_at_, now) < settings_.alarm_interval) return;
+  alarm_at_ = now;
+  urgent_ = true;
 }
 
 }  // namespace cornelplank::membership
--- a/libs/membership/internal/gossip_exchange.cc
+++ b/libs/membership/internal/gossip_exchange.cc
@@ -91,6 +91,7 @@
 void GossipState::AddVmChanges(GossipMessage& message, const VmListEntry& peer, const Peer& state,
                                const VmTable& table, base::TimePoint now) {
   for (const Vm* vm : table.OwnZone()) {
+    if (vm->doubted && !vm->suspected) message.doubts.push_back(DoubtKey(vm->entry.id));
     if (vm->entry.id == own_id_ || vm->entry.id == peer.id || vm->entry.incarnation == 0) continue;
     Published& published = published_vms_[vm->entry.id];
     if (published.change != vm->change) published = {vm->change, ++version_};
@@ -165,6 +166,7 @@
   for (const VmChange& change : message.vms) {
     table.LearnFromPeer(change.entry, DecodeAge(change.age), now);
   }
+  MergeDoubts(message, table, now);
   const bool match = NamesMatch(from, message);
   if (match) MergeLoads(message, now);
   if (match) MergeSums(from, message, now);
@@ -175,6 +177,16 @@
   if (match) peer.seen = std::max(peer.seen, message.version);
 }
 
+void GossipState::MergeDoubts(const GossipMessage& message, const VmTable& table, base::TimePoint now) {
+  if (message.doubts.empty()) return;
+  for (const Vm* vm : table.OwnZone()) {
+    if (vm->suspected || vm->entry.id == own_id_ || now - vm->last_answer < settings_.round) continue;
+    const uint32_t key = DoubtKey(vm->entry.id);
+    const bool doubted = std::find(message.doubts.begin(), message.doubts.end(), key) != message.doubts.end();
+    if (doubted) PeerOf(vm->entry).probe = true;
+  }
+}
+
 void GossipState::MergeLoads(const GossipMessage& message, base::TimePoint now) {
   for (const ReplicaLoad& load : message.loads) {
     if (load.index >= loads_.size() || load.age == kNoAge) continue;
--- a/libs/membership/internal/gossip_message.h
+++ b/libs/membership/internal/gossip_message.h
@@ -77,11 +77,15 @@
   std::vector<ZoneSum> sums;             // changed ones
   std::vector<uint16_t> stale_replicas;  // the sender asks for younger entries of these
   std::vector<uint8_t> stale_zones;      // likewise for zone sums
+  std::vector<uint32_t> doubts;          // DoubtKey of VMs of the zone that missed a call of the sender
   std::vector<VmChange> vms;             // changed ones of the zone
 };
 
+/// Short name of a VM in `GossipMessage::doubts`. A collision costs one needless call.
+uint32_t DoubtKey(const std::string& id);
+
 /// Size of the message as a Cap'n Proto struct in unpacked encoding, in bytes: 4 data words, 5 pointers
-/// (the three rare lists share one) and word-aligned lists.
+/// (the four rare lists share one) and word-aligned lists.
 size_t EncodedBytes(const GossipMessage& message);
 
 /// Estimated bytes that one call adds to its two messages: Cap'n Proto's Call, Return and Finish (136, 72 and
--- a/libs/membership/internal/gossip_state.h
+++ b/libs/membership/internal/gossip_state.h
@@ -22,8 +22,10 @@
   int fanout = 2;
   size_t small_zone = 4;
   base::Duration suspected_round = std::chrono::seconds{4};  // between two calls to a suspected VM
-  base::Duration refresh = std::chrono::seconds{5};          // of an unchanged load or demand entry
-  base::Duration stale_after = std::chrono::seconds{10};     // age at which an entry is asked for
+  base::Duration alarm_interval =
+      std::chrono::seconds{5};                       // between two rounds that a missed call makes urgent
+  base::Duration refresh = std::chrono::seconds{5};  // of an unchanged load or demand entry
+  base::Duration stale_after = std::chrono::seconds{10};  // age at which an entry is asked for
   double load_threshold = 0.1;  // change that counts, as a share of the replica's slots; at least 2 requests
   base::Duration cross_round = std::chrono::seconds{2};  // calls of a zone: `cross_calls` each such time
   int cross_calls = 2;
@@ -68,6 +70,8 @@
   /// `call_started`: when the own call was sent; ages in the answer count from there.
   void MergeAnswer(const VmListEntry& from, const GossipMessage& message, base::TimePoint call_started,
                    VmTable& table, base::TimePoint now);
+  /// The call had no answer: within the zone after 1 s, as calls there take milliseconds; to others after 2
+  /// s.
   void CallFailed(const std::string& peer, VmTable& table, base::TimePoint now);
 
   // View.
@@ -112,6 +116,7 @@
     base::TimePoint last_contact = base::TimePoint::min();
     base::TimePoint last_call = base::TimePoint::min();
     bool calling = false;
+    bool probe = false;  // another node doubts the VM, so this node is to call it
     std::vector<ClassDemand> demand;
   };
   struct Published {
@@ -141,6 +146,7 @@
                       base::TimePoint now);
   void MergeLoads(const GossipMessage& message, base::TimePoint now);
   void MergeSums(const VmListEntry& from, const GossipMessage& message, base::TimePoint now);
+  void MergeDoubts(const GossipMessage& message, const VmTable& table, base::TimePoint now);
   bool NamesMatch(const VmListEntry& from, const GossipMessage& message) const;
   size_t RegionIndex(std::string_view region) const;
   size_t ZoneIndex(std::string_view zone) const;
@@ -168,6 +174,7 @@
   base::TimePoint next_round_;
   base::TimePoint next_cross_;
   base::TimePoint next_probe_;
+  base::TimePoint alarm_at_ = base::TimePoint::min();
   bool urgent_ = false;
   std::optional<Lead> lead_;
   uint64_t digest_conflicts_ = 0;
