--- a/bench/control/fleet.cc
+++ b/bench/control/fleet.cc
@@ -12,6 +12,7 @@
 
 constexpr base::Duration kTick = milliseconds{250};
 constexpr base::Duration kCallTimeout = seconds{2};
+constexpr base::Duration kZoneCallTimeout = seconds{1};
 constexpr size_t kPatchBytes = 300;    // a typical entry of the log
 constexpr size_t kRequestBytes = 180;  // an HTTP request to the platform
 constexpr size_t kSegmentBytes = 52;   // TCP/IP headers with timestamps
@@ -94,8 +95,18 @@
   return work();
 }
 
-bool Fleet::Cut(int a, int b) const {
-  return a != b && (cut_[static_cast<size_t>(a)] || cut_[static_cast<size_t>(b)]);
+bool Fleet::Cut(const Node& a, const Node& b) const {
+  if (!a.alive || !b.alive) return true;
+  return a.region != b.region && (cut_[static_cast<size_t>(a.region)] || cut_[static_cast<size_t>(b.region)]);
+}
+
+bool Fleet::SuspectedByItsZone(int i) {
+  const membership::VmListEntry& entry = At(i).table.own().entry;
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+    if (!node->alive || node->table.own().entry.zone != entry.zone) return true;
+    const membership::Vm* vm = node->table.Find(entry.id);
+    return vm == nullptr || vm->suspected;
+  });
 }
 
 base::Duration Fleet::Delay(const Node& a, const Node& b) const {
@@ -110,15 +121,16 @@
 void Fleet::Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail) {
   Count(i, bytes, membership::kCallerOverheadBytes);
   auto open = std::make_shared<bool>(true);
-  loop_.After(kCallTimeout, [open, fail = std::move(fail)] {
+  const bool same_zone = At(i).table.own().entry.zone == At(j).table.own().entry.zone;
+  loop_.After(same_zone ? kZoneCallTimeout : kCallTimeout, [open, fail = std::move(fail)] {
     if (std::exchange(*open, false)) fail();
   });
   const base::Duration delay = Delay(At(i), At(j));
-  if (Cut(At(i).region, At(j).region)) return;
+  if (Cut(At(i), At(j))) return;
   loop_.After(delay, [this, i, j, delay, open, serve = std::move(serve)] {
     const Reply reply = serve();
     Count(j, reply.bytes, membership::kCalleeOverheadBytes);
-    if (Cut(At(i).region, At(j).region)) return;
+    if (Cut(At(i), At(j))) return;
     loop_.After(delay, [open, merge = reply.merge] {
       if (std::exchange(*open, false)) merge();
     });
@@ -127,6 +139,7 @@
 
 void Fleet::Tick(int i) {
   Node& node = At(i);
+  if (!node.alive) return;
   const base::TimePoint now = loop_.now();
   std::vector<std::string> calls = Timed([&] {
     node.table.Tick(now);
