--- a/libs/gateway/internal/core.cc
+++ b/libs/gateway/internal/core.cc
@@ -13,6 +13,7 @@
       tickets(settings.zone, settings.vm, own.incarnation),
       fleet(own, base::EntropySeed(), node_clock.Now()),
       admission(node_clock),
+      limits(node_clock),
       http(http::Client::Create()) {}
 
 std::string Core::NewRequestId() {
--- a/libs/gateway/internal/core.h
+++ b/libs/gateway/internal/core.h
@@ -14,6 +14,7 @@
 #include "libs/gateway/internal/gateway_settings.h"
 #include "libs/gateway/internal/metrics.h"
 #include "libs/gateway/internal/node_view.h"
+#include "libs/gateway/internal/upstream_limits.h"
 #include "libs/http/http.h"
 #include "libs/membership/membership.h"
 #include "libs/retry/retry.h"
@@ -76,6 +77,7 @@
   FleetState fleet;
   ConfigState config;
   AdmissionGate admission;
+  UpstreamLimits limits;
   routing::ScoredRouter router;
   std::unique_ptr<http::Client> http;
   std::unique_ptr<rpc::Node> node;  // set once, before the first request
--- a/libs/gateway/internal/dispatcher.cc
+++ b/libs/gateway/internal/dispatcher.cc
@@ -161,6 +161,14 @@
         admission::PoolName(again->view.document->upstreams.at(again->replica().id)) == item.pool;
     if (same_pool) choice = *again;
   }
+  std::unique_ptr<LimitedCall> limited;
+  if (work.kind != rpc::ForwardKind::kCompletion) {
+    limited = core_->limits.TryStart(choice.replica().id, choice.replica().slots);
+    if (!limited) {
+      *failure = NotRun(429, "not-admitted", "replica-limit", std::chrono::seconds{1});
+      return std::nullopt;
+    }
+  }
   upstreams::BeginFailure begin_failure{};
   auto in_flight = upstreams::InFlight::Begin(choice.replica().cell, core_->clock.Now(), &begin_failure);
   if (!in_flight) {
@@ -169,7 +177,7 @@
     return std::nullopt;
   }
   LocalTarget target{choice.Place(), choice.replica().id, choice.replica().address};
-  return Reservation{std::move(target), std::move(answer.slot), std::move(*in_flight)};
+  return Reservation{std::move(target), std::move(limited), std::move(answer.slot), std::move(*in_flight)};
 }
 
 std::unique_ptr<Attempt> Dispatcher::Open(const Work& work, const Choice& choice, const std::string& attempt,
--- a/libs/gateway/internal/dispatcher.h
+++ b/libs/gateway/internal/dispatcher.h
@@ -26,6 +26,7 @@
 /// A replica of the own zone with a slot and an in-flight count taken.
 struct Reservation {
   LocalTarget target;
+  std::unique_ptr<LimitedCall> limited;  // only for plain services
   std::unique_ptr<AdmissionSlot> slot;
   upstreams::InFlight in_flight;
 };
--- a/libs/gateway/internal/metrics.cc
+++ b/libs/gateway/internal/metrics.cc
@@ -34,6 +34,7 @@
       NewCounter(registry, "cornelplank_control_bytes_total", "Payload of control messages sent.");
   platform_reads_ =
       NewCounter(registry, "cornelplank_platform_reads_total", "Reads of the platform's services.");
+  hops_ = &NewCounter(registry, "cornelplank_hops_total", "Forwarded requests received from peers.")->Add({});
   tokens_ = &NewCounter(registry, "cornelplank_tokens_total", "Tokens passed on to clients.")->Add({});
 }
 
--- a/libs/gateway/internal/metrics.h
+++ b/libs/gateway/internal/metrics.h
@@ -27,6 +27,9 @@
   void AddCost(const std::string& partner, double units);
   void AddTokens(double tokens) { tokens_->Increment(tokens); }
   void ObserveFirstToken(const std::string& partner, const std::string& priority_class, base::Duration time);
+  /// One forwarded request was received from a peer.
+  void CountHop() { hops_->Increment(); }
+  double hops() const { return hops_->Value(); }
   void CountControlCall(const std::string& kind, size_t bytes_sent);
   void CountPlatformRead(const std::string& what, bool answered);
 
@@ -45,6 +48,7 @@
   prometheus::Family<prometheus::Counter>* control_bytes_;
   prometheus::Family<prometheus::Counter>* platform_reads_;
   prometheus::Counter* tokens_;
+  prometheus::Counter* hops_;
 };
 
 }  // namespace cornelplank::gateway
--- a/libs/gateway/internal/peer_exchange.cc
+++ b/libs/gateway/internal/peer_exchange.cc
@@ -127,10 +127,15 @@
 
 void PeerExchange::PullConfig(const std::string& address) {
   if (pulling_.exchange(true)) return;
-  Send(address, wire::ControlKind::kPullConfig, wire::EncodePull(sync_->seq()),
-       [this](std::optional<rpc::ControlAnswer> answer) {
+  const uint64_t after = sync_->seq();
+  Send(address, wire::ControlKind::kPullConfig, wire::EncodePull(after),
+       [this, after](std::optional<rpc::ControlAnswer> answer) {
          const auto pulled = answer ? wire::DecodePullAnswer(answer->payload) : std::nullopt;
-         if (pulled) sync_->OnAnswer(*pulled, "a peer");
+         if (pulled && sync_->OnAnswer(*pulled, "a peer")) {
+           sync_->Refresh();
+           PushEntries(
+               after);  // the entries came from another zone, so this zone's readers may lack them, too
+         }
          pulling_.store(false);
        });
 }
--- a/libs/gateway/internal/peer_handler.cc
+++ b/libs/gateway/internal/peer_handler.cc
@@ -36,6 +36,7 @@
 }
 
 rpc::ForwardEnd PeerHandler::OnForward(const rpc::ForwardRequest& request, rpc::AnswerWriter& writer) {
+  core_->metrics.CountHop();
   Work work = FromForward(request, core_->clock.Now());
   const NodeView view = core_->View();
   if (!view.document) return NotRun("no-configuration", "this VM has not yet learned a configuration");
--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -383,10 +383,13 @@
   if (response) report.Head(response->status, response->headers);
   if (response && response->status != kUnavailable) {
     report.Success();
+    if (reservation.limited) reservation.limited->SetResult(admission::CallResult::kOk);
     return response;
   }
   const bool leaving = response && http::HeaderValue(response->headers, "Engine-State") == "leaving";
   if (!leaving) report.Failed();
+  const bool overloaded = (response && !leaving) || reason.code == http::HttpCode::kTimeout;
+  if (overloaded && reservation.limited) reservation.limited->SetResult(admission::CallResult::kOverloaded);
   failure->status = !response && reason.code == http::HttpCode::kTimeout ? 504 : 503;
   failure->code = response ? "upstream-refused" : "upstream-broken";
   failure->detail = response ? "status 503" : reason.detail;
--- a/libs/gateway/internal/state_dump.cc
+++ b/libs/gateway/internal/state_dump.cc
@@ -29,7 +29,8 @@
           {"config",
            {{"seq", view.version.seq}, {"version", view.version.number}, {"digest", view.version.digest}}},
           {"clients", core->clients.size()},
-          {"hops_in_progress", core->node ? core->node->incoming() : 0}};
+          {"hops_in_progress", core->node ? core->node->incoming() : 0},
+          {"hops_received", static_cast<uint64_t>(core->metrics.hops())}};
 }
 
 json DumpConfig(Core* core) {
@@ -140,7 +141,7 @@
                              {"cancelled", counts.of(Displacement::kCancelled)},
                              {"delay_ms", delay.count()}});
   }
-  return {{"flows", flows}, {"displacements", displacements}};
+  return {{"flows", flows}, {"displacements", displacements}, {"service_limits", core->limits.Limits()}};
 }
 
 json DumpTickets(Core* core) {
--- /dev/null
+++ b/tests/system/loop_test.cc
@@ -0,0 +1,48 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "tests/system/harness/deployment.h"
+
+namespace cornelplank::harness {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+uint64_t HopsReceived(const Deployment& plan) {
+  uint64_t hops = 0;
+  for (const char* vm : {"a", "k"}) hops += plan.Status(vm)["hops_received"].get<uint64_t>();
+  return hops;
+}
+
+// Guards against a request that two zones hand to each other because each believes that the other can serve it.
+TEST(LoopTest, ARequestThatNobodyCanServeMakesOneHopAnAttempt) {
+  Fleet fleet;
+  Deployment plan(&fleet);
+  plan.AddEngineProcess("e1", "gavekvittering", "ost-1", 4);
+  plan.AddEngineProcess("k1", "leakline", "kochi-1", 4);
+  plan.AddClient("any", "gavekvittering", "ost", "gavekvittering-any");
+  plan.Publish();
+  plan.StartVm("a", "ost-1");
+  plan.StartVm("k", "kochi-1");
+  ASSERT_TRUE(plan.WaitVersion(1, seconds{10})) << fleet.Logs();
+  ASSERT_TRUE(WaitUntil(seconds{15}, [&plan] {
+    return plan.Chat("a", "any", 2, false).status == 200 && plan.Chat("k", "any", 2, false).status == 200;
+  })) << fleet.Logs();
+  for (const char* engine : {"e1", "k1"}) {
+    fleet.Kill(engine);
+    plan.Relay(std::string(engine) + "-relay", {{"mode", "cut"}});
+  }
+  constexpr uint64_t kAttempts = 4;  // the largest number of attempts of one request
+  for (const char* vm : {"a", "k"}) {
+    const uint64_t before = HopsReceived(plan);
+    const Reply refused = plan.Chat(vm, "any", 3, false, milliseconds{3000});
+    EXPECT_NE(refused.status, 200);
+    EXPECT_EQ(refused.Json().value("outcome", ""), "not-run") << refused.body;
+    EXPECT_LE(HopsReceived(plan) - before, kAttempts);
+  }
+}
+
+}  // namespace
+}  // namespace cornelplank::harness
