Credit the owner's cache at home, and weigh the queue by its tail

A prompt that is cold at home fills a cache there that later requests find; the score saw only the price of this request. Change: half of the time and price of filling the prefix owner's cache in the home region is credited. The credit draws requests to busy owners, so the expected queue gets a weight of its own (2 under cost, 4 under latency), and the variance of the load 1 instead of 0.4 per change.

--- a/libs/routing/internal/decision.h
+++ b/libs/routing/internal/decision.h
@@ -55,13 +55,15 @@
   double away = 0;         // score units for leaving the home region
   double ramp = 0;         // score units for exceeding the slots given during a ramp
   double pressure = 0;     // score units for a slot of a busy zone that requests bound to it need
+  double reuse = 0;        // score units credited for filling a cache that later requests find
   double total = 0;        // weighted sum; the lowest wins
   uint32_t cached_tokens = 0;
   uint32_t considered = 0;  // replicas and zones that were scored
   bool prefix_owner = false;
-  bool borrowed = false;  // capacity of another partner
-  bool probe = false;     // the one probe of an ejected replica
-  bool suspect = false;   // only suspect replicas were left
+  bool warms_owner = false;  // the prefix ends up at its owner, here or by the choice of the other zone
+  bool borrowed = false;     // capacity of another partner
+  bool probe = false;        // the one probe of an ejected replica
+  bool suspect = false;      // only suspect replicas were left
   Rejections rejections;
 };
 
--- a/libs/routing/internal/estimate.cc
+++ b/libs/routing/internal/estimate.cc
@@ -11,10 +11,9 @@
 constexpr double kBusyMs = 50;
 // Variance of the best estimate, in requests squared: reports round and cross with own requests.
 constexpr double kLeastVariance = 0.1;
-// Variance of the changes since a report, per change. Two Poisson processes would give 2, but the
-// time-to-first-token tail of bench/decisions is lowest at 0.4 (tried: 0.4, 1, 2): response headers refresh
-// the busy replicas.
-constexpr double kChangeShare = 0.4;
+// Variance of the changes since a report, per change. Two Poisson processes would give 2; 0.4 is best for
+// zones of two or three nodes and 2 for zones of 14 in bench/decisions, where 1 is close to the best of both.
+constexpr double kChangeShare = 1;
 // The expected excess of a normal variable with deviation s is close to a softplus of scale 0.55 s.
 constexpr double kSoftplusScale = 0.55;
 constexpr double kFarFromBend = 6;
@@ -83,9 +82,16 @@
   terms->away = policy != nullptr && region != home ? policy->away_penalty : 0;
   const double first_token = FirstToken(*terms);
   const double late = std::max(first_token - static_cast<double>(options.target.count()), 0.0);
+  if (region == home && terms->warms_owner) {
+    const double missing = std::max(static_cast<double>(request.prefix_tokens) - terms->cached_tokens, 0.0);
+    const double fill = weights.per_ms * missing * Milliseconds(options.prefill_per_token) +
+                        weights.per_cost * missing * price / kTokensPerPrice;
+    terms->reuse = options.reuse_share * fill;
+  }
   const double suspect = terms->suspect ? options.suspect_penalty : 0;
-  terms->total = weights.per_ms * first_token + weights.late * late + weights.per_cost * terms->price;
-  terms->total += terms->away + terms->ramp + terms->pressure + suspect;
+  terms->total = weights.per_ms * first_token + weights.queue * terms->queue_ms + weights.late * late +
+                 weights.per_cost * terms->price;
+  terms->total += terms->away + terms->ramp + terms->pressure + suspect - terms->reuse;
 }
 
 }  // namespace cornelplank::routing
--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -10,14 +10,15 @@
 struct ObjectiveWeights {
   double per_ms = 1;    // score units per millisecond to the first token
   double per_cost = 0;  // score units per cost unit
+  double queue = 0;     // further score units per millisecond of expected queue, whose tail is long
   double late = 0;      // further score units per millisecond beyond the first-token target
   double pressure =
       0;  // score units per millisecond of the own zone's mean wait, for requests that may go elsewhere
 };
 
 struct ScoreOptions {
-  ObjectiveWeights cost{0.2, 1000, 5, 0.25};
-  ObjectiveWeights latency{1, 50, 2, 0.5};
+  ObjectiveWeights cost{0.2, 1000, 2, 5, 0.25};
+  ObjectiveWeights latency{1, 50, 4, 2, 0.5};
   /// The p95 target of the first token; the `late` weight applies beyond it.
   std::chrono::milliseconds target{1400};
   /// Time that a request holds its slot: 232 tokens at 62 ms.
@@ -33,6 +34,8 @@
   double unknown_owner_share = 0.5;
   /// Score units for a suspect replica: a failed try costs a retry, and another zone is better than that.
   double suspect_penalty = 5000;
+  /// Share of the time and price of filling the prefix owner's cache at home that later requests get back.
+  double reuse_share = 0.5;
   uint32_t choices = 4;
   double owner_load_bound = 1.25;
   /// Classes that wait take a replica or zone only below this share of its slots.
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -132,6 +132,7 @@
     decision.terms.cached_tokens = CachedTokens(*replica.cell, owner);
     decision.terms.prefill_ms = Prefill(decision.terms.cached_tokens);
     decision.terms.prefix_owner = owner;
+    decision.terms.warms_owner = owner;
     decision.terms.borrowed = borrowed;
     decision.terms.suspect = scan.OnlySuspects();
     decision.terms.ramp = RampPenalty(candidate.load, candidate.given, candidate.slots, slot_ms_);
@@ -204,6 +205,7 @@
     terms.distance_ms = 2 * Milliseconds(*world_.Distance(zone));
     terms.prefill_ms = Prefill(0);
     terms.borrowed = borrowed;
+    terms.warms_owner = request_.prefix != 0;
     AddScore(request_, world_, decision.region, offer.slots > 0 ? offer.price : able.price, options_, &terms);
     Offer(decision, load + 1 <= slots * options_.spare_share);
   }
