Offer the second prefix owner too

Cause: requests that found the owner busy were spread over random replicas, each with a cold cache. Change: the second in the prefix' rendezvous order is a candidate too, without the owner's credit.

--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -43,12 +43,14 @@
       pressure_ = WeightsOf(request_, world_, options_).pressure *
                   ZoneQueue(scan.TotalLoad() + 1, scan.TotalGiven(), slot_ms_);
     }
-    const size_t owner =
-        request_.prefix != 0 ? scan.PrefixOwner(request_.prefix, options_.owner_load_bound) : scan.Size();
-    if (owner < scan.Size()) OfferReplica(scan, owner, true);
+    ZoneScan::Owners owners{scan.Size(), scan.Size()};
+    if (request_.prefix != 0) owners = scan.PrefixOwners(request_.prefix, options_.owner_load_bound);
+    if (owners.first < scan.Size()) OfferReplica(scan, owners.first, true);
+    // Requests that found the owner busy went to the second one, so the prefix is likely there too.
+    if (owners.second < scan.Size()) OfferReplica(scan, owners.second, false);
     for (uint32_t i = 0; i < options_.choices; ++i) {
       const size_t position = scan.Pick(random_);
-      OfferReplica(scan, position, position == owner);
+      if (position != owners.first && position != owners.second) OfferReplica(scan, position, false);
     }
   }
 
--- a/libs/routing/internal/zone_scan.cc
+++ b/libs/routing/internal/zone_scan.cc
@@ -100,22 +100,28 @@
   return static_cast<size_t>(above - candidates_.begin()) - 1;
 }
 
-size_t ZoneScan::PrefixOwner(uint64_t prefix, double bound) const {
+ZoneScan::Owners ZoneScan::PrefixOwners(uint64_t prefix, double bound) const {
   const auto& replicas = world_.Replicas().Replicas();
-  size_t best = size_;
-  double best_weight = -1;
+  Owners owners{size_, size_};
+  double first_weight = -1;
+  double second_weight = -1;
   for (size_t i = 0; i < size_; ++i) {
     const Candidate& candidate = candidates_[i];
     // The new request counts too, rounded up, so that an idle zone has an owner.
     const double limit = std::ceil(bound * (total_load_ + 1) * candidate.given / total_given_);
     if (candidate.load + 1 > limit) continue;
     const double weight = OwnerWeight(prefix, replicas[candidate.replica].key, candidate.slots);
-    if (weight > best_weight) {
-      best = i;
-      best_weight = weight;
+    if (weight > first_weight) {
+      owners.second = owners.first;
+      second_weight = first_weight;
+      owners.first = i;
+      first_weight = weight;
+    } else if (weight > second_weight) {
+      owners.second = i;
+      second_weight = weight;
     }
   }
-  return best;
+  return owners;
 }
 
 }  // namespace cornelplank::routing
--- a/libs/routing/internal/zone_scan.h
+++ b/libs/routing/internal/zone_scan.h
@@ -37,9 +37,15 @@
   /// Position of a random candidate, with a chance in proportion to its given slots.
   size_t Pick(base::Random& random) const;
 
-  /// Position of the first candidate in the prefix' rendezvous order whose load stays within the bound, which
-  /// is `bound` times the mean load per slot.
-  size_t PrefixOwner(uint64_t prefix, double bound) const;
+  /// Positions of candidates, or `Size()` for none.
+  struct Owners {
+    size_t first = 0;
+    size_t second = 0;
+  };
+
+  /// The first two candidates in the prefix' rendezvous order whose load stays within the bound, which is
+  /// `bound` times the mean load per slot.
+  Owners PrefixOwners(uint64_t prefix, double bound) const;
 
  private:
   void Collect(Eligibility wanted, uint32_t start, Rejections* rejections);
