Offer a holder of the prefix under the cost objective

Cause: when the owners change (peak, loss, return), the prefix is still cached at replicas that are no owners. Change: under the cost objective a random replica that holds the prefix is a candidate.

--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -14,11 +14,14 @@
   double late = 0;      // further score units per millisecond beyond the first-token target
   double pressure =
       0;  // score units per millisecond of the own zone's mean wait, for requests that may go elsewhere
+  /// Whether a random replica that holds the prefix is a candidate besides the two owners. It saves prefill
+  /// and lengthens the queues of popular replicas.
+  bool offer_holder = false;
 };
 
 struct ScoreOptions {
-  ObjectiveWeights cost{0.2, 1000, 2, 5, 0.25};
-  ObjectiveWeights latency{1, 50, 4, 2, 0.5};
+  ObjectiveWeights cost{0.2, 1000, 2, 5, 0.25, true};
+  ObjectiveWeights latency{1, 50, 4, 2, 0.5, false};
   /// The p95 target of the first token; the `late` weight applies beyond it.
   std::chrono::milliseconds target{1400};
   /// Time that a request holds its slot: 232 tokens at 62 ms.
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -48,6 +48,11 @@
     if (owners.first < scan.Size()) OfferReplica(scan, owners.first, true);
     // Requests that found the owner busy went to the second one, so the prefix is likely there too.
     if (owners.second < scan.Size()) OfferReplica(scan, owners.second, false);
+    const bool wanted = WeightsOf(request_, world_, options_).offer_holder;
+    const size_t holder = wanted ? RandomHolder(scan) : scan.Size();
+    if (holder < scan.Size() && holder != owners.first && holder != owners.second) {
+      OfferReplica(scan, holder, false);
+    }
     for (uint32_t i = 0; i < options_.choices; ++i) {
       const size_t position = scan.Pick(random_);
       if (position != owners.first && position != owners.second) OfferReplica(scan, position, false);
@@ -123,6 +128,22 @@
                               : 0;
   }
 
+  /// Position of a random candidate that is known to hold the prefix, by its given slots; `Size()` when there
+  /// is none. The least loaded one would be the same for all nodes that share a report.
+  size_t RandomHolder(const ZoneScan& scan) const {
+    size_t holder = scan.Size();
+    if (request_.prefix == 0) return holder;
+    double total = 0;
+    for (size_t i = 0; i < scan.Size(); ++i) {
+      const ZoneScan::Candidate& candidate = scan.At(i);
+      const auto* cache = world_.Replicas().Replicas()[candidate.replica].cell->Cache();
+      if (cache == nullptr || cache->Tokens(request_.prefix) == 0) continue;
+      total += candidate.given;
+      if (random_.Unit() * total < candidate.given) holder = i;
+    }
+    return holder;
+  }
+
   void OfferReplica(const ZoneScan& scan, size_t position, bool owner) {
     const ZoneScan::Candidate& candidate = scan.At(position);
     const upstreams::Replica& replica = world_.Replicas().Replicas()[candidate.replica];
