--- a/tests/upstreams/replica_table_test.cc
+++ b/tests/upstreams/replica_table_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "libs/upstreams/upstreams.h"
 
 namespace cornelplank::upstreams {
@@ -77,6 +79,33 @@
   EXPECT_FALSE(Cell("e0").Leaving());
 }
 
+// Guards against a request thread that overlooks a leaving mark, and against lost in-flight counts.
+TEST_F(ReplicaTableTest, NoRequestBeginsAfterTheLeavingMark) {
+  Configure(1);
+  const auto cell = table_.TakeSnapshot()->Find("e0")->cell;
+  std::atomic<bool> marked{false};
+  std::atomic<int> late{0};
+  std::atomic<uint64_t> begun{0};
+  std::vector<std::jthread> threads;
+  for (int i = 0; i < 3; ++i) {
+    threads.emplace_back([&](const std::stop_token& stop) {
+      while (!stop.stop_requested()) {
+        const bool before = marked.load();
+        const auto guard = InFlight::Begin(cell, now_, nullptr);
+        if (guard) begun.fetch_add(1);
+        if (before && guard) late.fetch_add(1);
+      }
+    });
+  }
+  while (begun.load() < 1000) std::this_thread::yield();
+  table_.OnLeavingResponse("e0", now_);
+  marked.store(true);
+  std::this_thread::sleep_for(milliseconds{20});
+  threads.clear();
+  EXPECT_EQ(late.load(), 0);
+  EXPECT_EQ(cell->InFlight(), 0U);
+}
+
 // Guards against ejecting so much of a zone that the rest is overloaded.
 TEST_F(ReplicaTableTest, EjectsAtMostThirtyPercentOfAZone) {
   Configure(10);
