Hold the load bound for every choice that counts on the cache

Cause: a new test for a hot prefix found 39 of 40 slots of its owner taken with a mean of 20: the bound kept it from being the owner, but the random choices still took it for its cached prefix. Change: beyond the load bound a cached prefix doesn't count.

--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -118,8 +118,10 @@
     return missing * Milliseconds(options_.prefill_per_token);
   }
 
-  uint32_t CachedTokens(const upstreams::ReplicaCell& cell, bool owner) const {
-    if (request_.prefix == 0) return 0;
+  uint32_t CachedTokens(const ZoneScan& scan, size_t position, bool owner) const {
+    // Beyond the load bound a cached prefix doesn't count, so that a hot prefix spreads.
+    if (request_.prefix == 0 || !scan.IsWithin(options_.owner_load_bound, position)) return 0;
+    const upstreams::ReplicaCell& cell = *world_.Replicas().Replicas()[scan.At(position).replica].cell;
     const upstreams::PrefixCache* cache = cell.Cache();
     const uint32_t known = cache == nullptr ? 0 : cache->Tokens(request_.prefix);
     if (known > 0) return std::min(known, request_.prefix_tokens);
@@ -152,7 +154,7 @@
     const bool spare = !scan.OnlySuspects() && candidate.load + 1 <= candidate.given * options_.spare_share;
     RouteDecision decision = OwnZoneDecision(candidate.replica);
     decision.terms.queue_ms = ReplicaQueue(candidate.load, candidate.uncertainty, candidate.slots, slot_ms_);
-    decision.terms.cached_tokens = CachedTokens(*replica.cell, owner);
+    decision.terms.cached_tokens = CachedTokens(scan, position, owner);
     decision.terms.prefill_ms = Prefill(decision.terms.cached_tokens);
     decision.terms.prefix_owner = owner;
     decision.terms.warms_owner = owner;
--- a/libs/routing/internal/zone_scan.cc
+++ b/libs/routing/internal/zone_scan.cc
@@ -100,6 +100,12 @@
   return static_cast<size_t>(above - candidates_.begin()) - 1;
 }
 
+bool ZoneScan::IsWithin(double bound, size_t position) const {
+  const Candidate& candidate = candidates_[position];
+  // The new request counts too, rounded up, so that an idle zone has an owner.
+  return candidate.load + 1 <= std::ceil(bound * (total_load_ + 1) * candidate.given / total_given_);
+}
+
 ZoneScan::Owners ZoneScan::PrefixOwners(uint64_t prefix, double bound) const {
   const auto& replicas = world_.Replicas().Replicas();
   Owners owners{size_, size_};
@@ -107,9 +113,7 @@
   double second_weight = -1;
   for (size_t i = 0; i < size_; ++i) {
     const Candidate& candidate = candidates_[i];
-    // The new request counts too, rounded up, so that an idle zone has an owner.
-    const double limit = std::ceil(bound * (total_load_ + 1) * candidate.given / total_given_);
-    if (candidate.load + 1 > limit) continue;
+    if (!IsWithin(bound, i)) continue;
     const double weight = OwnerWeight(prefix, replicas[candidate.replica].key, candidate.slots);
     if (weight > first_weight) {
       owners.second = owners.first;
--- a/libs/routing/internal/zone_scan.h
+++ b/libs/routing/internal/zone_scan.h
@@ -37,6 +37,9 @@
   /// Position of a random candidate, with a chance in proportion to its given slots.
   size_t Pick(base::Random& random) const;
 
+  /// True when the candidate's load with the new request is at most `bound` times the mean load per slot.
+  bool IsWithin(double bound, size_t position) const;
+
   /// Positions of candidates, or `Size()` for none.
   struct Owners {
     size_t first = 0;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -119,7 +119,7 @@
 }
 
 // Guards against full replicas of another partner that crowd the own one out of the random choices.
-TEST(ScoredRouterTest, BusyLentReplicasDoNotHideOwnOnes) {
+TEST(LendingTest, BusyLentReplicasDoNotHideOwnOnes) {
   config::Document document = MakeDocument(1, 1, 20);
   document.partners["p1"].lends["p0"] = 0.5;
   for (auto& [id, upstream] : document.upstreams) upstream.partner = id == "r0/z0/e7" ? "p0" : "p1";
--- /dev/null
+++ b/tests/routing/scored_router_test.cc
@@ -0,0 +1,127 @@
+#include <gtest/gtest.h>
+
+#include <list>
+#include <map>
+
+#include "tests/routing/world_fixture.h"
+
+namespace cornelplank::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ScoredRouterTest : public testing::Test {
+ protected:
+  std::optional<RouteDecision> Choose(const WorldFixture& fixture, const RouteRequest& request) {
+    return ScoredRouter().Choose(request, *fixture.world, random_, &reason_);
+  }
+  static const upstreams::Replica& Chosen(const WorldFixture& fixture, const RouteDecision& decision) {
+    return fixture.world->Replicas().Replicas()[decision.upstream];
+  }
+  /// Routes `count` requests that stay in flight; returns how many each replica got.
+  std::map<std::string, int> Fill(const WorldFixture& fixture, const RouteRequest& request, int count) {
+    std::map<std::string, int> loads;
+    for (int i = 0; i < count; ++i) {
+      const auto decision = Choose(fixture, request);
+      const upstreams::Replica& replica = Chosen(fixture, *decision);
+      open_.push_back(*upstreams::InFlight::Begin(replica.cell, fixture.now, nullptr));
+      ++loads[replica.id];
+    }
+    return loads;
+  }
+
+  base::Random random_{7};
+  RouteReason reason_;
+  std::list<upstreams::InFlight> open_;
+};
+
+// Guards against small replicas that get as much as ones with ten times their slots.
+TEST_F(ScoredRouterTest, LoadFollowsSlots) {
+  config::Document document = MakeDocument(1, 1, 10, 4);
+  for (const char* id : {"r0/z0/e0", "r0/z0/e1"}) document.upstreams[id].slots = 40;
+  const WorldFixture fixture(document);
+  const auto loads = Fill(fixture, fixture.Request(), 90);
+  for (const auto& [id, upstream] : document.upstreams) {
+    EXPECT_GE(loads.at(id), upstream.slots / 2) << id;
+    EXPECT_LE(loads.at(id), upstream.slots) << id;
+  }
+}
+
+// Guards against a hot prefix that piles up at its owner.
+TEST_F(ScoredRouterTest, HotPrefixStaysWithinTheLoadBound) {
+  WorldFixture fixture(MakeDocument(1, 1, 10, 40));
+  RouteRequest request = fixture.Request();
+  request.prefix = 99;
+  request.prefix_tokens = 4000;
+  request.prompt_tokens = 4100;
+  const auto first = Choose(fixture, request);
+  EXPECT_TRUE(first->terms.prefix_owner);
+  EXPECT_EQ(Choose(fixture, request)->upstream, first->upstream);
+  fixture.table.OnPrefixServed(Chosen(fixture, *first).id, request.prefix, 4000);
+  for (const auto& [id, load] : Fill(fixture, request, 200)) EXPECT_LE(load, 1 + 200 / 10 * 5 / 4) << id;
+}
+
+// Guards against a returned replica that is flooded, and against one that never gets work again.
+TEST_F(ScoredRouterTest, ReturnedReplicaRampsUp) {
+  WorldFixture fixture(MakeDocument(1, 1, 5, 20));
+  for (int e = 0; e < 5; ++e) fixture.Report(Numbered("r0/z0/e", e), 0);
+  fixture.table.OnLoadReport({"r0/z0/e3", 2, upstreams::EngineState::kReady, 0, 0, {"m0"}, {}}, fixture.now);
+  EXPECT_LE(Fill(fixture, fixture.Request(), 40)["r0/z0/e3"], 4);
+  open_.clear();
+  fixture.now += seconds{30};
+  EXPECT_GE(Fill(fixture, fixture.Request(), 40)["r0/z0/e3"], 5);
+}
+
+// Guards against waiting classes that take the last slots, and against ones that wait beyond their deadline.
+TEST_F(ScoredRouterTest, WaitingClassWaitsForSpareUntilItsDeadline) {
+  WorldFixture fixture(MakeDocument(1, 1, 1, 10));
+  fixture.Report("r0/z0/e0", 9);
+  RouteRequest request = fixture.Request();
+  request.may_wait = true;
+  request.deadline = fixture.now + seconds{60};
+  EXPECT_FALSE(Choose(fixture, request).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kWaitForSpare);
+  EXPECT_GE(reason_.retry_after, milliseconds{50});
+  request.deadline = fixture.now + seconds{5};
+  EXPECT_TRUE(Choose(fixture, request).has_value());
+  fixture.Report("r0/z0/e0", 10, 90);
+  fixture.now += milliseconds{1};
+  fixture.Report("r0/z0/e0", 10, 90);
+  EXPECT_FALSE(Choose(fixture, request).has_value());
+  EXPECT_EQ(reason_.code, RouteCode::kDeadline);
+}
+
+// Guards against forwards over a link whose budget is used up.
+TEST_F(ScoredRouterTest, UsedUpLinkKeepsRequestsAtHome) {
+  WorldFixture fixture(MakeDocument(2, 1, 1));
+  fixture.Report("r0/z0/e0", 8, 3);
+  fixture.table.OnZoneSum("r1", "z0", {8, 0, 0, 0, {}}, seconds{0}, fixture.now);
+  EXPECT_EQ(Choose(fixture, fixture.Request())->target, RouteTarget::kZone);
+  RouteRequest large = fixture.Request();
+  large.response_bytes = 10000000000;
+  auto forward = fixture.world->BeginForward(large, 1);
+  const auto decision = Choose(fixture, fixture.Request());
+  EXPECT_EQ(decision->target, RouteTarget::kUpstream);
+  forward->Cancel();
+  EXPECT_EQ(Choose(fixture, fixture.Request())->target, RouteTarget::kZone);
+}
+
+// Guards against a probe by a call that must not be repeated, and against an ejected replica without a probe.
+TEST_F(ScoredRouterTest, OnlyIdempotentRequestsProbe) {
+  WorldFixture fixture(MakeDocument(1, 1, 5));
+  for (int i = 0; i < 5; ++i) {
+    fixture.table.OnResult("r0/z0/e2", upstreams::Result::kFailure, false, fixture.now);
+  }
+  fixture.now += seconds{1};
+  RouteRequest request = fixture.Request();
+  request.idempotent = false;
+  EXPECT_FALSE(Choose(fixture, request)->terms.probe);
+  const auto decision = Choose(fixture, fixture.Request());
+  EXPECT_TRUE(decision->terms.probe);
+  const auto guard = upstreams::InFlight::Begin(Chosen(fixture, *decision).cell, fixture.now, nullptr);
+  EXPECT_FALSE(Choose(fixture, fixture.Request())->terms.probe);
+}
+
+}  // namespace
+}  // namespace cornelplank::routing
