--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -41,8 +41,6 @@
   double reuse_share = 0.5;
   uint32_t choices = 4;
   double owner_load_bound = 1.25;
-  /// Below this share of its slots a replica is exempt from the load bound.
-  double idle_share = 0.5;
   /// Classes that wait take a replica or zone only below this share of its slots.
   double spare_share = 0.8;
 };
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -119,13 +119,9 @@
   }
 
   uint32_t CachedTokens(const ZoneScan& scan, size_t position, bool owner) const {
-    if (request_.prefix == 0) return 0;
-    // Beyond the load bound a cached prefix doesn't count, so that a hot prefix spreads. Replicas with many
-    // free slots are exempt: at low load the bound would be a few requests.
-    const ZoneScan::Candidate& candidate = scan.At(position);
-    const bool idle = candidate.load + 1 <= candidate.given * options_.idle_share;
-    if (!idle && !scan.IsWithin(options_.owner_load_bound, position)) return 0;
-    const upstreams::ReplicaCell& cell = *world_.Replicas().Replicas()[candidate.replica].cell;
+    // Beyond the load bound a cached prefix doesn't count, so that a hot prefix spreads.
+    if (request_.prefix == 0 || !scan.IsWithin(options_.owner_load_bound, position)) return 0;
+    const upstreams::ReplicaCell& cell = *world_.Replicas().Replicas()[scan.At(position).replica].cell;
     const upstreams::PrefixCache* cache = cell.Cache();
     const uint32_t known = cache == nullptr ? 0 : cache->Tokens(request_.prefix);
     if (known > 0) return std::min(known, request_.prefix_tokens);
