--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -21,7 +21,7 @@
 
 struct ScoreOptions {
   ObjectiveWeights cost{0.2, 1000, 2, 5, 0.25, true};
-  ObjectiveWeights latency{1, 50, 4, 2, 0.5, false};
+  ObjectiveWeights latency{1, 50, 4, 2, 0.25, false};
   /// The p95 target of the first token; the `late` weight applies beyond it.
   std::chrono::milliseconds target{1400};
   /// Time that a request holds its slot: 232 tokens at 62 ms.
