Read a log with a deeply nested value in linear time

Cause: a page with one value nested deeper than 64 levels was parsed with the callback of the JSON library, which takes quadratic time in the members of a list. One published entry of 600 KB kept every node busy for 13 s on each read.

Change: the value is cut out of the text before parsing and read as null. A single entry and an entry in a page are cut at the same place.

Ruled out: refusing the whole page, since one operator could then stop the configuration of the other.

--- a/libs/config/internal/json_reader.cc
+++ b/libs/config/internal/json_reader.cc
@@ -9,6 +9,30 @@
 
 constexpr size_t kMaxTextBytes = 256;
 
+/// Follows the nesting of JSON text, one byte at a time.
+class DepthScan {
+ public:
+  /// The number of open brackets after `c`.
+  int Next(char c) {
+    if (in_string_) {
+      in_string_ = escaped_ || c != '"';
+      escaped_ = !escaped_ && c == '\\';
+    } else if (c == '"') {
+      in_string_ = true;
+    } else if (c == '[' || c == '{') {
+      ++depth_;
+    } else if (c == ']' || c == '}') {
+      --depth_;
+    }
+    return depth_;
+  }
+
+ private:
+  int depth_ = 0;
+  bool in_string_ = false;
+  bool escaped_ = false;
+};
+
 template <typename T>
 std::string RangeText(std::string_view kind, T low, T high) {
   std::ostringstream text;
@@ -31,23 +55,23 @@
 
 }  // namespace
 
-bool IsTooDeep(std::string_view text) {
-  int depth = 0;
-  bool in_string = false;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_string) {
-      if (c == '\\') ++i;
-      in_string = c != '"';
-    } else if (c == '"') {
-      in_string = true;
-    } else if (c == '[' || c == '{') {
-      if (++depth > kMaxJsonDepth) return true;
-    } else if (c == ']' || c == '}') {
-      --depth;
-    }
+bool IsTooDeep(std::string_view text, int max_depth) {
+  DepthScan scan;
+  return std::any_of(text.begin(), text.end(), [&](char c) { return scan.Next(c) > max_depth; });
+}
+
+std::string CutDeepValues(std::string_view text, int max_depth) {
+  std::string kept;
+  DepthScan scan;
+  int before = 0;
+  for (const char c : text) {
+    const int depth = scan.Next(c);
+    if (depth > max_depth && before <= max_depth) kept += "null";
+    // The bracket that closes a value which is left out belongs to it.
+    if (depth <= max_depth && before <= max_depth) kept += c;
+    before = depth;
   }
-  return false;
+  return kept;
 }
 
 std::optional<Json> ParseJson(std::string_view text, ConfigReason* reason) {
--- a/libs/config/internal/json_reader.h
+++ b/libs/config/internal/json_reader.h
@@ -22,9 +22,11 @@
 /// recursive functions of the JSON library.
 inline constexpr int kMaxJsonDepth = 64;
 
-/// True when the brackets of `text` nest deeper than kMaxJsonDepth. The JSON library could tell while
-/// parsing, but its callback makes the parser take quadratic time in the members of an object.
-bool IsTooDeep(std::string_view text);
+/// True when the brackets of `text` nest deeper than `max_depth`. The JSON library could tell while parsing,
+/// but its callback makes the parser take quadratic time in the members of an object.
+bool IsTooDeep(std::string_view text, int max_depth = kMaxJsonDepth);
+/// Replaces each object and list that is nested deeper than `max_depth` by null.
+std::string CutDeepValues(std::string_view text, int max_depth);
 
 /// Parses `text` strictly. Nothing when it is not JSON or is nested too deeply.
 std::optional<Json> ParseJson(std::string_view text, ConfigReason* reason);
--- a/libs/config/internal/log_entry.cc
+++ b/libs/config/internal/log_entry.cc
@@ -7,30 +7,13 @@
 namespace cornelplank::config {
 namespace {
 
-/// Marks the patch of an entry that is nested too deeply; it is not a list, so the entry is refused.
-constexpr const char* kTooDeep = "nested too deeply";
+// An entry lies two levels deep in a page, and both ways of reading it have to give the same patch.
+constexpr int kEntryDepth = 2;
 
-/// Parses a log so that a value that is nested too deeply invalidates its own entry only. `entry_depth` is
-/// the depth of the objects that are entries.
-std::optional<Json> ParseLogJson(std::string_view text, int entry_depth, ConfigReason* reason) {
-  bool too_deep = false;
-  const auto limit_depth = [&too_deep, entry_depth](int depth, Json::parse_event_t event, Json& value) {
-    if (depth > kMaxJsonDepth) {
-      too_deep = true;
-      return false;
-    }
-    if (too_deep && event == Json::parse_event_t::object_end && depth == entry_depth) {
-      value["patch"] = kTooDeep;
-      too_deep = false;
-    }
-    return true;
-  };
-  try {
-    return IsTooDeep(text) ? Json::parse(text, limit_depth) : Json::parse(text);
-  } catch (const Json::exception& error) {
-    base::SetReason(reason, ConfigCode::kMalformed, std::string("not JSON: ") + error.what());
-    return std::nullopt;
-  }
+/// A value that is nested too deeply must not make the rest of the log unreadable.
+std::optional<Json> ParseLogJson(std::string_view text, int max_depth, ConfigReason* reason) {
+  return IsTooDeep(text, max_depth) ? ParseJson(CutDeepValues(text, max_depth), reason)
+                                    : ParseJson(text, reason);
 }
 
 std::optional<LogEntry> EntryFromJson(const Json& value, const Place& place, Faults* faults) {
@@ -62,7 +45,7 @@
 }  // namespace
 
 std::optional<LogPage> ParseLogPage(std::string_view json, ConfigReason* reason) {
-  const auto value = ParseLogJson(json, 2, reason);
+  const auto value = ParseLogJson(json, kMaxJsonDepth, reason);
   if (!value) return std::nullopt;
   Faults faults;
   const Place root;
@@ -87,7 +70,7 @@
 }
 
 std::optional<LogEntry> ParseLogEntry(std::string_view json, ConfigReason* reason) {
-  const auto value = ParseLogJson(json, 0, reason);
+  const auto value = ParseLogJson(json, kMaxJsonDepth - kEntryDepth, reason);
   if (!value) return std::nullopt;
   Faults faults;
   const Place root;
--- a/tests/config/codec_test.cc
+++ b/tests/config/codec_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
+
 #include "tests/config/example.h"
 
 namespace cornelplank::config {
@@ -63,6 +65,20 @@
   EXPECT_EQ(verdicts, "base ownership patch patch none ");
 }
 
+// Guards against one entry that keeps every node busy for long, and against two ways of reading an entry.
+TEST(LogPageTest, ReadsADeepEntryInLinearTimeAndInOneWay) {
+  std::string entry = R"({"seq":8,"base":3,"author":"gave","patch":[{"a":"]}\""},)";
+  entry.append(500, '[').append(500, ']');
+  for (int i = 0; i < 200'000; ++i) entry += ",{}";
+  entry += "]}";
+  const auto start = std::chrono::steady_clock::now();
+  const auto page = ParseLogPage(R"({"head_seq":8,"oldest_seq":8,"entries":[)" + entry + "]}", nullptr);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds{5});
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->entries.at(0), ParseLogEntry(entry, nullptr));
+  EXPECT_EQ(ParseLogPage(WriteLogPage(*page), nullptr), page);
+}
+
 // Guards against pages that are half read.
 TEST(LogPageTest, APageWithoutReadableSeqIsMalformed) {
   ConfigReason reason;
