Cut zones in the control benchmark; test doubts and changed names

New tests for a doubted VM and for messages with other names; without MergeDoubts MissedCallMakesPeersCallTheVm fails.

--- a/bench/control/fleet.cc
+++ b/bench/control/fleet.cc
@@ -61,12 +61,13 @@
       gossip(settings, names, table, seed, now),
       schedule(seed + 1, now),
       random(seed + 2),
-      region(std::stoi(entry.region.substr(6))) {}
+      region(std::stoi(entry.region.substr(6))),
+      zone(std::stoi(entry.zone.substr(4))) {}
 
 Fleet::Fleet(const FleetShape& shape)
     : platform_(loop_),
-      cut_(static_cast<size_t>(shape.regions), false),
-      cut_platform_(static_cast<size_t>(shape.regions), false),
+      cut_regions_(static_cast<size_t>(shape.regions), false),
+      cut_zones_(static_cast<size_t>(shape.zones), false),
       random_(shape.seed) {
   std::vector<membership::VmListEntry> list;
   for (int i = 0; i < shape.nodes; ++i) list.push_back(EntryOf(shape, i));
@@ -95,9 +96,16 @@
   return work();
 }
 
+bool Fleet::CutFromPlatform(const Node& node) const {
+  return cut_regions_[static_cast<size_t>(node.region)] || cut_zones_[static_cast<size_t>(node.zone)];
+}
+
 bool Fleet::Cut(const Node& a, const Node& b) const {
   if (!a.alive || !b.alive) return true;
-  return a.region != b.region && (cut_[static_cast<size_t>(a.region)] || cut_[static_cast<size_t>(b.region)]);
+  const auto region_cut = [&](const Node& node) { return cut_regions_[static_cast<size_t>(node.region)]; };
+  const auto zone_cut = [&](const Node& node) { return cut_zones_[static_cast<size_t>(node.zone)]; };
+  return (a.region != b.region && (region_cut(a) || region_cut(b))) ||
+         (a.zone != b.zone && (zone_cut(a) || zone_cut(b)));
 }
 
 bool Fleet::SuspectedByItsZone(int i) {
@@ -121,8 +129,7 @@
 void Fleet::Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail) {
   Count(i, bytes, membership::kCallerOverheadBytes);
   auto open = std::make_shared<bool>(true);
-  const bool same_zone = At(i).table.own().entry.zone == At(j).table.own().entry.zone;
-  loop_.After(same_zone ? kZoneCallTimeout : kCallTimeout, [open, fail = std::move(fail)] {
+  loop_.After(At(i).zone == At(j).zone ? kZoneCallTimeout : kCallTimeout, [open, fail = std::move(fail)] {
     if (std::exchange(*open, false)) fail();
   });
   const base::Duration delay = Delay(At(i), At(j));
@@ -225,8 +232,7 @@
     const uint64_t entries = seq > At(i).seq ? seq - At(i).seq : 0;
     return Reply{entries * kPatchBytes, [this, i, j, seq] {
                    At(i).pulling = false;
-                   const bool other_zone = At(i).table.own().entry.zone != At(j).table.own().entry.zone;
-                   Adopt(i, seq, other_zone);
+                   Adopt(i, seq, At(i).zone != At(j).zone);
                  }};
   };
   Call(i, j, 40, serve, [this, i] { At(i).pulling = false; });
@@ -271,7 +277,7 @@
   };
   loop_.After(wait + kCallTimeout, [end] { end(false); });
   const base::Duration delay = node.region == 0 ? milliseconds{1} : milliseconds{80};
-  const auto cut = [this, i] { return cut_platform_[static_cast<size_t>(At(i).region)]; };
+  const auto cut = [this, i] { return CutFromPlatform(At(i)); };
   if (cut()) return;
   loop_.After(delay, [this, i, asked, wait, delay, open, end, cut] {
     platform_.Read(At(i).seq, wait, [=, this](FakePlatform::Status status, uint64_t head) {
@@ -294,14 +300,9 @@
   platform_.Publish();
 }
 
-void Fleet::CutRegion(int region, bool platform_too) {
-  cut_[static_cast<size_t>(region)] = true;
-  cut_platform_[static_cast<size_t>(region)] = platform_too;
-}
-
 void Fleet::Heal() {
-  cut_.assign(cut_.size(), false);
-  cut_platform_.assign(cut_platform_.size(), false);
+  cut_regions_.assign(cut_regions_.size(), false);
+  cut_zones_.assign(cut_zones_.size(), false);
 }
 
 std::vector<double> Fleet::TakeSpread() {
--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -43,8 +43,10 @@
   void RunFor(base::Duration time) { loop_.RunFor(time); }
   /// Publishes an entry; its spread is recorded.
   void Publish();
-  /// Cuts a region off from all others and, if asked, from the platform.
-  void CutRegion(int region, bool platform_too);
+  /// Cuts a region off from all others and from the platform; its zones still reach each other.
+  void CutRegion(int region) { cut_regions_[static_cast<size_t>(region)] = true; }
+  /// Cuts a zone off from all others and from the platform.
+  void CutZone(int zone) { cut_zones_[static_cast<size_t>(zone)] = true; }
   void Heal();
   /// Ends one VM without notice.
   void Kill(int i) { At(i).alive = false; }
@@ -72,6 +74,7 @@
     membership::ReadSchedule schedule;
     base::Random random;
     int region;
+    int zone;
     bool alive = true;
     uint64_t seq = 1;
     base::TimePoint head_at{};
@@ -108,6 +111,7 @@
   void Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail);
   void Count(int i, size_t message, size_t overhead);
   bool Cut(const Node& a, const Node& b) const;
+  bool CutFromPlatform(const Node& node) const;
   base::Duration Delay(const Node& a, const Node& b) const;
   /// Runs library code and adds the time that it took.
   template <typename Work>
@@ -118,8 +122,8 @@
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<std::string, int> index_;
   std::map<uint64_t, Spread> spreads_;
-  std::vector<bool> cut_;
-  std::vector<bool> cut_platform_;
+  std::vector<bool> cut_regions_;
+  std::vector<bool> cut_zones_;
   base::Random random_;
   double cpu_s_ = 0;
   base::TimePoint reset_at_{};
--- a/bench/control/main.cc
+++ b/bench/control/main.cc
@@ -86,9 +86,10 @@
   row.spread_p50 = spread[spread.size() / 2];
   row.spread_max = spread.front() < 0 ? -1 : spread.back();
 
-  // One region at a time is cut off from all others and from the platform while entries are published.
-  for (int round = 0; round < 4; ++round) {
-    fleet.CutRegion((shape.regions - 1 + round) % shape.regions, true);
+  // A region, a zone or both are cut off from all others and from the platform while entries are published.
+  for (int round = 0; round < 6; ++round) {
+    if (round % 3 != 1) fleet.CutRegion((shape.regions - 1 + round) % shape.regions);
+    if (round % 3 != 0) fleet.CutZone((shape.zones - 1 + round) % shape.zones);
     for (int i = 0; i < 6; ++i) {
       fleet.RunFor(std::chrono::milliseconds{4000 + random.Below(2000)});
       fleet.Publish();
--- a/tests/membership/command_sequence.h
+++ b/tests/membership/command_sequence.h
@@ -23,10 +23,11 @@
   uint32_t word_;
 };
 
-/// Runs `check(words)`, which returns a violation, on random sequences until about `steps` words were used.
-/// Without `shrink` the first violation is returned as it is, which is enough for a deliberate fault.
-template <typename Check>
-std::optional<std::string> RunCommands(uint64_t seed, uint64_t steps, bool shrink, Check check) {
+/// Drives worlds from `make()` by random sequences until about `steps` words were used. A world has
+/// `Step(Word)` and `Finish()`, which return a violation. Without `shrink` the first violation is returned as
+/// it is, which is enough for a deliberate fault.
+template <typename Make>
+std::optional<std::string> RunCommands(uint64_t seed, uint64_t steps, bool shrink, Make make) {
   constexpr int kMaxLength = 400;
   uint64_t used = 0;
   std::optional<std::string> first;
@@ -37,7 +38,10 @@
       const auto words = *rc::gen::container<std::vector<uint32_t>>(word).as("commands");
       used += words.size();
       if (first && !shrink) return;
-      const std::optional<std::string> found = check(words);
+      auto world = make();
+      std::optional<std::string> found;
+      for (size_t i = 0; i < words.size() && !found; ++i) found = world.Step(Word(words[i]));
+      if (!found) found = world.Finish();
       if (!found) return;
       if (!first) first = found;
       RC_FAIL(*found);
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -1,3 +1,4 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -98,6 +99,48 @@
   EXPECT_GE(a.gossip.ZoneCallsDue(a.table, kStart + milliseconds{1100}).size(), 8U);
 }
 
+// Guards against a dead VM that its peers call only in their turn, and against suspicion by hearsay.
+TEST(GossipTest, MissedCallMakesPeersCallTheVm) {
+  Node a("a", "ost", 1);
+  Node b("b", "ost", 2);
+  VmListEntry entry{"d", "p", "ost", "ost-1", "", "", 1, VmState::kLive};
+  for (const char* id : {"d", "e", "f", "g", "h", "i", "j"}) {
+    entry.id = id;
+    a.table.HeartbeatReceived(entry, kStart);
+    b.table.HeartbeatReceived(entry, kStart);
+  }
+  const base::TimePoint now = kStart + seconds{5};
+  a.gossip.PlatformConfirmed(0, now, now);
+  b.gossip.PlatformConfirmed(0, now, now);
+  Exchange(a, b, now);
+  EXPECT_THAT(b.gossip.ZoneCallsDue(b.table, now), testing::Not(testing::Contains("d")));
+  a.gossip.CallFailed("d", a.table, now);
+  EXPECT_THAT(a.gossip.ZoneCallsDue(a.table, now), testing::Contains("b"));
+  Exchange(a, b, now);
+  EXPECT_THAT(b.gossip.ZoneCallsDue(b.table, now), testing::Contains("d"));
+  EXPECT_FALSE(b.table.Find("d")->doubted);
+}
+
+// Guards against entries that are taken by an index of another configuration, or lost because of it.
+TEST(GossipTest, OtherNamesAreIgnoredAndSentAgain) {
+  Node a("a", "ost", 1);
+  Node b("b", "ost", 2);
+  NameIndex other = Names();
+  other.replicas = {"q0", "r0"};
+  other.slots = {16, 16};
+  other.zone_hash = 7;
+  b.gossip.SetNames(other, b.table);
+  a.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kReady, kStart);
+  Exchange(a, b, kStart);
+  Exchange(a, b, kStart);
+  EXPECT_FALSE(b.gossip.LoadOf(0, kStart));
+  a.gossip.SetNames(other, a.table);
+  Exchange(a, b, kStart);
+  EXPECT_FALSE(b.gossip.LoadOf(0, kStart));
+  ASSERT_TRUE(b.gossip.LoadOf(1, kStart)) << "r0 has another index now";
+  EXPECT_EQ(b.gossip.LoadOf(1, kStart)->running, 5);
+}
+
 // Guards against a node that counts as confirmed through old, stale or one-way news, or that has seen a newer
 // head which it can't reach.
 TEST(ConfirmationTest, NeedsYoungNewsFromPlatformOrAllRegions) {
--- a/tests/membership/membership_fuzz.cc
+++ b/tests/membership/membership_fuzz.cc
@@ -28,64 +28,25 @@
     const int command = word.Take(24);
     const int a = word.Take(kSimNodes);
     const int b = word.Take(kSimNodes);
-    switch (command) {
-      case 0:
-        Kill(a);
-        break;
-      case 1:
-        Start(a);
-        break;
-      case 2:
-        Node(a).paused = true;
-        break;
-      case 3:
-        Node(a).paused = false;
-        break;
-      case 4:
-        Blocked(a, b) = Blocked(b, a) = true;
-        break;
-      case 5:
-        Blocked(a, b) = true;
-        break;
-      case 6:
-        Blocked(a, b) = Blocked(b, a) = false;
-        break;
-      case 7:
-        HealAll();
-        break;
-      case 8:
-        list_ = CurrentList();
-        break;
-      case 9:
-        DeliverList(a, list_, seconds{word.Take(30)});
-        break;
-      case 10:
-        if (Runs(a) && word.Take(4) == 0) {
-          Node(a).table->SetOwnLeaving();
-          Node(a).self.state = VmState::kLeaving;
-        }
-        break;
-      case 11:
-        Duplicate(static_cast<size_t>(word.Take(64)), seconds{word.Take(15)});
-        break;
-      case 12:
-        if (!network_.empty()) network_.erase(network_.begin() + word.Take(64) % std::ssize(network_));
-        break;
-      case 13:
-        delay_ = milliseconds{word.Take(2) * word.Take(1200)};
-        break;
-      case 14:
-        Tick(seconds{word.Take(20)});
-        break;
-      case 15:
-        if (Runs(a)) {
-          Node(a).gossip->PlatformConfirmed(1, now_, now_);
-          Node(a).truth[kPlatformTruth] = now_;
-        }
-        break;
-      default:
-        for (int n = 0; n <= word.Take(6); ++n) Tick();
+    if (command == 0) Kill(a);
+    if (command == 1) Start(a);
+    if (command == 2) Node(a).paused = true;
+    if (command == 3) Node(a).paused = false;
+    if (command == 4) Blocked(a, b) = Blocked(b, a) = true;
+    if (command == 5) Blocked(a, b) = true;
+    if (command == 6) Blocked(a, b) = Blocked(b, a) = false;
+    if (command == 7) HealAll();
+    if (command == 8) list_ = CurrentList();
+    if (command == 9) DeliverList(a, list_, seconds{word.Take(30)});
+    if (command == 10 && word.Take(4) == 0) Leave(a);
+    if (command == 11) Duplicate(static_cast<size_t>(word.Take(64)), seconds{word.Take(15)});
+    if (command == 12 && !network_.empty()) {
+      network_.erase(network_.begin() + word.Take(64) % std::ssize(network_));
     }
+    if (command == 13) delay_ = milliseconds{word.Take(2) * word.Take(1200)};
+    if (command == 14) Tick(seconds{word.Take(20)});
+    if (command == 15) ConfirmFromPlatform(a);
+    for (int n = command > 15 ? word.Take(6) : -1; n >= 0; --n) Tick();
     Observe();
     return violation_;
   }
@@ -118,6 +79,17 @@
     if (!violation_) violation_ = std::to_string(i) + " of " + std::to_string(j) + ": " + text;
   }
 
+  void Leave(int i) {
+    if (!Runs(i)) return;
+    Node(i).table->SetOwnLeaving();
+    Node(i).self.state = VmState::kLeaving;
+  }
+  void ConfirmFromPlatform(int i) {
+    if (!Runs(i)) return;
+    Node(i).gossip->PlatformConfirmed(1, now_, now_);
+    Node(i).truth[kPlatformTruth] = now_;
+  }
+
   void OnStart(int i) override {
     for (int j = 0; j < kSimNodes; ++j) {
       View(i, j) = {};
@@ -227,14 +199,8 @@
 }  // namespace
 
 std::optional<std::string> FuzzMembership(MembershipFault fault, uint64_t seed, uint64_t steps) {
-  const auto check = [&](const std::vector<uint32_t>& words) -> std::optional<std::string> {
-    MembershipWorld world(fault, seed);
-    for (const uint32_t word : words) {
-      if (auto violation = world.Step(fuzz::Word(word))) return violation;
-    }
-    return world.Finish();
-  };
-  return fuzz::RunCommands(seed, steps, fault == MembershipFault::kNone, check);
+  return fuzz::RunCommands(seed, steps, fault == MembershipFault::kNone,
+                           [&] { return MembershipWorld(fault, seed); });
 }
 
 }  // namespace cornelplank::membership
--- a/tests/membership/membership_fuzz_test.cc
+++ b/tests/membership/membership_fuzz_test.cc
@@ -6,7 +6,7 @@
 namespace cornelplank::membership {
 namespace {
 
-constexpr uint64_t kSteps = 10000;
+constexpr uint64_t kSteps = 50000;
 
 // Guards against views that break the rules of the table under any mix of faults.
 TEST(MembershipFuzzTest, FixedSeedHasNoViolation) {
--- a/tests/membership/readers_fuzz.cc
+++ b/tests/membership/readers_fuzz.cc
@@ -24,44 +24,18 @@
     const int command = word.Take(16);
     const int a = word.Take(kSimNodes);
     const int b = word.Take(kSimNodes);
-    switch (command) {
-      case 0:
-        Kill(a);
-        break;
-      case 1:
-        Start(a);
-        break;
-      case 2:
-        Node(a).paused = true;
-        break;
-      case 3:
-        Node(a).paused = false;
-        break;
-      case 4:
-        Blocked(a, b) = Blocked(b, a) = true;
-        break;
-      case 5:
-        Blocked(a, b) = true;
-        break;
-      case 6:
-        HealAll();
-        break;
-      case 7:
-        reachable_[static_cast<size_t>(a)] = word.Take(2) == 0;
-        break;
-      case 8:
-        platform_up_ = word.Take(2) == 0;
-        break;
-      case 9:
-        list_ = CurrentList();
-        DeliverList(a, list_, base::Duration{0});
-        break;
-      case 10:
-        if (Runs(a) && word.Take(4) == 0) Node(a).table->SetOwnLeaving();
-        break;
-      default:
-        for (int n = 0; n <= word.Take(8); ++n) Tick();
-    }
+    if (command == 0) Kill(a);
+    if (command == 1) Start(a);
+    if (command == 2) Node(a).paused = true;
+    if (command == 3) Node(a).paused = false;
+    if (command == 4) Blocked(a, b) = Blocked(b, a) = true;
+    if (command == 5) Blocked(a, b) = true;
+    if (command == 6) HealAll();
+    if (command == 7) reachable_[static_cast<size_t>(a)] = word.Take(2) == 0;
+    if (command == 8) platform_up_ = word.Take(2) == 0;
+    if (command == 9) DeliverList(a, list_ = CurrentList(), base::Duration{0});
+    if (command == 10 && Runs(a) && word.Take(4) == 0) Node(a).table->SetOwnLeaving();
+    for (int n = command > 10 ? word.Take(8) : -1; n >= 0; --n) Tick();
     return violation_;
   }
 
@@ -137,14 +111,8 @@
 }  // namespace
 
 std::optional<std::string> FuzzReaders(MembershipFault fault, uint64_t seed, uint64_t steps) {
-  const auto check = [&](const std::vector<uint32_t>& words) -> std::optional<std::string> {
-    ReadersWorld world(fault, seed);
-    for (const uint32_t word : words) {
-      if (auto violation = world.Step(fuzz::Word(word))) return violation;
-    }
-    return world.Finish();
-  };
-  return fuzz::RunCommands(seed, steps, fault == MembershipFault::kNone, check);
+  return fuzz::RunCommands(seed, steps, fault == MembershipFault::kNone,
+                           [&] { return ReadersWorld(fault, seed); });
 }
 
 }  // namespace cornelplank::membership
--- a/tests/membership/vm_table_test.cc
+++ b/tests/membership/vm_table_test.cc
@@ -37,6 +37,8 @@
   uint64_t incarnation;
 };
 
+using enum Step;
+
 class VmTableRules : public testing::TestWithParam<TableCase> {};
 
 // Guards against a view that goes back to an older incarnation, forgets `leaving`, suspects on a single loss
@@ -47,33 +49,15 @@
   for (const Step step : GetParam().steps) {
     now += seconds{1};
     table.Tick(now);
-    switch (step) {
-      case Step::kAnswer:
-        table.Answered("b", 0, VmState::kLive, now);
-        break;
-      case Step::kMiss:
-        table.Missed("b", now);
-        break;
-      case Step::kHeartbeat:
-        table.HeartbeatReceived(Entry("b", 5), now);
-        break;
-      case Step::kOlder:
-        table.Answered("b", 4, VmState::kLeaving, now);
-        table.HeartbeatReceived(Entry("b", 4), now);
-        break;
-      case Step::kListLeaving:
-        table.ApplyVmList({Entry("b", 5, VmState::kLeaving)}, seconds{0}, now);
-        break;
-      case Step::kPeerLeaving:
-        table.LearnFromPeer(Entry("b", 5, VmState::kLeaving), seconds{1}, now);
-        break;
-      case Step::kListLive:
-        table.ApplyVmList({Entry("b", 5)}, seconds{0}, now);
-        break;
-      case Step::kNewer:
-        table.HeartbeatReceived(Entry("b", 6), now);
-        break;
-    }
+    if (step == kAnswer) table.Answered("b", 0, VmState::kLive, now);
+    if (step == kMiss) table.Missed("b", now);
+    if (step == kHeartbeat) table.HeartbeatReceived(Entry("b", 5), now);
+    if (step == kOlder) table.Answered("b", 4, VmState::kLeaving, now);
+    if (step == kOlder) table.HeartbeatReceived(Entry("b", 4), now);
+    if (step == kListLeaving) table.ApplyVmList({Entry("b", 5, VmState::kLeaving)}, seconds{0}, now);
+    if (step == kPeerLeaving) table.LearnFromPeer(Entry("b", 5, VmState::kLeaving), seconds{1}, now);
+    if (step == kListLive) table.ApplyVmList({Entry("b", 5)}, seconds{0}, now);
+    if (step == kNewer) table.HeartbeatReceived(Entry("b", 6), now);
   }
   const Vm* vm = table.Find("b");
   ASSERT_NE(vm, nullptr);
@@ -87,37 +71,17 @@
 INSTANTIATE_TEST_SUITE_P(
     Table, VmTableRules,
     testing::Values(
-        TableCase{"TwoMissesTooEarly", {Step::kMiss, Step::kMiss}, false, kLive, 5},
-        TableCase{"ThreeSecondsOfMisses", {Step::kMiss, Step::kMiss, Step::kMiss}, true, kLive, 5},
-        TableCase{"OneMissAfterLongSilence",
-                  {Step::kHeartbeat, Step::kHeartbeat, Step::kHeartbeat, Step::kMiss},
-                  false,
-                  kLive,
-                  5},
-        TableCase{
-            "AnswerBetweenMisses", {Step::kMiss, Step::kMiss, Step::kAnswer, Step::kMiss}, false, kLive, 5},
-        TableCase{
-            "HeartbeatsClearNothing",
-            {Step::kMiss, Step::kMiss, Step::kMiss, Step::kHeartbeat, Step::kHeartbeat, Step::kHeartbeat},
-            true,
-            kLive,
-            5},
-        TableCase{
-            "OneAnswerClearsNothing", {Step::kMiss, Step::kMiss, Step::kMiss, Step::kAnswer}, true, kLive, 5},
-        TableCase{"TwoAnswersClear",
-                  {Step::kMiss, Step::kMiss, Step::kMiss, Step::kAnswer, Step::kAnswer},
-                  false,
-                  kLive,
-                  5},
-        TableCase{"OlderIsIgnored", {Step::kMiss, Step::kMiss, Step::kMiss, Step::kOlder}, true, kLive, 5},
-        TableCase{
-            "ListLeavingWins", {Step::kListLeaving, Step::kAnswer, Step::kListLive}, false, kLeaving, 5},
-        TableCase{"PeerLeavingWins", {Step::kPeerLeaving, Step::kHeartbeat}, false, kLeaving, 5},
-        TableCase{"NewerReplacesLeaving",
-                  {Step::kPeerLeaving, Step::kMiss, Step::kMiss, Step::kMiss, Step::kNewer},
-                  false,
-                  kLive,
-                  6}),
+        TableCase{"TwoMissesTooEarly", {kMiss, kMiss}, false, kLive, 5},
+        TableCase{"ThreeSecondsOfMisses", {kMiss, kMiss, kMiss}, true, kLive, 5},
+        TableCase{"OneMissAfterSilence", {kHeartbeat, kHeartbeat, kHeartbeat, kMiss}, false, kLive, 5},
+        TableCase{"AnswerBetweenMisses", {kMiss, kMiss, kAnswer, kMiss}, false, kLive, 5},
+        TableCase{"HeartbeatsClearNothing", {kMiss, kMiss, kMiss, kHeartbeat, kHeartbeat}, true, kLive, 5},
+        TableCase{"OneAnswerClearsNothing", {kMiss, kMiss, kMiss, kAnswer}, true, kLive, 5},
+        TableCase{"TwoAnswersClear", {kMiss, kMiss, kMiss, kAnswer, kAnswer}, false, kLive, 5},
+        TableCase{"OlderIsIgnored", {kMiss, kMiss, kMiss, kOlder}, true, kLive, 5},
+        TableCase{"ListLeavingWins", {kListLeaving, kAnswer, kListLive}, false, kLeaving, 5},
+        TableCase{"PeerLeavingWins", {kPeerLeaving, kHeartbeat}, false, kLeaving, 5},
+        TableCase{"NewerReplacesLeaving", {kPeerLeaving, kMiss, kMiss, kMiss, kNewer}, false, kLive, 6}),
     [](const auto& info) { return info.param.name; });
 
 // Guards against a suspicion raised by this node's own pause.
--- a/tests/orders/orders_fuzz.cc
+++ b/tests/orders/orders_fuzz.cc
@@ -44,45 +44,19 @@
   std::optional<std::string> Step(fuzz::Word word) {
     const int command = word.Take(16);
     const int planner = word.Take(kPlanners);
-    const int engine = word.Take(kEngines);
-    switch (command) {
-      case 0:
-        Publish(head_ + 1 + static_cast<uint64_t>(word.Take(3)));
-        break;
-      case 1:
-      case 2:
-        Update(planner);
-        break;
-      case 3:
-      case 4:
-        ReportAll(planner);
-        break;
-      case 5:
-      case 6:
-      case 7:
-        Plan(planner);
-        break;
-      case 8:
-      case 9:
-        Send(planner);
-        break;
-      case 10:
-      case 11:
-        Deliver(static_cast<size_t>(word.Take(64)), word.Take(3) == 0, word.Take(2) == 0);
-        break;
-      case 12:
-        Pause(planner);
-        break;
-      case 13:
-        Wake(planner);
-        break;
-      case 14:
-        engines_[static_cast<size_t>(engine)].Restart();
-        newest_[static_cast<size_t>(engine)] = 0;
-        break;
-      default:
-        now_ += milliseconds{100 * (1 + word.Take(word.Take(8) == 0 ? 300 : 12))};
+    const auto engine = static_cast<size_t>(word.Take(kEngines));
+    if (command == 0) Publish(head_ + 1 + static_cast<uint64_t>(word.Take(3)));
+    if (command == 1 || command == 2) Update(planner);
+    if (command == 3 || command == 4) ReportAll(planner);
+    if (command >= 5 && command <= 7) Plan(planner);
+    if (command == 8 || command == 9) Send(planner);
+    if (command == 10 || command == 11) {
+      Deliver(static_cast<size_t>(word.Take(64)), word.Take(3) == 0, word.Take(2) == 0);
     }
+    if (command == 12) Pause(planner);
+    if (command == 13) Wake(planner);
+    if (command == 14) Restart(engine);
+    if (command == 15) now_ += milliseconds{100 * (1 + word.Take(word.Take(8) == 0 ? 300 : 12))};
     return violation_;
   }
 
@@ -118,6 +92,10 @@
   }
   PlannerNode& Node(int i) { return nodes_[static_cast<size_t>(i)]; }
 
+  void Restart(size_t engine) {
+    engines_[engine].Restart();
+    newest_[engine] = 0;
+  }
   void Publish(uint64_t seq) {
     head_ = seq;
     document_ = std::make_shared<const config::Document>(EngineDocument(kEngines, std::to_string(seq)));
@@ -205,14 +183,7 @@
 }  // namespace
 
 std::optional<std::string> FuzzOrders(OrdersFault fault, uint64_t seed, uint64_t steps) {
-  const auto check = [fault](const std::vector<uint32_t>& words) -> std::optional<std::string> {
-    OrdersWorld world(fault);
-    for (const uint32_t word : words) {
-      if (auto violation = world.Step(fuzz::Word(word))) return violation;
-    }
-    return world.Finish();
-  };
-  return fuzz::RunCommands(seed, steps, fault == OrdersFault::kNone, check);
+  return fuzz::RunCommands(seed, steps, fault == OrdersFault::kNone, [&] { return OrdersWorld(fault); });
 }
 
 }  // namespace cornelplank::orders
--- a/tests/orders/orders_fuzz_test.cc
+++ b/tests/orders/orders_fuzz_test.cc
@@ -7,7 +7,7 @@
 
 // Guards against fencing engines that go back, others that don't converge, and orders from nodes in doubt.
 TEST(OrdersFuzzTest, FixedSeedHasNoViolation) {
-  const auto violation = FuzzOrders(OrdersFault::kNone, 1, 20000);
+  const auto violation = FuzzOrders(OrdersFault::kNone, 1, 100000);
   EXPECT_FALSE(violation) << *violation;
 }
 
