--- a/standins/relay/main.cc
+++ b/standins/relay/main.cc
@@ -56,6 +56,7 @@
     relay.SetDelay(pair, std::chrono::milliseconds{MemberNumber(command, "ms", 0)});
     return true;
   }
+  if (mode == "target") return relay.SetTarget(pair, MemberText(command, "to"));
   const auto direction = kDirections.find(MemberText(command, "direction"));
   if (mode != "drop" || direction == kDirections.end()) return false;
   relay.DropOpen(pair, direction->second);
@@ -76,7 +77,7 @@
   Response response = JsonReply(200, {{"pairs", last - first}});
   for (size_t pair = first; pair < last; ++pair) {
     if (!Apply(relay, pair, *command, &response)) {
-      return ProblemReply(400, "invalid", "the mode or direction is unknown", "not-run");
+      return ProblemReply(400, "invalid", "the mode, direction or target is unknown", "not-run");
     }
   }
   return response;
--- a/standins/relay/relay.cc
+++ b/standins/relay/relay.cc
@@ -125,6 +125,15 @@
   Wake();
 }
 
+bool Relay::SetTarget(size_t index, const std::string& target) {
+  const auto address = ParseAddress(target);
+  if (!address) return false;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  pairs_.at(index).target_address = *address;
+  pairs_.at(index).state.target = target;
+  return true;
+}
+
 size_t Relay::DropOpen(size_t index, Direction direction) {
   const std::lock_guard<std::mutex> lock(mutex_);
   Pair& pair = pairs_.at(index);
--- a/standins/relay/relay.h
+++ b/standins/relay/relay.h
@@ -48,6 +48,8 @@
   bool SetMode(size_t pair, PairMode mode);
   /// Delays the bytes that arrive from now on, in both directions.
   void SetDelay(size_t pair, base::Duration delay);
+  /// Relays connections that come from now on to another IP:PORT. False when it is none.
+  bool SetTarget(size_t pair, const std::string& target);
   /// Makes the open connections silent in a direction. Connections that come later work. Returns how many.
   size_t DropOpen(size_t pair, Direction direction);
   std::vector<PairState> States();
