--- a/libs/admission/internal/pool.cc
+++ b/libs/admission/internal/pool.cc
@@ -9,6 +9,9 @@
 
 // Shares are products of floating point numbers; 3 slots must not become 2.9999.
 constexpr double kRounding = 1e-6;
+// A class that uses less than this many slots, about one request in 4 minutes, has none kept ready: with few
+// slots nothing could be lent otherwise. It gets its slots back by reclaim.
+constexpr double kIdle = 0.06;
 
 double Whole(double slots) { return std::floor(slots + kRounding); }
 double WholeUp(double slots) { return std::ceil(slots - kRounding); }
@@ -158,21 +161,32 @@
 
 void Pool::Observe(base::TimePoint now) {
   for (auto& [key, flow] : flows_) {
-    if (flow.guaranteed <= 0) continue;
-    const auto wanted = static_cast<double>(flow.running() + flow.queues.waiting());
-    flow.demand.Observe(std::min(wanted, flow.guaranteed), now);
+    if (!flow.owner) continue;
+    const size_t wanted = flow.running() + flow.queues.waiting();
+    flow.demand.Observe(static_cast<double>(std::min(wanted, slots_)), now);
   }
 }
 
+// A load whose mean fits its guarantee passes it now and then. For that time it comes before borrowers, and
+// before classes of lower priority whose mean passes their guarantee, so slots are kept ready against those.
+bool Pool::ComesBefore(const Flow& other, const Flow& flow) {
+  if (!other.owner || other.demand.mean() > other.guaranteed) return false;
+  if (!flow.owner) return true;
+  return flow.demand.mean() > flow.guaranteed && other.terms.priority < flow.terms.priority;
+}
+
 // The slots that the flow may use in all: its guaranteed ones, or more while the other flows' slots that are
 // in use, or are kept ready for their usual load, leave room.
 double Pool::Limit(const Flow& flow) const {
   double spare = static_cast<double>(slots_);
   for (const auto& [key, other] : flows_) {
     if (&other == &flow) continue;
-    const double ready = Whole(std::min(other.guaranteed, other.demand.Cover()));
+    const double usual = other.demand.mean() < kIdle ? 0 : other.demand.Cover();
+    const double ready = Whole(ComesBefore(other, flow) ? usual : std::min(other.guaranteed, usual));
     spare -= std::max(static_cast<double>(other.running()), ready);
   }
+  // Nothing runs, so the loads that slots are kept ready for have ended.
+  if (running_ == 0) spare = std::max(spare, 1.0);
   const auto used = static_cast<double>(flow.running());
   if (!flow.owner) spare = std::min(spare, flow.greatest - (PartnerRunning(flow.key.partner) - used));
   return std::max(WholeUp(flow.guaranteed), spare);
