Judge success rates in the fuzzer's oracle, and test the residency check by a table

Cause: the fuzzer covered ejection by consecutive failures only, and IsAllowed had no test of its own. Change: the oracle also keeps fading result counts; a flaky replica is a command; a table that ignores success rates must be caught (a first version of the commands missed it: no replica had 20 results).

--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -23,6 +23,31 @@
   RouteReason reason_;
 };
 
+struct ResidencyCase {
+  std::vector<std::string> allow;
+  const char* home;
+  const char* region;
+  bool allowed;
+};
+
+// Guards against a residency answer that serving, retries and cache transfers would share.
+TEST(ResidencyTest, AllowsNamedRegionsAndHomeOnly) {
+  const std::vector<ResidencyCase> cases{
+      {{"home"}, "r0", "r0", true},       {{"home"}, "r0", "r1", false}, {{"home"}, "", "", false},
+      {{"r1"}, "r0", "r1", true},         {{"r1"}, "r0", "r0", false},   {{"home", "r1"}, "r0", "r1", true},
+      {{"home", "r9"}, "r9", "r9", true}, {{}, "r0", "r0", false},       {{"r9"}, "r0", "r1", false},
+      {{"home"}, "home", "r0", false},
+  };
+  const upstreams::Topology names = upstreams::Topology::FromDocument(MakeDocument(2, 1, 1));
+  for (const ResidencyCase& test : cases) {
+    const config::ResidencyRule rule{"p0", test.allow};
+    EXPECT_EQ(IsAllowed(rule, test.home, test.region), test.allowed) << test.home << " " << test.region;
+    const RegionMask bit = RegionBit(names.Region(test.region));
+    const bool by_mask = (MaskOf(rule, names).Allowed(names.Region(test.home)) & bit) != 0;
+    EXPECT_EQ(by_mask, test.allowed && bit != 0) << test.home << " " << test.region;
+  }
+}
+
 // Guards against data that leaves the allowed regions when those regions are full.
 TEST_P(HardRuleTest, ResidencyHoldsWhenHomeIsFull) {
   WorldFixture fixture(MakeDocument(2, 1, 1));
--- a/tests/upstreams/upstream_oracle.h
+++ b/tests/upstreams/upstream_oracle.h
@@ -28,6 +28,8 @@
   base::TimePoint returned_at{};
   base::TimePoint retry_at{};
   base::TimePoint suspect_until{};
+  double won = 0;  // results that fade
+  double lost = 0;
 
   bool Leaving() const { return config_leaving || report_leaving || response_leaving; }
 
@@ -58,6 +60,8 @@
       returned = true;
       returned_at = now;
     }
+    if (ejected || failures >= 5) won = lost = 0;
+    won += ejected ? 0 : 1;
     ejected = false;
     failures = 0;
     suspect_until = {};
@@ -67,15 +71,21 @@
   void Failure(bool probe, bool room, base::TimePoint now) {
     if (ejected && !probe) return;
     ++failures;
+    ++lost;
     if (ejected) {
       retry_at = now + NextPause(now);
-    } else if (failures >= 5 && now >= suspect_until) {
-      const base::TimePoint until = now + NextPause(now);
-      (room ? retry_at : suspect_until) = until;
-      ejected = room;
+    } else if (failures >= 5) {
+      Distrust(room, now);
     }
   }
 
+  void Distrust(bool room, base::TimePoint now) {
+    if (now < suspect_until) return;
+    const base::TimePoint until = now + NextPause(now);
+    (room ? retry_at : suspect_until) = until;
+    ejected = room;
+  }
+
   base::Duration NextPause(base::TimePoint now) {
     const bool fresh = returned && now - returned_at > std::chrono::seconds{30};
     returned = false;
--- a/tests/upstreams/upstreams_fuzz.cc
+++ b/tests/upstreams/upstreams_fuzz.cc
@@ -8,7 +8,20 @@
 namespace cornelplank::upstreams {
 namespace {
 
-enum Op { kSuccess, kFailure, kFailFive, kBegin, kEnd, kReport, kResponse, kResize, kToggle, kClock, kOps };
+enum Op {
+  kSuccess,
+  kFailure,
+  kFailFive,
+  kFlaky,
+  kBegin,
+  kEnd,
+  kReport,
+  kResponse,
+  kResize,
+  kToggle,
+  kClock,
+  kOps
+};
 
 struct Command {
   int op = 0;
@@ -18,8 +31,9 @@
 };
 
 std::ostream& operator<<(std::ostream& out, const Command& command) {
-  static constexpr const char* kNames[] = {"success", "failure",  "fail-five", "begin",         "end",
-                                           "report",  "response", "resize",    "toggle-config", "clock"};
+  static constexpr const char* kNames[] = {"success", "failure",       "fail-five", "flaky",
+                                           "begin",   "end",           "report",    "response",
+                                           "resize",  "toggle-config", "clock"};
   return out << kNames[command.op] << "(e" << command.replica << ", " << command.value << ", " << command.time
              << ")";
 }
@@ -43,14 +57,21 @@
     UpstreamOracle& oracle = oracles_[command.replica];
     switch (command.op) {
       case kSuccess:
-        if (present) Finish(command.replica, Result::kSuccess, false);
+        for (int i = 0; present && i < 1 + command.value / 2; ++i) {
+          Finish(command.replica, Result::kSuccess, false);
+        }
         break;
       case kFailure:
       case kFailFive:
-        for (int i = 0; present && i < (command.op == kFailFive ? 5 : 1); ++i) {
+        for (int i = 0; present && i < (command.op == kFailFive ? 5 : 1 + command.value % 4); ++i) {
           Finish(command.replica, Result::kFailure, false);
         }
         break;
+      case kFlaky:  // enough results to judge the rate, never five failures in a row
+        for (int i = 0; present && i < 36; ++i) {
+          Finish(command.replica, i % 3 == 0 ? Result::kSuccess : Result::kFailure, false);
+        }
+        break;
       case kBegin:
         return present ? Begin(command.replica) : "";
       case kEnd:
@@ -73,6 +94,7 @@
         break;
       default:
         now_ += std::chrono::milliseconds{command.time * command.time * 10};
+        Tick();
     }
     return Check();
   }
@@ -131,6 +153,30 @@
     }
   }
 
+  // Success rates per zone, then the fading of old results every 10 s.
+  void Tick() {
+    if (fault_ != TableFault::kIgnoresSuccessRates) table_.Tick(now_);
+    std::map<int, std::pair<double, double>> totals;
+    for (const auto& [replica, oracle] : oracles_) {
+      totals[replica % 2].first += oracle.won;
+      totals[replica % 2].second += oracle.lost;
+    }
+    for (auto& [replica, oracle] : oracles_) {
+      const double won = totals[replica % 2].first - oracle.won;
+      const double lost = totals[replica % 2].second - oracle.lost;
+      const bool enough = oracle.won + oracle.lost >= 20 && won + lost >= 20;
+      if (oracle.ejected || !enough) continue;
+      const bool far_below = oracle.won / (oracle.won + oracle.lost) + 0.3 <= won / (won + lost);
+      if (far_below) oracle.Distrust(HasRoom(ZoneSize(replica % 2), Ejected(replica % 2)), now_);
+    }
+    if (now_ - faded_ < std::chrono::seconds{10}) return;
+    faded_ = now_;
+    for (auto& [replica, oracle] : oracles_) {
+      oracle.won /= 2;
+      oracle.lost /= 2;
+    }
+  }
+
   std::string Begin(int replica) {
     const UpstreamOracle& oracle = oracles_[replica];
     const auto cell = table_.TakeSnapshot()->Find(Id(replica))->cell;
@@ -189,6 +235,7 @@
 
   TableFault fault_;
   base::TimePoint now_{std::chrono::hours{1}};
+  base::TimePoint faded_{};
   int size_ = kReplicas;
   ReplicaTable table_;
   std::map<int, UpstreamOracle> oracles_;
--- a/tests/upstreams/upstreams_fuzz_test.cc
+++ b/tests/upstreams/upstreams_fuzz_test.cc
@@ -18,7 +18,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Faults, UpstreamsFaultTest,
                          testing::Values(TableFault::kForgetsLeavingResponse, TableFault::kEjectsWithoutBound,
-                                         TableFault::kProbesTwice, TableFault::kTakesOldReports));
+                                         TableFault::kProbesTwice, TableFault::kTakesOldReports,
+                                         TableFault::kIgnoresSuccessRates));
 
 }  // namespace
 }  // namespace cornelplank::upstreams
