Remove a local build placeholder that was added by mistake

Cause: libs/http has headers only at this commit, so a local placeholder was needed to configure the build; 'git add libs' took it along in.

--- a/libs/http/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-int cornelplank_http_placeholder;
