Prefer a target that meets the deadline

Cause: the lowest score could miss the deadline and the request was refused, although a dearer target would have met it (found in review; a test shows it). Change: targets that meet the deadline come before ones that don't.

--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -1,6 +1,7 @@
 #include "libs/routing/internal/scored_router.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "libs/routing/internal/zone_scan.h"
 
@@ -77,14 +78,11 @@
         std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, std::milli>(first_token));
     best_.cost = best_.terms.price;
     if (probing_) return best_;
-    const double left = request_.deadline == base::TimePoint::max()
-                            ? first_token + 1
-                            : Milliseconds(request_.deadline - request_.now);
-    if (first_token > left) return Refuse(reason, RouteCode::kDeadline, Pause(best_.terms.queue_ms));
+    if (first_token > time_left_) return Refuse(reason, RouteCode::kDeadline, Pause(best_.terms.queue_ms));
     const double margin = Milliseconds(kWaitMargin);
-    if (request_.may_wait && !best_spare_ && left > first_token + margin) {
+    if (request_.may_wait && !best_spare_ && time_left_ > first_token + margin) {
       return Refuse(reason, RouteCode::kWaitForSpare,
-                    Pause(std::min(best_.terms.queue_ms, left - first_token - margin)));
+                    Pause(std::min(best_.terms.queue_ms, time_left_ - first_token - margin)));
     }
     return best_;
   }
@@ -106,9 +104,21 @@
     return std::nullopt;
   }
 
+  /// Milliseconds until the deadline; infinite when there is none.
+  double TimeLeft() const {
+    if (request_.deadline == base::TimePoint::max()) return std::numeric_limits<double>::infinity();
+    return Milliseconds(request_.deadline - request_.now);
+  }
+
   void Offer(const RouteDecision& decision, bool spare) {
     ++considered_;
-    if (considered_ > 1 && decision.terms.total >= best_.terms.total) return;
+    const bool in_time = FirstToken(decision.terms) <= time_left_;
+    if (considered_ > 1) {
+      // A target that meets the deadline beats a cheaper one that misses it.
+      const bool best_in_time = FirstToken(best_.terms) <= time_left_;
+      if (best_in_time && !in_time) return;
+      if (best_in_time == in_time && decision.terms.total >= best_.terms.total) return;
+    }
     best_ = decision;
     best_spare_ = spare;
   }
@@ -241,6 +251,7 @@
   base::Random& random_;
   RegionMask allowed_;
   double slot_ms_;
+  double time_left_ = TimeLeft();
   Rejections rejections_;
   RouteDecision best_;
   uint32_t considered_ = 0;
--- a/tests/routing/scored_router_test.cc
+++ b/tests/routing/scored_router_test.cc
@@ -92,6 +92,20 @@
   EXPECT_EQ(reason_.code, RouteCode::kDeadline);
 }
 
+// Guards against a refusal for the deadline while a dearer target would meet it.
+TEST_F(ScoredRouterTest, TargetThatMeetsTheDeadlineBeatsACheaperOne) {
+  config::Document document = MakeDocument(2, 1, 1);
+  document.partners["p0"].objective = config::Objective::kCost;
+  document.upstreams["r1/z0/e0"].price = 500;
+  WorldFixture fixture(document);
+  fixture.Report("r0/z0/e0", 8, 1);
+  fixture.table.OnZoneSum("r1", "z0", {8, 0, 0, 0, {}}, seconds{0}, fixture.now);
+  RouteRequest request = fixture.Request();
+  EXPECT_EQ(Choose(fixture, request)->target, RouteTarget::kUpstream);
+  request.deadline = fixture.now + seconds{1};
+  EXPECT_EQ(Choose(fixture, request)->target, RouteTarget::kZone);
+}
+
 // Guards against forwards over a link whose budget is used up.
 TEST_F(ScoredRouterTest, UsedUpLinkKeepsRequestsAtHome) {
   WorldFixture fixture(MakeDocument(2, 1, 1));
