Answer a look-up of an unused ticket as in progress

Cause: Lookup on a minted ticket returned kRefused with outcome unknown; a caller that maps the decision would report not-run for a ticket that may still run. Change: kInProgress without a code.

--- a/libs/tickets/internal/ticket_table.cc
+++ b/libs/tickets/internal/ticket_table.cc
@@ -154,7 +154,7 @@
 TicketAnswer TicketTable::Describe(const Entry& entry) const {
   switch (entry.state) {
     case State::kMinted:
-      return {TicketDecision::kRefused, Outcome::kUnknown, TicketCode::kNone, {}, {}};
+      return {TicketDecision::kInProgress, Outcome::kUnknown, TicketCode::kNone, {}, {}};
     case State::kSent:
       return {TicketDecision::kInProgress, Outcome::kUnknown, TicketCode::kInProgress, {}, {}};
     case State::kRan:
--- a/libs/tickets/internal/ticket_table.h
+++ b/libs/tickets/internal/ticket_table.h
@@ -46,7 +46,7 @@
 enum class TicketDecision {
   kStart,       // the caller now sends the call, once; then Complete, MarkUnknown or Abandon
   kReplay,      // the call ran; `result` holds its response, or is null when it was dropped
-  kInProgress,  // another call on this ticket is out; wait and look it up again
+  kInProgress,  // another call on this ticket is out, or (Lookup only) none yet; wait and look it up again
   kRefused,     // it did not run and never will (`not-run`)
   kUnknown,     // it may have run; it will not be run from now on
 };
@@ -84,8 +84,8 @@
   TicketAnswer Begin(std::string_view ticket, const TicketBinding& binding, uint64_t request_digest,
                      const TicketGate& gate);
 
-  /// What `Begin` would say without starting anything: a `minted` ticket yields kRefused with kNone and
-  /// outcome kUnknown, because it may still run.
+  /// What `Begin` would say, without starting anything. A `minted` ticket may still run: it yields
+  /// kInProgress with code kNone.
   TicketAnswer Lookup(std::string_view ticket, const TicketBinding& binding, uint64_t request_digest,
                       base::TimePoint now);
 
--- a/tests/tickets/tickets_test.cc
+++ b/tests/tickets/tickets_test.cc
@@ -113,6 +113,17 @@
   EXPECT_EQ(table.open(), 0U);
 }
 
+// Guards against a look-up that reports a ticket as refused although it may still run.
+TEST(TicketTableTest, LookingUpAnUnusedTicketSaysNothingFinal) {
+  TicketTable table(Codec(1, 1), {});
+  const base::TimePoint now{seconds(10)};
+  const std::string text = table.Mint(Binding(), now, nullptr)->text;
+  EXPECT_EQ(table.Lookup(text, Binding(), 1, now).decision, TicketDecision::kInProgress);
+  EXPECT_EQ(table.Lookup(text, Binding(), 1, now).outcome, base::Outcome::kUnknown);
+  const auto start = table.Begin(text, Binding(), 1, {now, now + seconds(1), 0, 0, Standing::kCurrent});
+  EXPECT_EQ(start.decision, TicketDecision::kStart);
+}
+
 // Guards against an entry that a lost caller keeps open for ever.
 TEST(TicketTableTest, SentTicketWithoutSettlementBecomesUnknown) {
   TicketTable table(Codec(1, 1), {});
