--- a/libs/orders/internal/order_planner.cc
+++ b/libs/orders/internal/order_planner.cc
@@ -21,6 +21,7 @@
   document_ = std::move(document);
   seq_ = seq;
   pending_.clear();
+  std::erase_if(engines_, [&](const auto& item) { return !document_->upstreams.contains(item.first); });
 }
 
 void OrderPlanner::Report(const EngineReport& report, base::TimePoint now) {
