Let a refused order be due again at once

Cause: an order that the gate refused had its interval doubled although it was never sent. Change: OrderPlanner::NotSent; test RefusedOrderIsDueAgain.

--- a/libs/orders/internal/order_planner.cc
+++ b/libs/orders/internal/order_planner.cc
@@ -130,4 +130,12 @@
   if (answer == OrderAnswer::kOldFence) engine.refused_seq = std::max(engine.refused_seq, order.fence);
 }
 
+void OrderPlanner::NotSent(const Order& order) {
+  const auto found = pending_.find(order.id);
+  if (found == pending_.end()) return;
+  Pending& pending = found->second;
+  pending.next_at = base::TimePoint{};
+  pending.wait = pending.wait <= settings_.first_repeat ? base::Duration{0} : pending.wait / 2;
+}
+
 }  // namespace cornelplank::orders
--- a/libs/orders/internal/order_planner.h
+++ b/libs/orders/internal/order_planner.h
@@ -39,10 +39,13 @@
   /// without a full report; its models are taken from the last one.
   void Alive(const std::string& engine, base::TimePoint now);
   /// Orders to send now; none unless the node is confirmed and is the zone's planner. Each must pass SendGate
-  /// and be followed by `Answered`.
+  /// and be followed by `Answered` or `NotSent`.
   std::vector<Order> Plan(bool confirmed, bool is_planner, base::TimePoint now);
   void Answered(const Order& order, OrderAnswer answer);
 
+  /// The gate refused the order; it is due again at once and its interval doesn't grow.
+  void NotSent(const Order& order);
+
   uint64_t config_seq() const { return seq_; }
   /// Orders that are not yet in force.
   size_t pending() const { return pending_.size(); }
--- a/tests/orders/orders_fuzz.cc
+++ b/tests/orders/orders_fuzz.cc
@@ -137,6 +137,7 @@
       const SendContext context{now_, seq, seq, Confirmed(i), true};
       const bool sent =
           fault_ == OrdersFault::kNoGate || SendGate::Check(checked, context) == GateVerdict::kSend;
+      if (!sent) node.planner.NotSent(order);
       if (!sent) continue;
       if (!Confirmed(i)) Fail("an unconfirmed node sent an order");
       const bool slept = order.planned_at <= node.paused_at && node.woken_at > node.paused_at;
--- a/tests/orders/orders_test.cc
+++ b/tests/orders/orders_test.cc
@@ -88,6 +88,26 @@
   EXPECT_TRUE(Drive(planner, engines, kStart + seconds{400}, 100).empty());
 }
 
+// Guards against an order that waits for up to a minute because the gate refused it before.
+TEST(OrderPlannerTest, RefusedOrderIsDueAgain) {
+  std::vector<EngineModel> engines{{"e1", false}};
+  OrderPlanner planner = PlannerAt("1", 7, engines);
+  const std::string id = planner.Plan(true, true, kStart).at(0).id;
+  const auto due = [&](base::Duration after) {
+    for (const Order& order : planner.Plan(true, true, kStart + after)) {
+      if (order.id == id) return true;
+    }
+    return false;
+  };
+  EXPECT_FALSE(due(seconds{0}));
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    planner.NotSent(MakeOrder("e1", OrderAction::kLoad, "m", "1", 7, kStart));
+    EXPECT_TRUE(due(seconds{0}));
+  }
+  EXPECT_FALSE(due(milliseconds{900}));
+  EXPECT_TRUE(due(seconds{1}));
+}
+
 // Guards against orders from nodes that must not send any, and against orders to dead engines.
 TEST(OrderPlannerTest, SendsOnlyAsConfirmedPlannerToLiveEngines) {
   std::vector<EngineModel> engines{{"e0", true}, {"e1", false}};
