--- a/apps/load/core/answer.cc
+++ b/apps/load/core/answer.cc
@@ -59,6 +59,7 @@
 bool AnswerCheck::TakeEvent(const http::SseEvent& event) {
   if (event.event == "error") {
     error_ = true;
+    error_code_ = TextAt(json::parse(event.data, nullptr, false), "/code");
   } else if (event.data == http::kSseDone) {
     // A second end, or an end after an error, would let a client take a part for the whole.
     wrong_ = wrong_ || done_ || error_;
--- a/apps/load/core/answer.h
+++ b/apps/load/core/answer.h
@@ -38,6 +38,8 @@
   uint64_t Feed(std::string_view bytes);
   /// The result of a stream. `ended` is false when the transfer broke.
   Result StreamResult(bool ended) const;
+  /// The code of the error event of a truncated stream; empty when there was none.
+  const std::string& error_code() const { return error_code_; }
   /// The result of an answer that came as a whole.
   Result WholeResult(const std::string& body) const;
 
@@ -52,6 +54,7 @@
   bool done_ = false;
   bool error_ = false;
   bool wrong_ = false;
+  std::string error_code_;
   http::SseParser parser_;
 };
 
--- a/apps/load/runner.cc
+++ b/apps/load/runner.cc
@@ -60,6 +60,7 @@
       if (problem.is_object()) measured_.code += " " + problem.value("code", "");
     } else if (streamed_) {
       measured_.result = check_.StreamResult(ended);
+      if (!check_.error_code().empty()) measured_.code = "event " + check_.error_code();
     } else {
       measured_.result = ended ? check_.WholeResult(body_) : Result::kTruncated;
     }
