--- a/bench/control/fleet.h
+++ b/bench/control/fleet.h
@@ -43,9 +43,15 @@
   void RunFor(base::Duration time) { loop_.RunFor(time); }
   /// Publishes an entry; its spread is recorded.
   void Publish();
-  /// Cuts a region off from all others and, if asked, from the platform.
-  void CutRegion(int region, bool platform_too);
+  /// Cuts a region off from all others and from the platform; its zones still reach each other.
+  void CutRegion(int region) { cut_regions_[static_cast<size_t>(region)] = true; }
+  /// Cuts a zone off from all others and from the platform.
+  void CutZone(int zone) { cut_zones_[static_cast<size_t>(zone)] = true; }
   void Heal();
+  /// Ends one VM without notice.
+  void Kill(int i) { At(i).alive = false; }
+  /// Whether every live VM of the zone of `i` suspects it.
+  bool SuspectedByItsZone(int i);
   void StopPlatform() { platform_.Stop(); }
   void StartPlatform() { platform_.up = true; }
 
@@ -68,6 +74,8 @@
     membership::ReadSchedule schedule;
     base::Random random;
     int region;
+    int zone;
+    bool alive = true;
     uint64_t seq = 1;
     base::TimePoint head_at{};
     bool pulling = false;
@@ -102,7 +110,8 @@
   void ReadPlatform(int i);
   void Call(int i, int j, size_t bytes, std::function<Reply()> serve, std::function<void()> fail);
   void Count(int i, size_t message, size_t overhead);
-  bool Cut(int region_a, int region_b) const;
+  bool Cut(const Node& a, const Node& b) const;
+  bool CutFromPlatform(const Node& node) const;
   base::Duration Delay(const Node& a, const Node& b) const;
   /// Runs library code and adds the time that it took.
   template <typename Work>
@@ -113,8 +122,8 @@
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<std::string, int> index_;
   std::map<uint64_t, Spread> spreads_;
-  std::vector<bool> cut_;
-  std::vector<bool> cut_platform_;
+  std::vector<bool> cut_regions_;
+  std::vector<bool> cut_zones_;
   base::Random random_;
   double cpu_s_ = 0;
   base::TimePoint reset_at_{};
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -43,12 +43,19 @@
       pressure_ = WeightsOf(request_, world_, options_).pressure *
                   ZoneQueue(scan.TotalLoad() + 1, scan.TotalGiven(), slot_ms_);
     }
-    const size_t owner =
-        request_.prefix != 0 ? scan.PrefixOwner(request_.prefix, options_.owner_load_bound) : scan.Size();
-    if (owner < scan.Size()) OfferReplica(scan, owner, true);
+    ZoneScan::Owners owners{scan.Size(), scan.Size()};
+    if (request_.prefix != 0) owners = scan.PrefixOwners(request_.prefix, options_.owner_load_bound);
+    if (owners.first < scan.Size()) OfferReplica(scan, owners.first, true);
+    // Requests that found the owner busy went to the second one, so the prefix is likely there too.
+    if (owners.second < scan.Size()) OfferReplica(scan, owners.second, false);
+    const bool wanted = WeightsOf(request_, world_, options_).offer_holder;
+    const size_t holder = wanted ? RandomHolder(scan) : scan.Size();
+    if (holder < scan.Size() && holder != owners.first && holder != owners.second) {
+      OfferReplica(scan, holder, false);
+    }
     for (uint32_t i = 0; i < options_.choices; ++i) {
       const size_t position = scan.Pick(random_);
-      OfferReplica(scan, position, position == owner);
+      if (position != owners.first && position != owners.second) OfferReplica(scan, position, false);
     }
   }
 
@@ -111,8 +118,10 @@
     return missing * Milliseconds(options_.prefill_per_token);
   }
 
-  uint32_t CachedTokens(const upstreams::ReplicaCell& cell, bool owner) const {
-    if (request_.prefix == 0) return 0;
+  uint32_t CachedTokens(const ZoneScan& scan, size_t position, bool owner) const {
+    // Beyond the load bound a cached prefix doesn't count, so that a hot prefix spreads.
+    if (request_.prefix == 0 || !scan.IsWithin(options_.owner_load_bound, position)) return 0;
+    const upstreams::ReplicaCell& cell = *world_.Replicas().Replicas()[scan.At(position).replica].cell;
     const upstreams::PrefixCache* cache = cell.Cache();
     const uint32_t known = cache == nullptr ? 0 : cache->Tokens(request_.prefix);
     if (known > 0) return std::min(known, request_.prefix_tokens);
@@ -121,6 +130,22 @@
                               : 0;
   }
 
+  /// Position of a random candidate that is known to hold the prefix, by its given slots; `Size()` when there
+  /// is none. The least loaded one would be the same for all nodes that share a report.
+  size_t RandomHolder(const ZoneScan& scan) const {
+    size_t holder = scan.Size();
+    if (request_.prefix == 0) return holder;
+    double total = 0;
+    for (size_t i = 0; i < scan.Size(); ++i) {
+      const ZoneScan::Candidate& candidate = scan.At(i);
+      const auto* cache = world_.Replicas().Replicas()[candidate.replica].cell->Cache();
+      if (cache == nullptr || cache->Tokens(request_.prefix) == 0) continue;
+      total += candidate.given;
+      if (random_.Unit() * total < candidate.given) holder = i;
+    }
+    return holder;
+  }
+
   void OfferReplica(const ZoneScan& scan, size_t position, bool owner) {
     const ZoneScan::Candidate& candidate = scan.At(position);
     const upstreams::Replica& replica = world_.Replicas().Replicas()[candidate.replica];
@@ -129,9 +154,10 @@
     const bool spare = !scan.OnlySuspects() && candidate.load + 1 <= candidate.given * options_.spare_share;
     RouteDecision decision = OwnZoneDecision(candidate.replica);
     decision.terms.queue_ms = ReplicaQueue(candidate.load, candidate.uncertainty, candidate.slots, slot_ms_);
-    decision.terms.cached_tokens = CachedTokens(*replica.cell, owner);
+    decision.terms.cached_tokens = CachedTokens(scan, position, owner);
     decision.terms.prefill_ms = Prefill(decision.terms.cached_tokens);
     decision.terms.prefix_owner = owner;
+    decision.terms.warms_owner = owner;
     decision.terms.borrowed = borrowed;
     decision.terms.suspect = scan.OnlySuspects();
     decision.terms.ramp = RampPenalty(candidate.load, candidate.given, candidate.slots, slot_ms_);
@@ -204,6 +230,7 @@
     terms.distance_ms = 2 * Milliseconds(*world_.Distance(zone));
     terms.prefill_ms = Prefill(0);
     terms.borrowed = borrowed;
+    terms.warms_owner = request_.prefix != 0;
     AddScore(request_, world_, decision.region, offer.slots > 0 ? offer.price : able.price, options_, &terms);
     Offer(decision, load + 1 <= slots * options_.spare_share);
   }
