Find engine connections that are silent before the first byte; retries of untaken requests cost no budget

Cause (system.GatewayTest.SilentEngineConnectionIsReplaced): a resumed stream took a kept connection that had gone silent while idle, and nothing bounded the wait for the header but the whole timeout: 30 s, truncated. Ruled out: TCP user timeouts, since whatever has lost track of a connection may still acknowledge bytes. An attempt that nothing took costs nothing now, up to 6 attempts.

--- a/libs/gateway/internal/completion_run.cc
+++ b/libs/gateway/internal/completion_run.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kHedgeStep{5};
 // Replicas and zones asked in a row before anything was sent.
 constexpr int kMaxRefusals = 4;
+// Attempts in all while every one was refused without a byte being taken.
+constexpr uint32_t kMaxFreeAttempts = 6;
 
 /// Replaces the attempt's name by the request's id. False when the event belongs to another attempt.
 bool RenameEvent(const std::string& attempt, const std::string& request_id, std::string* data) {
@@ -233,6 +235,13 @@
 }
 
 bool CompletionRun::Retry(const Failure& failure) {
+  // An upstream that took nothing was not loaded either, so asking another one costs no budget. Otherwise a
+  // dead replica that can't be ejected would use up the budget that resumptions need.
+  const bool nothing_sent = failure.outcome == base::Outcome::kNotRun && assembler_.next() == 0;
+  if (nothing_sent && tracker_.started() < kMaxFreeAttempts) {
+    Failure refusal;
+    return StartAnywhere(retry::AttemptKind::kRetry, &refusal);
+  }
   Failure no_route;
   const auto choice = ChooseNext(&no_route);
   if (!choice) return false;
--- a/libs/gateway/internal/dispatcher.cc
+++ b/libs/gateway/internal/dispatcher.cc
@@ -176,7 +176,8 @@
     *failure = NotRun(503, "replica-gone", leaving ? "the replica is leaving" : "the replica is ejected");
     return std::nullopt;
   }
-  LocalTarget target{choice.Place(), choice.replica().id, choice.replica().address};
+  LocalTarget target{choice.Place(), choice.replica().id, choice.replica().address,
+                     choice.decision.first_token};
   return Reservation{std::move(target), std::move(limited), std::move(answer.slot), std::move(*in_flight)};
 }
 
--- a/libs/gateway/internal/local_attempt.cc
+++ b/libs/gateway/internal/local_attempt.cc
@@ -12,6 +12,10 @@
 
 constexpr milliseconds kReclaimCheck{100};
 constexpr milliseconds kCancelTimeout{500};
+// An engine that has not begun after twice the progress limit and four times the estimate is taken as silent:
+// nothing else tells a connection that was lost while the request waits from a long queue.
+constexpr int kHeadLimits = 2;
+constexpr int kHeadEstimates = 4;
 
 http::ClientRequest ToExchange(const Core& core, const Work& work, const LocalTarget& target,
                                const std::string& attempt, uint32_t resume_tokens) {
@@ -27,6 +31,10 @@
   request.connect_timeout = core.settings.connect_limit;
   request.timeout = left;
   request.progress_timeout = core.settings.progress_limit;
+  const auto estimate = std::chrono::duration_cast<milliseconds>(target.first_token);
+  request.head_timeout = std::max(kHeadLimits * core.settings.progress_limit, kHeadEstimates * estimate);
+  // A kept connection may have gone silent while it was idle. At 51 requests/s a new one costs little.
+  request.single_use_connection = true;
   return request;
 }
 
--- a/libs/gateway/internal/local_attempt.h
+++ b/libs/gateway/internal/local_attempt.h
@@ -14,7 +14,8 @@
 struct LocalTarget {
   AttemptPlace place;
   std::string upstream;
-  std::string address;  // IP:PORT
+  std::string address;            // IP:PORT
+  base::Duration first_token{0};  // as the router estimated it
 };
 
 /// A completion at an engine of the own zone. Holds its admission slot and its in-flight count.
--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -315,7 +315,7 @@
       failure = {503, std::string(tickets::TicketCodeName(gate)), "refused just before the send"};
       break;
     }
-    auto response = Exchange(work, *reservation, true, &state, &failure);
+    auto response = Exchange(work, *reservation, &state, &failure);
     if (response) {
       ServiceAnswer answer;
       answer.answered = true;
@@ -347,7 +347,7 @@
   const auto reservation = dispatcher_->Reserve(work, choice, &failure);
   if (!reservation) return Failed(failure);
   http::ExchangeState state;
-  auto response = Exchange(work, *reservation, false, &state, &failure);
+  auto response = Exchange(work, *reservation, &state, &failure);
   if (!response) return Failed(failure);
   ServiceAnswer answer;
   answer.answered = true;
@@ -361,8 +361,7 @@
 /// One exchange with a service's replica. A 503 is no answer of the service: it is reported as a failure,
 /// with outcome `unknown` because its bytes have left.
 std::optional<http::Response> ServiceCalls::Exchange(const Work& work, const Reservation& reservation,
-                                                     bool once, http::ExchangeState* state,
-                                                     Failure* failure) {
+                                                     http::ExchangeState* state, Failure* failure) {
   constexpr int kUnavailable = 503;
   const auto left = std::chrono::duration_cast<milliseconds>(work.deadline - core_->clock.Now());
   http::ClientRequest request;
@@ -376,7 +375,8 @@
   request.connect_timeout = core_->settings.connect_limit;
   request.timeout = left;
   request.progress_timeout = core_->settings.progress_limit;
-  request.single_use_connection = once;
+  // Lookups too: a kept connection may have gone silent while it was idle.
+  request.single_use_connection = true;
   ReplicaReport report(core_, reservation.target.upstream, reservation.in_flight.IsProbe());
   http::HttpReason reason;
   auto response = core_->http->Send(request, &reason, state);
--- a/libs/gateway/internal/service_calls.h
+++ b/libs/gateway/internal/service_calls.h
@@ -43,7 +43,7 @@
   ServiceAnswer Lookup(const Work& work, const Choice& choice);
   ServiceAnswer FromTicket(const Work& work, const tickets::TicketAnswer& answer) const;
   ServiceAnswer AwaitTicket(const Work& work);
-  std::optional<http::Response> Exchange(const Work& work, const Reservation& reservation, bool once,
+  std::optional<http::Response> Exchange(const Work& work, const Reservation& reservation,
                                          http::ExchangeState* state, Failure* failure);
   tickets::TicketGate Gate(const Work& work) const;
 
--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -50,7 +50,8 @@
   void SetOptions();
   void DeliverHead();
   void Perform();
-  bool Stalled() const;
+  /// The limit that has passed without a byte, if any.
+  std::optional<std::chrono::milliseconds> Stalled() const;
   HttpReason Explain(CURLcode code) const;
 
   CURLM* multi_;
@@ -63,6 +64,7 @@
   bool head_seen_ = false;
   bool finished_ = false;
   bool whole_ = false;
+  SteadyTime begun_;
   SteadyTime last_byte_;
 };
 
@@ -108,6 +110,7 @@
   headers_.clear();
   events_.clear();
   head_seen_ = finished_ = whole_ = false;
+  begun_ = std::chrono::steady_clock::now();
   last_byte_ = {};
   curl_easy_reset(easy_);
   for (const auto& [name, value] : request_.headers) {
@@ -152,9 +155,13 @@
   attached_ = false;
 }
 
-bool Transfer::Stalled() const {
-  return request_.progress_timeout.count() > 0 && last_byte_ != SteadyTime{} &&
-         std::chrono::steady_clock::now() - last_byte_ > request_.progress_timeout;
+std::optional<std::chrono::milliseconds> Transfer::Stalled() const {
+  const auto now = std::chrono::steady_clock::now();
+  const bool in_body = last_byte_ != SteadyTime{};
+  const auto limit = in_body ? request_.progress_timeout : request_.head_timeout;
+  if (limit.count() == 0 || (!in_body && head_seen_)) return std::nullopt;
+  if (now - (in_body ? last_byte_ : begun_) <= limit) return std::nullopt;
+  return limit;
 }
 
 HttpReason Transfer::Explain(CURLcode code) const {
@@ -191,15 +198,16 @@
     if (!events_.empty()) break;
     // Judged only after all bytes that are there have been taken, so that a process that was paused does not
     // take its own pause for the silence of the peer.
-    if (Stalled()) {
+    if (const auto silence = Stalled()) {
       finished_ = true;
-      const std::string detail = "no byte for " + std::to_string(request_.progress_timeout.count()) + " ms";
+      const std::string detail = "no byte for " + std::to_string(silence->count()) + " ms";
       return {ExchangeEvent::Kind::kFailed, 0, {}, "", {HttpCode::kStalled, detail}};
     }
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
     if (left.count() <= 0) return {};
     auto wait = left;
     if (request_.progress_timeout.count() > 0) wait = std::min(wait, request_.progress_timeout);
+    if (request_.head_timeout.count() > 0) wait = std::min(wait, request_.head_timeout);
     curl_multi_poll(multi_, nullptr, 0, static_cast<int>(wait.count()), nullptr);
   }
   ExchangeEvent event = std::move(events_.front());
--- a/libs/http/internal/client.h
+++ b/libs/http/internal/client.h
@@ -17,6 +17,7 @@
   std::string body;
   std::chrono::milliseconds connect_timeout{250};
   std::chrono::milliseconds timeout{30000};       // for the whole exchange
+  std::chrono::milliseconds head_timeout{0};      // until the response's header arrives; 0 is none
   std::chrono::milliseconds progress_timeout{0};  // longest silence after the first body byte; 0 is none
   /// A fresh connection that is not used again. Required for calls that must not be repeated, because libcurl
   /// resends a request when a reused connection turns out to be closed.
