--- a/bench/decisions/scenario.cc
+++ b/bench/decisions/scenario.cc
@@ -113,6 +113,12 @@
   peak.duration_s = 1320;
   peak.report_delay_s = 0.5;
   scenarios.push_back(peak);
+  Scenario overload;
+  overload.name = "overload, 1.3 of capacity";
+  overload.load = 1.3;
+  overload.duration_s = 600;
+  overload.report_delay_s = 0.5;
+  scenarios.push_back(overload);
   Scenario loss;
   loss.name = "loss of region c and return";
   loss.load = 0.65;
--- a/libs/routing/internal/estimate.h
+++ b/libs/routing/internal/estimate.h
@@ -39,6 +39,9 @@
   double suspect_penalty = 5000;
   /// Share of the time and price of filling the prefix owner's cache at home that later requests get back.
   double reuse_share = 0.5;
+  /// Factor on the queue of another zone. Its sums are older than the own view, and when every zone is
+  /// overloaded, swapping requests between zones gains nothing.
+  double zone_queue_margin = 1.5;
   uint32_t choices = 4;
   double owner_load_bound = 1.25;
   /// Classes that wait take a replica or zone only below this share of its slots.
--- a/libs/routing/internal/scored_router.cc
+++ b/libs/routing/internal/scored_router.cc
@@ -236,7 +236,7 @@
       }
       terms.link_ms = Milliseconds(delay);
     }
-    terms.queue_ms = ZoneQueue(load, slots, slot_ms_);
+    terms.queue_ms = options_.zone_queue_margin * ZoneQueue(load, slots, slot_ms_);
     terms.distance_ms = 2 * Milliseconds(*world_.Distance(zone));
     terms.prefill_ms = Prefill(0);
     terms.borrowed = borrowed;
