Find a pause at the moment of the send, let the planner read all its engines, keep the relay's port while cut

Tickets: a VM that was paused has a stale standing until a peer or the platform has answered it, found by comparing the clock with the last turn of the control loop at the send.

--- a/libs/gateway/internal/core.cc
+++ b/libs/gateway/internal/core.cc
@@ -14,6 +14,7 @@
       fleet(own, base::EntropySeed(), node_clock.Now()),
       admission(node_clock),
       limits(node_clock),
+      standing(node_clock.Now()),
       http(http::Client::Create()) {}
 
 std::string Core::NewRequestId() {
--- a/libs/gateway/internal/core.h
+++ b/libs/gateway/internal/core.h
@@ -14,6 +14,7 @@
 #include "libs/gateway/internal/gateway_settings.h"
 #include "libs/gateway/internal/metrics.h"
 #include "libs/gateway/internal/node_view.h"
+#include "libs/gateway/internal/standing.h"
 #include "libs/gateway/internal/upstream_limits.h"
 #include "libs/http/http.h"
 #include "libs/membership/membership.h"
@@ -78,6 +79,7 @@
   ConfigState config;
   AdmissionGate admission;
   UpstreamLimits limits;
+  StandingWatch standing;
   routing::ScoredRouter router;
   std::unique_ptr<http::Client> http;
   std::unique_ptr<rpc::Node> node;  // set once, before the first request
--- a/libs/gateway/internal/gateway.cc
+++ b/libs/gateway/internal/gateway.cc
@@ -151,6 +151,7 @@
 
   void ControlLoop() {
     while (!stopping_.load()) {
+      core_.standing.Turn(clock_.Now());
       peers_.Tick();
       core_.admission.Tick();
       const bool ready = peers_.caught_up() || clock_.Now() - started_ >= kCatchUpLimit;
--- a/libs/gateway/internal/peer_exchange.cc
+++ b/libs/gateway/internal/peer_exchange.cc
@@ -120,6 +120,7 @@
     fleet.gossip.CallFailed(peer, fleet.table, now);
     return;
   }
+  core_->standing.Contact(started);
   // Another VM may have taken over the address of the one that was called.
   if (from->id != peer) fleet.gossip.CallFailed(peer, fleet.table, now);
   fleet.gossip.MergeAnswer(*from, *message, started, fleet.table, now);
--- a/libs/gateway/internal/platform_reader.cc
+++ b/libs/gateway/internal/platform_reader.cc
@@ -47,6 +47,7 @@
   request.url = "http://" + core_->settings.platform + path;
   request.connect_timeout = kReadTimeout;
   request.timeout = timeout;
+  const base::TimePoint asked_at = core_->clock.Now();
   const auto exchange = http_->Open(request);
   std::string body;
   *status = 0;
@@ -61,6 +62,7 @@
     if (event.kind == http::ExchangeEvent::Kind::kEnd) break;
   }
   const bool answered = *status == 200;
+  if (answered) core_->standing.Contact(asked_at);
   core_->metrics.CountPlatformRead(what, answered);
   if (!answered) return std::nullopt;
   return body;
--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -238,14 +238,16 @@
 
 tickets::TicketGate ServiceCalls::Gate(const Work& work) const {
   tickets::TicketGate gate;
-  gate.now = core_->clock.Now();
   gate.deadline = work.deadline;
   gate.call_config_seq = work.config_seq;
   gate.own_config_seq = core_->View().version.seq;
-  const std::lock_guard<std::mutex> lock(core_->fleet.mutex);
-  if (core_->fleet.table.OwnReplaced()) {
-    gate.standing = tickets::Standing::kReplaced;
+  bool replaced = false;
+  {
+    const std::lock_guard<std::mutex> lock(core_->fleet.mutex);
+    replaced = core_->fleet.table.OwnReplaced();
   }
+  gate.now = core_->clock.Now();
+  gate.standing = core_->standing.Now(gate.now, replaced);
   return gate;
 }
 
--- a/libs/gateway/internal/upstream_poller.cc
+++ b/libs/gateway/internal/upstream_poller.cc
@@ -14,6 +14,7 @@
 constexpr milliseconds kStep{50};
 constexpr milliseconds kPollTimeout{500};
 constexpr size_t kMaxCacheEvents = 1000;
+constexpr std::chrono::seconds kFullPollInterval{5};
 
 uint64_t ToNumber(const json& value) {
   if (value.is_number_unsigned()) return value.get<uint64_t>();
@@ -74,8 +75,12 @@
         const std::lock_guard<std::mutex> lock(core_->fleet.mutex);
         ids = membership::ReplicaPollerSelector::OwnReplicas(core_->fleet.table, ids);
       }
+      // Gossip carries no models, so the planner of the zone also asks the engines that other VMs poll.
+      const bool ask_all = core_->clock.Now() >= next_full_poll_ && Context().is_planner;
+      if (ask_all) next_full_poll_ = core_->clock.Now() + kFullPollInterval;
       for (const Engine& engine : engines) {
-        if (std::find(ids.begin(), ids.end(), engine.id) != ids.end() && !stopping_.load()) Poll(engine);
+        const bool own = std::find(ids.begin(), ids.end(), engine.id) != ids.end();
+        if ((own || ask_all) && !stopping_.load()) Poll(engine, own);
       }
       TakeGossip(view, engines);
       TakeZoneSums(view);
@@ -101,7 +106,7 @@
   return engines;
 }
 
-void UpstreamPoller::Poll(const Engine& engine) {
+void UpstreamPoller::Poll(const Engine& engine, bool own) {
   http::ClientRequest request;
   request.url = "http://" + engine.address + "/load";
   request.connect_timeout = core_->settings.connect_limit;
@@ -110,6 +115,7 @@
   const auto load = response ? json::parse(response->body, nullptr, false) : json();
   const base::TimePoint now = core_->clock.Now();
   if (!load.is_object() || response->status != 200) {
+    if (!own) return;
     {
       const std::lock_guard<std::mutex> lock(core_->replicas.mutex);
       core_->replicas.table.OnResult(engine.id, upstreams::Result::kFailure, false, now);
@@ -136,6 +142,7 @@
   planner_.Report({engine.id, std::to_string(report.incarnation),
                    report.state == upstreams::EngineState::kLeaving, models},
                   now);
+  if (!own) return;
   {
     const std::lock_guard<std::mutex> lock(core_->fleet.mutex);
     core_->fleet.gossip.SetOwnLoad(engine.index, Clamp16(report.running), Clamp16(report.queued),
@@ -308,7 +315,7 @@
   request.timeout = kPollTimeout;
   // The gate is the last step before the send: this process may have been paused since the order was planned.
   if (orders::SendGate::Check(order, Context()) != orders::GateVerdict::kSend) {
-    planner_.Answered(order, orders::OrderAnswer::kNoAnswer);
+    planner_.NotSent(order);
     return;
   }
   const auto response = http_->Send(request, nullptr, nullptr);
--- a/libs/gateway/internal/upstream_poller.h
+++ b/libs/gateway/internal/upstream_poller.h
@@ -32,7 +32,8 @@
   };
 
   std::vector<Engine> OwnZoneEngines(const NodeView& view) const;
-  void Poll(const Engine& engine);
+  /// `own`: this VM is the one that tells the zone of this engine.
+  void Poll(const Engine& engine, bool own);
   void PollCache(const Engine& engine, uint64_t incarnation);
   void TakeGossip(const NodeView& view, const std::vector<Engine>& engines);
   void TakeZoneSums(const NodeView& view);
@@ -47,6 +48,7 @@
   admission::NodeShare share_;
   uint64_t planned_seq_ = 0;
   base::TimePoint shared_at_{};
+  base::TimePoint next_full_poll_{};
   std::atomic<size_t> pending_orders_{0};
   std::atomic<bool> stopping_{false};
 };
--- a/standins/relay/relay.h
+++ b/standins/relay/relay.h
@@ -60,6 +60,7 @@
     sockaddr_in listen_address{};
     sockaddr_in target_address{};
     int listen_fd = -1;
+    int reserved_fd = -1;  // holds the port while the pair is cut
     uint32_t registered = 0;
     std::map<uint64_t, std::unique_ptr<Connection>> connections;
   };
