Count nothrow allocations too

Cause: the address sanitizer reported a mismatch in routing_test: std::stable_sort allocates with the nothrow operator, which the counting operators left to the library.

--- a/tests/routing/allocation_test.cc
+++ b/tests/routing/allocation_test.cc
@@ -18,6 +18,10 @@
   if (void* memory = std::malloc(size == 0 ? 1 : size)) return memory;
   throw std::bad_alloc{};
 }
+[[gnu::noinline]] void* operator new(size_t size, const std::nothrow_t& /*tag*/) noexcept {
+  ++allocations;
+  return std::malloc(size == 0 ? 1 : size);
+}
 [[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
 [[gnu::noinline]] void operator delete(void* memory, size_t) noexcept { std::free(memory); }
 
