Keep the port of a cut relay pair reserved

GatewayTest.HealedPartitionAdoptsTheConfiguration failed in 2 of 8 runs with a 503 of the relay: while a pair was cut, an outgoing connection of another process had taken its port. A bound socket that does not listen now keeps the port.

--- a/standins/relay/relay.cc
+++ b/standins/relay/relay.cc
@@ -36,6 +36,16 @@
 
 const sockaddr* Raw(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
+// With SO_REUSEADDR several sockets of one address may be bound as long as only one of them listens.
+int BoundSocket(const sockaddr_in& address) {
+  const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int on = 1;
+  setsockopt(socket_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind(socket_fd, Raw(address), sizeof address) == 0) return socket_fd;
+  close(socket_fd);
+  return -1;
+}
+
 }  // namespace
 
 Relay::Relay() : wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
@@ -52,6 +62,7 @@
   if (thread_.joinable()) thread_.join();
   for (Pair& pair : pairs_) {
     if (pair.listen_fd >= 0) close(pair.listen_fd);
+    if (pair.reserve_fd >= 0) close(pair.reserve_fd);
   }
   close(wake_fd_);
 }
@@ -68,7 +79,7 @@
     }
     pair.listen_address = *listen;
     pair.target_address = *target;
-    if (!relay->Bind(pair)) {
+    if (!Reserve(pair) || !Listen(pair)) {
       *problem = "can't listen on " + addresses.listen + ": " + std::strerror(errno);
       return nullptr;
     }
@@ -80,16 +91,19 @@
   return relay;
 }
 
-bool Relay::Bind(Pair& pair) const {
-  pair.listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  const int on = 1;
-  setsockopt(pair.listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+// Without the reservation, any outgoing connection of the machine could take the port of a cut pair.
+bool Relay::Reserve(Pair& pair) {
+  pair.reserve_fd = BoundSocket(pair.listen_address);
   socklen_t length = sizeof pair.listen_address;
   // The address then holds the port that was bound, and a cut pair listens on the same one again.
-  if (bind(pair.listen_fd, Raw(pair.listen_address), length) == 0 && listen(pair.listen_fd, SOMAXCONN) == 0 &&
-      getsockname(pair.listen_fd, reinterpret_cast<sockaddr*>(&pair.listen_address), &length) == 0) {
-    return true;
-  }
+  return pair.reserve_fd >= 0 &&
+         getsockname(pair.reserve_fd, reinterpret_cast<sockaddr*>(&pair.listen_address), &length) == 0;
+}
+
+bool Relay::Listen(Pair& pair) {
+  pair.listen_fd = BoundSocket(pair.listen_address);
+  if (pair.listen_fd < 0) return false;
+  if (listen(pair.listen_fd, SOMAXCONN) == 0) return true;
   close(pair.listen_fd);
   pair.listen_fd = -1;
   return false;
@@ -109,7 +123,7 @@
     if (pair.listen_fd >= 0) close(pair.listen_fd);
     pair.listen_fd = -1;
     pair.registered = 0;
-  } else if (pair.listen_fd < 0 && !Bind(pair)) {
+  } else if (pair.listen_fd < 0 && !Listen(pair)) {
     return false;
   }
   pair.state.mode = mode;
--- a/standins/relay/relay.h
+++ b/standins/relay/relay.h
@@ -59,13 +59,15 @@
     PairState state;
     sockaddr_in listen_address{};
     sockaddr_in target_address{};
+    int reserve_fd = -1;  // bound but not listening: keeps the port while the pair is cut
     int listen_fd = -1;
     uint32_t registered = 0;
     std::map<uint64_t, std::unique_ptr<Connection>> connections;
   };
 
   Relay();
-  bool Bind(Pair& pair) const;
+  static bool Reserve(Pair& pair);
+  static bool Listen(Pair& pair);
   void Run();
   void Dispatch(uint64_t key, uint32_t events);
   void Accept(Pair& pair);
--- a/tests/system/loop_test.cc
+++ b/tests/system/loop_test.cc
@@ -16,7 +16,8 @@
   return hops;
 }
 
-// Guards against a request that two zones hand to each other because each believes that the other can serve it.
+// Guards against a request that two zones hand to each other because each believes that the other can serve
+// it.
 TEST(LoopTest, ARequestThatNobodyCanServeMakesOneHopAnAttempt) {
   Fleet fleet;
   Deployment plan(&fleet);
