--- a/tests/system/gateway_test.cc
+++ b/tests/system/gateway_test.cc
@@ -98,6 +98,21 @@
   EXPECT_GT(Resumed({"e1", "e2"}), 0);
 }
 
+// Guards against a request that waits until its deadline on a kept connection that went silent while it was
+// idle.
+TEST_F(GatewayTest, SilentIdleConnectionIsReplaced) {
+  plan_.StartLoad("warm", "home", {"a"}, {"--streams", "8", "--duration-ms", "500", "--max-tokens", "10"});
+  ExpectNoViolation(plan_.LoadResult("warm", seconds{20}));
+  for (const char* relay : {"e1-relay", "e2-relay"}) {
+    EXPECT_EQ(plan_.Relay(relay, {{"mode", "drop"}, {"direction", "both"}}), 200);
+  }
+  plan_.StartLoad("load", "home", {"a"},
+                  {"--streams", "1", "--duration-ms", "100", "--max-tokens", "10", "--timeout-ms", "10000"});
+  const json result = plan_.LoadResult("load", seconds{20});
+  ExpectNoViolation(result);
+  EXPECT_EQ(result["results"]["unknown"], 0) << result;
+}
+
 // Guards against engine faults that reach the client as a complete answer.
 TEST_F(GatewayTest, FaultyStreamsNeverLookWhole) {
   for (const char* kind : {"end-after-tokens", "cross-chunks", "repeat-chunks"}) {
