--- a/libs/config/config.h
+++ b/libs/config/config.h
@@ -5,7 +5,6 @@
 #include "libs/config/internal/config_store.h"
 #include "libs/config/internal/document.h"
 #include "libs/config/internal/document_text.h"
-#include "libs/config/internal/freshness.h"
 #include "libs/config/internal/log_entry.h"
 #include "libs/config/internal/names.h"
 #include "libs/config/internal/patch.h"
