Name prompt prefixes as the engines' cache events do

The gateway hashed the text of all messages but the last and read the events' hexadecimal names as decimal, so cache events never matched a request and only the VM's own traffic told it where a prefix is warm. Now the name is the chained hash of the prompt's 64-byte blocks, as the engine protocol has it; three cases compare it with the stand-in engine.

--- a/libs/gateway/internal/prompt.cc
+++ b/libs/gateway/internal/prompt.cc
@@ -11,10 +11,23 @@
 // Four bytes of English text are about one token; routing needs only the order of magnitude.
 constexpr uint32_t kBytesPerToken = 4;
 constexpr uint32_t kDefaultOutputTokens = 232;  // mean of the workload
+constexpr size_t kTemplateBytes = 256;
 
-std::string MessageText(const json& message) {
-  const auto content = message.find("content");
-  return content != message.end() && content->is_string() ? content->get<std::string>() : "";
+std::string Member(const json& message, const char* name) {
+  const auto found = message.find(name);
+  return found != message.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+/// The engines' name of the prefix that ends with the last whole block of `text`, and its length.
+void SetPrefix(std::string_view text, Work* work) {
+  constexpr size_t kTokensPerBlock = 16;
+  constexpr size_t kBlockBytes = kTokensPerBlock * kBytesPerToken;
+  const size_t blocks = text.size() / kBlockBytes;
+  if (blocks == 0) return;
+  uint64_t hash = base::Hash64(work->target);
+  for (size_t i = 0; i < blocks; ++i) hash = base::Hash64(text.substr(i * kBlockBytes, kBlockBytes), hash);
+  work->prefix = hash;
+  work->prefix_tokens = static_cast<uint32_t>(blocks * kTokensPerBlock);
 }
 
 }  // namespace
@@ -29,18 +42,17 @@
   work->target = model->get<std::string>();
   const auto stream = request.find("stream");
   work->stream = stream != request.end() && stream->is_boolean() && stream->get<bool>();
-  std::string prefix;
-  size_t bytes = 0;
+  std::string text;
+  size_t prefix_bytes = 0;
   for (const json& message : *messages) {
     if (!message.is_object()) return false;
-    const std::string text = MessageText(message);
-    // All but the last message are likely to come again: the system prompt and the conversation so far.
-    if (&message != &messages->back()) prefix += text;
-    bytes += text.size();
+    prefix_bytes = text.size();  // all but the last message are likely to come again
+    text += Member(message, "role") + ":" + Member(message, "content") + "\n";
   }
-  work->prompt_tokens = static_cast<uint32_t>(bytes / kBytesPerToken) + 1;
-  work->prefix_tokens = static_cast<uint32_t>(prefix.size() / kBytesPerToken);
-  work->prefix = prefix.empty() ? 0 : base::Hash64(prefix);
+  // The start of a single message may be shared as well, for example a template.
+  if (messages->size() == 1) prefix_bytes = std::min(text.size(), kTemplateBytes);
+  work->prompt_tokens = static_cast<uint32_t>(text.size() / kBytesPerToken) + 1;
+  SetPrefix(std::string_view(text).substr(0, prefix_bytes), work);
   const auto max_tokens = request.find("max_tokens");
   const bool limited = max_tokens != request.end() && max_tokens->is_number_unsigned();
   work->output_tokens = limited
--- a/libs/gateway/internal/upstream_poller.cc
+++ b/libs/gateway/internal/upstream_poller.cc
@@ -26,6 +26,14 @@
   return number;
 }
 
+/// The prefix of a cache event, which is named by 16 hexadecimal digits.
+uint64_t PrefixOf(const json& event) {
+  const std::string name = event.value("prefix", "");
+  uint64_t prefix = 0;
+  std::from_chars(name.data(), name.data() + name.size(), prefix, 16);
+  return prefix;
+}
+
 uint32_t Count(const json& load, const char* key) {
   const auto found = load.find(key);
   return found != load.end() && found->is_number_unsigned() ? found->get<uint32_t>() : 0;
@@ -171,7 +179,7 @@
     event.seq = entry.contains("seq") ? ToNumber(entry["seq"]) : 0;
     event.operation = entry.value("op", "") == "evict" ? upstreams::CacheOperation::kEvict
                                                        : upstreams::CacheOperation::kAdd;
-    event.prefix = entry.contains("prefix") ? ToNumber(entry["prefix"]) : 0;
+    event.prefix = PrefixOf(entry);
     event.tokens = Count(entry, "tokens");
     events.push_back(event);
   }
--- /dev/null
+++ b/tests/gateway/prompt_test.cc
@@ -0,0 +1,41 @@
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "libs/gateway/internal/prompt.h"
+#include "standins/engine/core/tokens.h"
+
+namespace cornelplank::gateway {
+namespace {
+
+using nlohmann::json;
+
+struct PromptCase {
+  const char* name;
+  json messages;
+  size_t blocks;  // of the shared prefix
+};
+class PromptTest : public testing::TestWithParam<PromptCase> {};
+
+// Guards against a prefix that is named otherwise than in the engines' cache events, which would then be
+// useless.
+TEST_P(PromptTest, NamesThePrefixAsTheEnginesDo) {
+  const json body = {{"model", "m"}, {"messages", GetParam().messages}};
+  Work work;
+  ASSERT_TRUE(ReadPrompt(body.dump(), &work));
+  const auto chain = standins::engine::PrefixChain("m", standins::engine::PromptText(body));
+  EXPECT_EQ(work.prefix_tokens, GetParam().blocks * 16);
+  EXPECT_EQ(work.prefix, GetParam().blocks == 0 ? 0 : chain.at(GetParam().blocks - 1));
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, PromptTest,
+    testing::Values(PromptCase{"Short", {{{"role", "user"}, {"content", "short"}}}, 0},
+                    PromptCase{"Single", {{{"role", "user"}, {"content", std::string(1000, 'a')}}}, 4},
+                    PromptCase{"Conversation",
+                               {{{"role", "system"}, {"content", std::string(150, 's')}},
+                                {{"role", "user"}, {"content", std::string(500, 'u')}}},
+                               2}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace cornelplank::gateway
