--- a/libs/rpc/internal/outgoing.cc
+++ b/libs/rpc/internal/outgoing.cc
@@ -186,8 +186,9 @@
                                              std::chrono::milliseconds timeout) {
   auto exchange = TryControl(kind, payload)
                       .catch_([this, kind, payload](kj::Exception&& exception) -> kj::Promise<ControlAnswer> {
-                        if (exception.getType() != kj::Exception::Type::DISCONNECTED)
+                        if (exception.getType() != kj::Exception::Type::DISCONNECTED) {
                           kj::throwFatalException(kj::mv(exception));
+                        }
                         return TryControl(kind, payload);
                       });
   return io_.getTimer().timeoutAfter(ToKj(timeout), kj::mv(exchange));
--- a/tests/admission/admission_fuzz.cc
+++ b/tests/admission/admission_fuzz.cc
@@ -406,9 +406,9 @@
   std::set<std::string> borrowed_granted_;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget({"admission", [](uint64_t seed, uint64_t steps) {
-                                                    return FuzzAdmission(seed, steps, AdmissionFault::kNone);
-                                                  }});
+const bool kRegistered = fuzz::RegisterFuzzTarget({"admission", [](uint64_t seed, uint64_t steps) {
+                                                     return FuzzAdmission(seed, steps, AdmissionFault::kNone);
+                                                   }});
 
 }  // namespace
 
--- a/tests/config/parse_fuzz.cc
+++ b/tests/config/parse_fuzz.cc
@@ -135,20 +135,20 @@
   }
 }
 
-const bool registered = fuzz::RegisterFuzzTarget({"config_parse", RunParseFuzz});
+const bool kRegistered = fuzz::RegisterFuzzTarget({"config_parse", RunParseFuzz});
 
 }  // namespace
 
 std::optional<std::string> RunParseFuzz(uint64_t seed, uint64_t steps) {
-  static const std::vector<std::string> seeds = SeedTexts();
+  static const std::vector<std::string> kSeeds = SeedTexts();
   const auto mutation = rc::gen::resize(rc::kNominalSize, rc::gen::inRange<uint64_t>(0, uint64_t{1} << 56));
   uint64_t executed = 0;
   for (uint64_t round = 0; executed < steps; ++round) {
     const uint64_t cases = std::max<uint64_t>(50, (steps - executed) * 2 / kMaxMutations);
     const auto violation = fuzz::CheckProperty(seed + round, cases, kMaxMutations, [&] {
-      const auto form = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<size_t>(0, seeds.size()));
+      const auto form = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<size_t>(0, kSeeds.size()));
       const auto mutations = *rc::gen::container<std::vector<uint64_t>>(mutation);
-      RunMutations(form, seeds[form], mutations);
+      RunMutations(form, kSeeds[form], mutations);
       executed += mutations.size();
     });
     if (violation) return violation;
--- a/tests/config/store_fuzz.cc
+++ b/tests/config/store_fuzz.cc
@@ -210,7 +210,7 @@
   std::vector<std::unique_ptr<StoreUnderTest>> stores_;
 };
 
-const bool registered =
+const bool kRegistered =
     fuzz::RegisterFuzzTarget({"config", [](uint64_t seed, uint64_t steps) {
                                 return RunStoreFuzz(
                                     [](Snapshot snapshot, const StoreOptions& options) {
--- a/tests/membership/membership_fuzz.cc
+++ b/tests/membership/membership_fuzz.cc
@@ -191,7 +191,7 @@
   std::optional<std::string> violation_;
 };
 
-const bool registered =
+const bool kRegistered =
     fuzz::RegisterFuzzTarget({"membership", [](uint64_t seed, uint64_t steps) {
                                 return FuzzMembership(MembershipFault::kNone, seed, steps);
                               }});
--- a/tests/membership/readers_fuzz.cc
+++ b/tests/membership/readers_fuzz.cc
@@ -104,9 +104,9 @@
   std::optional<std::string> violation_;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget({"readers", [](uint64_t seed, uint64_t steps) {
-                                                    return FuzzReaders(MembershipFault::kNone, seed, steps);
-                                                  }});
+const bool kRegistered = fuzz::RegisterFuzzTarget({"readers", [](uint64_t seed, uint64_t steps) {
+                                                     return FuzzReaders(MembershipFault::kNone, seed, steps);
+                                                   }});
 
 }  // namespace
 
--- a/tests/orders/orders_fuzz.cc
+++ b/tests/orders/orders_fuzz.cc
@@ -178,7 +178,7 @@
   std::optional<std::string> violation_;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget(
+const bool kRegistered = fuzz::RegisterFuzzTarget(
     {"orders", [](uint64_t seed, uint64_t steps) { return FuzzOrders(OrdersFault::kNone, seed, steps); }});
 
 }  // namespace
--- a/tests/retry/retry_fuzz.cc
+++ b/tests/retry/retry_fuzz.cc
@@ -265,7 +265,7 @@
   uint64_t hedge_count_ = 0;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget(
+const bool kRegistered = fuzz::RegisterFuzzTarget(
     {"retry", [](uint64_t seed, uint64_t steps) { return FuzzRetry(seed, steps, RetryFault::kNone); }});
 
 }  // namespace
--- a/tests/retry/stream_fuzz.cc
+++ b/tests/retry/stream_fuzz.cc
@@ -137,7 +137,7 @@
   bool failed_ = false;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget(
+const bool kRegistered = fuzz::RegisterFuzzTarget(
     {"stream", [](uint64_t seed, uint64_t steps) { return FuzzStream(seed, steps, StreamFault::kNone); }});
 
 }  // namespace
--- a/tests/routing/routing_fuzz.cc
+++ b/tests/routing/routing_fuzz.cc
@@ -401,7 +401,7 @@
 
 namespace {
 
-const bool registered = fuzz::RegisterFuzzTarget(
+const bool kRegistered = fuzz::RegisterFuzzTarget(
     {"routing", [](uint64_t seed, uint64_t steps) { return FuzzRouting(seed, steps, ScoredRouter()); }});
 
 }  // namespace
--- a/tests/tickets/tickets_fuzz.cc
+++ b/tests/tickets/tickets_fuzz.cc
@@ -299,7 +299,7 @@
   std::set<std::string> not_run_;
 };
 
-const bool registered = fuzz::RegisterFuzzTarget(
+const bool kRegistered = fuzz::RegisterFuzzTarget(
     {"tickets", [](uint64_t seed, uint64_t steps) { return FuzzTickets(seed, steps, TicketFault::kNone); }});
 
 }  // namespace
--- a/tests/upstreams/upstreams_fuzz.cc
+++ b/tests/upstreams/upstreams_fuzz.cc
@@ -264,9 +264,9 @@
 
 namespace {
 
-const bool registered = fuzz::RegisterFuzzTarget({"upstreams", [](uint64_t seed, uint64_t steps) {
-                                                    return FuzzUpstreams(seed, steps, TableFault::kNone);
-                                                  }});
+const bool kRegistered = fuzz::RegisterFuzzTarget({"upstreams", [](uint64_t seed, uint64_t steps) {
+                                                     return FuzzUpstreams(seed, steps, TableFault::kNone);
+                                                   }});
 
 }  // namespace
 }  // namespace cornelplank::upstreams
