--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -44,6 +44,10 @@
             file.write(text)
         return path
 
+    def _read(self, name):
+        with open(os.path.join(self.folder, name), encoding="utf-8") as file:
+            return file.read()
+
     def start(self, name, *args):
         with open(os.path.join(self.folder, name + ".log"), "w", encoding="utf-8") as log:
             process = subprocess.Popen(list(args), stdout=log, stderr=subprocess.STDOUT)
@@ -59,6 +63,11 @@
                    "--snapshot", self._write("snapshot.json", json.dumps(snapshot)),
                    "--clients", f"{EXAMPLE}/clients.json",
                    "--vms", self._write("vms.json", json.dumps({"age_ms": 0, "vms": vms})))
+        limit = time.monotonic() + 10
+        while "listening" not in self._read("platform.log"):
+            if time.monotonic() > limit:
+                raise RuntimeError("the platform does not serve")
+            time.sleep(0.01)
 
     def start_upstreams(self, document, *engine_options):
         for name, upstream in document["upstreams"].items():
