--- a/libs/gateway/internal/node_view.h
+++ b/libs/gateway/internal/node_view.h
@@ -14,7 +14,6 @@
   std::shared_ptr<const routing::World> world;
   config::Version version;
   bool home_only = false;
-  bool draining = false;
 };
 
 }  // namespace cornelplank::gateway
--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -264,13 +264,13 @@
   } else if (begun.decision == tickets::TicketDecision::kInProgress) {
     answer = AwaitTicket(work);
   } else {
-    answer = FromTicket(work, begun);
+    answer = FromTicket(begun);
   }
   if (implicit) answer.ticket = work.ticket;
   return answer;
 }
 
-ServiceAnswer ServiceCalls::FromTicket(const Work& /*work*/, const tickets::TicketAnswer& ticket) const {
+ServiceAnswer ServiceCalls::FromTicket(const tickets::TicketAnswer& ticket) const {
   const std::string code(tickets::TicketCodeName(ticket.code));
   if (ticket.decision == tickets::TicketDecision::kReplay && ticket.result) {
     ServiceAnswer answer;
@@ -293,7 +293,7 @@
     const std::lock_guard<std::mutex> lock(core_->tickets.mutex);
     answer = core_->tickets.table.Lookup(work.ticket, BindingOf(work), DigestOf(work), core_->clock.Now());
   } while (answer.decision == tickets::TicketDecision::kInProgress && core_->clock.Now() < work.deadline);
-  return FromTicket(work, answer);
+  return FromTicket(answer);
 }
 
 /// Sends a call that must not be repeated. Another replica is tried only while no byte has left.
--- a/libs/gateway/internal/service_calls.h
+++ b/libs/gateway/internal/service_calls.h
@@ -41,7 +41,7 @@
   ServiceAnswer RunTicket(const Work& work, bool implicit);
   ServiceAnswer SendOnce(const Work& work, tickets::SendId send);
   ServiceAnswer Lookup(const Work& work, const Choice& choice);
-  ServiceAnswer FromTicket(const Work& work, const tickets::TicketAnswer& answer) const;
+  ServiceAnswer FromTicket(const tickets::TicketAnswer& ticket) const;
   ServiceAnswer AwaitTicket(const Work& work);
   std::optional<http::Response> Exchange(const Work& work, const Reservation& reservation,
                                          http::ExchangeState* state, Failure* failure);
--- a/libs/gateway/internal/upstream_poller.cc
+++ b/libs/gateway/internal/upstream_poller.cc
@@ -90,7 +90,7 @@
         const bool own = std::find(ids.begin(), ids.end(), engine.id) != ids.end();
         if ((own || ask_all) && !stopping_.load()) Poll(engine, own);
       }
-      TakeGossip(view, engines);
+      TakeGossip(engines);
       TakeZoneSums(view);
       ShareFraction();
       GiveOrders(view, engines);
@@ -189,7 +189,7 @@
 }
 
 /// Load of the replicas that other VMs of the zone poll.
-void UpstreamPoller::TakeGossip(const NodeView& /*view*/, const std::vector<Engine>& engines) {
+void UpstreamPoller::TakeGossip(const std::vector<Engine>& engines) {
   const base::TimePoint now = core_->clock.Now();
   for (const Engine& engine : engines) {
     std::optional<membership::ReplicaLoad> load;
--- a/libs/gateway/internal/upstream_poller.h
+++ b/libs/gateway/internal/upstream_poller.h
@@ -35,7 +35,7 @@
   /// `own`: this VM is the one that tells the zone of this engine.
   void Poll(const Engine& engine, bool own);
   void PollCache(const Engine& engine, uint64_t incarnation);
-  void TakeGossip(const NodeView& view, const std::vector<Engine>& engines);
+  void TakeGossip(const std::vector<Engine>& engines);
   void TakeZoneSums(const NodeView& view);
   void ShareFraction();
   void GiveOrders(const NodeView& view, const std::vector<Engine>& engines);
