--- a/tests/system/loop_test.cc
+++ b/tests/system/loop_test.cc
@@ -29,7 +29,8 @@
   plan.StartVm("v", "vest-1");
   ASSERT_TRUE(plan.WaitVersion(1, seconds{10})) << fleet.Logs();
   ASSERT_TRUE(WaitUntil(seconds{15}, [&plan] {
-    return plan.Chat("a", "any", 2, false).status == 200 && plan.Chat("v", "any", 2, false).status == 200;
+    return plan.Dump("a")["vms"].size() == 2 && plan.Dump("v")["vms"].size() == 2 &&
+           plan.Chat("a", "any", 2, false).status == 200 && plan.Chat("v", "any", 2, false).status == 200;
   })) << fleet.Logs();
   // Each VM learns at once that its own engine is leaving, and later that the other zone has none either.
   for (const char* engine : {"e1", "v1"}) {
