--- /dev/null
+++ b/apps/entry/main.cc
@@ -0,0 +1,67 @@
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "apps/entry/entry_vm.h"
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kUsageError = 2;
+// Names the settings file where `--settings` is not given.
+constexpr char kSettingsVariable[] = "CORNELPLANK_NODE_FILE";
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  po::options_description options("cornelplank-entry [--settings FILE]");
+  options.add_options()("help", "print this text")("version", "print the version")(
+      "check", "check the settings and exit")("settings", po::value<std::string>(),
+                                              "INI file of this VM; default: $CORNELPLANK_NODE_FILE");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return kUsageError;
+  }
+  if (values.count("help") > 0) {
+    std::cout << options;
+    return 0;
+  }
+  if (values.count("version") > 0) {
+    std::cout << "cornelplank-entry " << cornelplank::base::kVersion << "\n";
+    return 0;
+  }
+  const char* variable = std::getenv(kSettingsVariable);
+  if (values.count("settings") == 0 && variable == nullptr) {
+    std::cerr << "--settings or $" << kSettingsVariable << " is required; --help prints the options\n";
+    return kUsageError;
+  }
+  const std::string path = values.count("settings") > 0 ? values["settings"].as<std::string>() : variable;
+  std::vector<cornelplank::base::SettingsFault> faults;
+  const auto settings = cornelplank::entry::LoadEntrySettings(path, &faults);
+  if (!settings) {
+    for (const auto& fault : faults) std::cerr << fault.Text() << "\n";
+    return kUsageError;
+  }
+  if (values.count("check") > 0) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  cornelplank::base::InitEventLog();
+  std::signal(SIGPIPE, SIG_IGN);
+  cornelplank::net::asio::io_context loop(1);
+  std::string problem;
+  const auto vm = cornelplank::entry::EntryVm::Start(loop, path, *settings, &problem);
+  if (!vm) {
+    std::cerr << problem << "\n";
+    return 1;
+  }
+  loop.run();
+  // Tasks may still hold connections; the process ends without unwinding them.
+  std::_Exit(0);
+}
--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,17 +1,21 @@
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-find_package(GTest REQUIRED)
 find_package(Boost REQUIRED COMPONENTS program_options)
 find_package(nlohmann_json REQUIRED)
 
-pkg_check_modules(ulfius REQUIRED IMPORTED_TARGET libulfius)
-pkg_check_modules(curl REQUIRED IMPORTED_TARGET libcurl)
 # Cap'n Proto's own CMake package looks for a libatomic that this platform does not need.
 pkg_check_modules(capnp REQUIRED IMPORTED_TARGET capnp-rpc)
 pkg_check_modules(glog REQUIRED IMPORTED_TARGET libglog)
 pkg_check_modules(inih REQUIRED IMPORTED_TARGET inih)
 pkg_check_modules(urcu REQUIRED IMPORTED_TARGET liburcu-bp)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+if(CORNELPLANK_ENTRY_ONLY)
+  return()
+endif()
+
+find_package(GTest REQUIRED)
+pkg_check_modules(ulfius REQUIRED IMPORTED_TARGET libulfius)
+pkg_check_modules(curl REQUIRED IMPORTED_TARGET libcurl)
 pkg_check_modules(openssl REQUIRED IMPORTED_TARGET libcrypto)
 
 # The prometheus-cpp development package conflicts with ulfius' (two builds of libcurl), so scripts/setup
--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libs/base/internal/clock.h"
+#include "libs/base/internal/event_log.h"
 #include "libs/base/internal/hash.h"
 #include "libs/base/internal/log.h"
 #include "libs/base/internal/outcome.h"
--- /dev/null
+++ b/libs/fleet/internal/beat_codec.cc
@@ -0,0 +1,106 @@
+#include "libs/fleet/internal/beat_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <limits>
+
+#include "libs/fleet/internal/beat.capnp.h"
+
+namespace cornelplank::fleet {
+namespace {
+
+uint32_t Clamp(uint64_t value) {
+  return static_cast<uint32_t>(std::min<uint64_t>(value, std::numeric_limits<uint32_t>::max()));
+}
+
+uint32_t Milliseconds(base::Duration time) {
+  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  return Clamp(static_cast<uint64_t>(std::max<int64_t>(0, count)));
+}
+
+void Write(schema::Member::Builder out, const Member& member) {
+  out.setAddress(member.address);
+  out.setIncarnation(member.incarnation);
+  out.setBeat(member.beat);
+  out.setZone(member.zone);
+  out.setState(static_cast<uint8_t>(member.state));
+}
+
+Member Read(schema::Member::Reader in) {
+  Member member;
+  member.address = in.getAddress();
+  member.incarnation = in.getIncarnation();
+  member.beat = in.getBeat();
+  member.zone = in.getZone();
+  const uint8_t state = std::min<uint8_t>(in.getState(), static_cast<uint8_t>(MemberState::kLeaving));
+  member.state = static_cast<MemberState>(state);
+  return member;
+}
+
+Beat Read(schema::Beat::Reader in) {
+  Beat beat;
+  beat.sender = Read(in.getSender());
+  for (const auto member : in.getMembers()) beat.members.push_back(Read(member));
+  for (const auto offer : in.getOffers()) {
+    beat.offers.push_back({offer.getRegion(), offer.getService(),
+                           std::chrono::milliseconds(offer.getWaitMs()),
+                           std::chrono::milliseconds(offer.getAgeMs())});
+  }
+  if (in.getHasLoads()) {
+    beat.loads.emplace();
+    for (const auto load : in.getLoads()) {
+      beat.loads->push_back(
+          {load.getReplica(), {load.getRequests(), load.getPrefillTokens(), load.getMemoryTokens()}});
+    }
+  }
+  return beat;
+}
+
+}  // namespace
+
+std::string EncodeBeat(const Beat& beat) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<schema::Beat>();
+  Write(out.initSender(), beat.sender);
+  auto members = out.initMembers(beat.members.size());
+  for (size_t i = 0; i < beat.members.size(); ++i) Write(members[i], beat.members[i]);
+  auto offers = out.initOffers(beat.offers.size());
+  for (size_t i = 0; i < beat.offers.size(); ++i) {
+    offers[i].setRegion(beat.offers[i].region);
+    offers[i].setService(beat.offers[i].service);
+    offers[i].setWaitMs(Milliseconds(beat.offers[i].wait));
+    offers[i].setAgeMs(Milliseconds(beat.offers[i].age));
+  }
+  out.setHasLoads(beat.loads.has_value());
+  if (beat.loads) {
+    auto loads = out.initLoads(beat.loads->size());
+    for (size_t i = 0; i < beat.loads->size(); ++i) {
+      const auto& share = (*beat.loads)[i];
+      loads[i].setReplica(share.replica);
+      loads[i].setRequests(share.work.requests);
+      loads[i].setPrefillTokens(Clamp(share.work.prefill_tokens));
+      loads[i].setMemoryTokens(Clamp(share.work.memory_tokens));
+    }
+  }
+  kj::VectorOutputStream bytes;
+  capnp::writePackedMessage(bytes, message);
+  const auto array = bytes.getArray();
+  return std::string(reinterpret_cast<const char*>(array.begin()), array.size());
+}
+
+std::optional<Beat> DecodeBeat(std::string_view bytes) {
+  std::optional<Beat> beat;
+  // Cap'n Proto reports malformed bytes by exception.
+  const auto failure = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::PackedMessageReader message(in);
+    beat = Read(message.getRoot<schema::Beat>());
+  });
+  if (failure != nullptr) return std::nullopt;
+  return beat;
+}
+
+}  // namespace cornelplank::fleet
--- /dev/null
+++ b/libs/fleet/internal/beat_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libs/fleet/internal/member_table.h"
+
+namespace cornelplank::fleet {
+
+/// One datagram between VMs.
+struct Beat {
+  Member sender;
+  std::vector<Member> members;  // some of those that the sender knows
+  std::vector<RegionWait> offers;
+  std::optional<std::vector<serving::ReplicaLoadShare>> loads;  // the sender's; within a region only
+};
+
+/// Packed Cap'n Proto bytes.
+std::string EncodeBeat(const Beat& beat);
+/// Nothing when the bytes are no beat.
+std::optional<Beat> DecodeBeat(std::string_view bytes);
+
+}  // namespace cornelplank::fleet
--- /dev/null
+++ b/libs/fleet/internal/member_table.cc
@@ -0,0 +1,165 @@
+#include "libs/fleet/internal/member_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cornelplank::fleet {
+namespace {
+
+// How long a greater number of VMs is remembered after some have gone: they may live behind a cut, and their
+// part of what all share must stay theirs.
+constexpr std::chrono::seconds kFleetSizeMemory{60};
+// Round trip between two regions: 80 ms one way on all deployments so far.
+constexpr std::chrono::milliseconds kRegionRoundTrip{165};
+
+const std::string kUnknown;  // name of places that the settings do not list
+
+}  // namespace
+
+uint32_t NameKey(std::string_view name) { return static_cast<uint32_t>(base::Hash64(name)); }
+
+MemberTable::MemberTable(const Member& own, std::map<std::string, std::string> zone_regions) : own_(own) {
+  SetZones(std::move(zone_regions));
+}
+
+void MemberTable::SetZones(std::map<std::string, std::string> zone_regions) {
+  for (auto& [zone, region] : zone_regions) {
+    regions_[NameKey(region)] = region;
+    zones_[NameKey(zone)] = {zone, region};
+  }
+}
+
+void MemberTable::Learn(const Member& member, base::TimePoint now) {
+  if (member.address == own_.address || member.address == 0) return;
+  const auto [position, added] = others_.try_emplace(member.address);
+  Entry& entry = position->second;
+  const Member& known = entry.member;
+  const bool newer = added || member.incarnation > known.incarnation ||
+                     (member.incarnation == known.incarnation && member.beat > known.beat);
+  if (!newer) return;
+  if (added || member.incarnation > known.incarnation || member.state != known.state) {
+    base::LogEvent("vm_changed")
+        .Number("vm", member.address)
+        .Text("zone", ZoneOf(member))
+        .Number("incarnation", static_cast<int64_t>(member.incarnation))
+        .Number("state", static_cast<int64_t>(member.state));
+  }
+  entry.member = member;
+  entry.advanced = now;
+}
+
+void MemberTable::Heard(VmAddress vm, base::TimePoint now) {
+  const auto entry = others_.find(vm);
+  if (entry != others_.end()) entry->second.heard = now;
+}
+
+void MemberTable::HopFailed(VmAddress vm, base::TimePoint now) {
+  const auto entry = others_.find(vm);
+  if (entry != others_.end()) entry->second.hop_failed = now;
+}
+
+void MemberTable::LearnOffer(const RegionWait& offer, base::TimePoint now) {
+  Offer& known = offers_[{offer.region, offer.service}];
+  const base::TimePoint measured = now - offer.age;
+  if (measured <= known.measured) return;
+  known = {offer.wait, measured};
+}
+
+void MemberTable::Tick(base::TimePoint now) {
+  std::erase_if(others_, [&](const auto& entry) { return now - entry.second.advanced > kForgotten; });
+  std::erase_if(offers_, [&](const auto& entry) { return now - entry.second.measured > kForgotten; });
+  const size_t live = LiveCount(now);
+  if (live >= fleet_size_ || now - fleet_size_at_ > kFleetSizeMemory) {
+    fleet_size_ = live;
+    fleet_size_at_ = now;
+  }
+}
+
+bool MemberTable::Alive(const Entry& entry, base::TimePoint now) const {
+  return now - entry.advanced <= kSilence;
+}
+
+const MemberTable::Place* MemberTable::PlaceOf(const Member& member) const {
+  const auto place = zones_.find(member.zone);
+  return place == zones_.end() ? nullptr : &place->second;
+}
+
+const std::string& MemberTable::ZoneOf(const Member& member) const {
+  const Place* place = PlaceOf(member);
+  return place == nullptr ? kUnknown : place->zone;
+}
+
+const std::string& MemberTable::RegionOf(const Member& member) const {
+  const Place* place = PlaceOf(member);
+  return place == nullptr ? kUnknown : place->region;
+}
+
+std::vector<VmAddress> MemberTable::Ready(std::string_view zone, std::string_view region,
+                                          base::TimePoint now) const {
+  std::vector<VmAddress> ready;
+  const auto add = [&](const Member& member) {
+    if (member.state != MemberState::kReady) return;
+    if (!zone.empty() && ZoneOf(member) != zone) return;
+    if (!region.empty() && RegionOf(member) != region) return;
+    ready.push_back(member.address);
+  };
+  add(own_);
+  for (const auto& [address, entry] : others_) {
+    if (Alive(entry, now)) add(entry.member);
+  }
+  return ready;
+}
+
+std::vector<VmAddress> MemberTable::RegionVms(base::TimePoint now) const {
+  std::vector<VmAddress> vms{own_.address};
+  const std::string& region = RegionOf(own_);
+  for (const auto& [address, entry] : others_) {
+    if (!Alive(entry, now) || entry.member.state == MemberState::kLeaving) continue;
+    if (RegionOf(entry.member) == region) vms.push_back(address);
+  }
+  return vms;
+}
+
+size_t MemberTable::LiveCount(base::TimePoint now) const {
+  return 1 + static_cast<size_t>(std::count_if(others_.begin(), others_.end(),
+                                               [&](const auto& entry) { return Alive(entry.second, now); }));
+}
+
+std::vector<serving::RegionOffer> MemberTable::Offers(std::string_view service, base::TimePoint now) const {
+  std::set<std::string> live;
+  for (const auto& [address, entry] : others_) {
+    if (Alive(entry, now) && entry.member.state == MemberState::kReady) live.insert(RegionOf(entry.member));
+  }
+  std::vector<serving::RegionOffer> offers;
+  const uint32_t service_key = NameKey(service);
+  for (const auto& [key, offer] : offers_) {
+    if (key.second != service_key || now - offer.measured > kOfferAge) continue;
+    const auto region = regions_.find(key.first);
+    if (region == regions_.end() || region->second == RegionOf(own_)) continue;
+    if (live.contains(region->second)) offers.push_back({region->second, offer.wait, kRegionRoundTrip});
+  }
+  return offers;
+}
+
+std::vector<RegionWait> MemberTable::OffersToTell(base::TimePoint now) const {
+  std::vector<RegionWait> told;
+  for (const auto& [key, offer] : offers_) {
+    const base::Duration age = now - offer.measured;
+    if (age <= kOfferAge) told.push_back({key.first, key.second, offer.wait, age});
+  }
+  return told;
+}
+
+std::optional<VmAddress> MemberTable::PickHop(const std::string& region, base::Random& random,
+                                              base::TimePoint now) const {
+  std::vector<VmAddress> candidates;
+  for (const auto& [address, entry] : others_) {
+    if (!Alive(entry, now) || entry.member.state != MemberState::kReady) continue;
+    if (RegionOf(entry.member) != region || now - entry.hop_failed < kHopPause) continue;
+    candidates.push_back(address);
+  }
+  if (candidates.empty()) return std::nullopt;
+  return candidates[random.Below(candidates.size())];
+}
+
+}  // namespace cornelplank::fleet
--- /dev/null
+++ b/libs/net/internal/connection_pool.cc
@@ -0,0 +1,74 @@
+#include "libs/net/internal/connection_pool.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace cornelplank::net {
+namespace {
+
+// A peer may close this long before its announced time, which is in whole seconds.
+constexpr std::chrono::milliseconds kKeepAliveMargin{500};
+
+}  // namespace
+
+bool Connection::Quiet() {
+  if (!stream.socket().is_open() || buffer.size() > 0) return false;
+  char byte;
+  const ssize_t size = recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && errno == EAGAIN;
+}
+
+std::shared_ptr<Connection> ConnectionPool::TakeIdle(const Tcp::endpoint& endpoint, base::Duration max_idle) {
+  const auto entry = idle_.find(endpoint);
+  if (entry == idle_.end()) return nullptr;
+  auto& connections = entry->second;
+  const base::TimePoint now = clock_.Now();
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    const base::Duration idle = now - connection->idle_since;
+    if (idle < max_idle && idle + kKeepAliveMargin < connection->keep_alive && connection->Quiet()) {
+      connection->reused = true;
+      return connection;
+    }
+  }
+  idle_.erase(entry);
+  return nullptr;
+}
+
+Task<std::shared_ptr<Connection>> ConnectionPool::Take(Tcp::endpoint endpoint, base::Duration max_idle,
+                                                       Error* error) {
+  if (auto connection = TakeIdle(endpoint, max_idle)) co_return connection;
+  auto connection = std::make_shared<Connection>(loop_, endpoint);
+  connection->stream.expires_after(settings_.connect_timeout);
+  co_await connection->stream.async_connect(endpoint, Into(*error));
+  if (*error) co_return nullptr;
+  connection->stream.expires_never();
+  SetOptions(connection->stream.socket(), settings_.silence);
+  connection->keep_alive = settings_.default_keep_alive;
+  ++opened_;
+  co_return connection;
+}
+
+void ConnectionPool::Release(std::shared_ptr<Connection> connection) {
+  if (!connection->Quiet()) return;
+  connection->idle_since = clock_.Now();
+  connection->buffer.shrink_to_fit();
+  auto& connections = idle_[connection->endpoint];
+  connections.push_back(std::move(connection));
+  if (connections.size() > settings_.idle_per_endpoint) connections.pop_front();
+}
+
+void ConnectionPool::Tick() {
+  const base::TimePoint now = clock_.Now();
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::erase_if(entry->second, [&](const std::shared_ptr<Connection>& connection) {
+      return now - connection->idle_since + kKeepAliveMargin >= connection->keep_alive ||
+             !connection->Quiet();
+    });
+    entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace cornelplank::net
--- /dev/null
+++ b/libs/net/internal/http_call.cc
@@ -0,0 +1,197 @@
+#include "libs/net/internal/http_call.h"
+
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <limits>
+#include <sstream>
+
+namespace cornelplank::net {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Greatest answer header taken from a server, in bytes.
+constexpr uint32_t kHeaderLimit = 32768;
+// Answers are passed on in parts, so their length is not bounded (none at all is a fault in Boost 1.74).
+constexpr uint64_t kBodyLimit = std::numeric_limits<uint64_t>::max();
+// Bytes of a body read at once.
+constexpr size_t kReadSize = 4096;
+
+std::optional<std::chrono::seconds> KeepAliveTime(const http::fields& fields) {
+  const auto value = fields["Keep-Alive"];
+  const std::string_view text(value.data(), value.size());
+  const size_t start = text.find("timeout=");
+  const std::string_view digits = start == std::string_view::npos ? text : text.substr(start + 8);
+  int64_t seconds = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+std::string HeadText(const Request& request) {
+  http::request<http::empty_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const Header& field : request.headers.fields()) message.insert(field.name, field.value);
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    message.content_length(request.body.size());
+  }
+  std::ostringstream text;
+  text << message;
+  return text.str();
+}
+
+}  // namespace
+
+const char* CallFaultName(CallFault fault) {
+  switch (fault) {
+    case CallFault::kNone:
+      return "none";
+    case CallFault::kNotConnected:
+      return "not_connected";
+    case CallFault::kLost:
+      return "connection_lost";
+    case CallFault::kTimeout:
+      return "timeout";
+    case CallFault::kMalformed:
+      return "malformed_answer";
+    case CallFault::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+HttpCall::~HttpCall() {
+  if (connection_) Cancel();
+}
+
+Task<bool> HttpCall::Connect(Tcp::endpoint endpoint, base::Duration max_idle) {
+  Error error;
+  const auto self = shared_from_this();
+  auto connection = co_await pool_.Take(endpoint, max_idle, &error);
+  if (!connection || fault_ == CallFault::kCancelled) {
+    Fail(error, CallFault::kNotConnected);
+    co_return false;
+  }
+  connection_ = std::move(connection);
+  co_return true;
+}
+
+void HttpCall::Fail(const Error& error, CallFault otherwise) {
+  if (fault_ != CallFault::kNone) return;
+  fault_ = otherwise;
+  if (otherwise != CallFault::kNotConnected && error == boost::beast::error::timeout) {
+    fault_ = CallFault::kTimeout;
+  }
+  detail_ = error.message();
+}
+
+Task<bool> HttpCall::Send(const Request& request) {
+  const auto self = shared_from_this();
+  head_request_ = request.method == "HEAD";
+  auto bytes = std::make_shared<std::string>(HeadText(request));
+  bytes->append(request.body);
+  sent_ = true;
+  writing_ = true;
+  // Most requests fit the socket's buffer and are out when this returns.
+  Error error;
+  const size_t written = connection_->stream.socket().send(asio::buffer(*bytes), MSG_DONTWAIT, error);
+  if (error && error != asio::error::would_block) {
+    Fail(error, CallFault::kLost);
+    co_return false;
+  }
+  if (written == bytes->size()) {
+    writing_ = false;
+    co_return true;
+  }
+  bytes->erase(0, written);
+  Spawn(loop_, "send_body", WriteBody(shared_from_this(), std::move(bytes)));
+  co_return true;
+}
+
+Task<> HttpCall::WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<std::string> bytes) {
+  const auto connection = call->connection_;
+  Error error;
+  co_await asio::async_write(connection->stream.socket(), asio::buffer(*bytes), Into(error));
+  if (!error) {
+    call->writing_ = false;
+    co_return;
+  }
+  // The reader sees the broken connection itself, or still gets the answer of a server that read no more.
+  call->detail_ = "send: " + error.message();
+}
+
+Task<std::optional<ResponseHead>> HttpCall::ReadHead(base::Duration limit) {
+  const auto self = shared_from_this();
+  parser_.emplace();
+  parser_->header_limit(kHeaderLimit);
+  parser_->body_limit(kBodyLimit);
+  if (head_request_) parser_->skip(true);
+  connection_->stream.expires_after(limit);
+  Error error;
+  do {
+    co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_, Into(error));
+    if (error || parser_->get().result_int() != 100) break;
+    parser_.emplace();  // an interim answer
+    parser_->body_limit(kBodyLimit);
+  } while (true);
+  if (error) {
+    const bool lost = error == http::error::end_of_stream || error == http::error::partial_message ||
+                      error.category() != make_error_code(http::error::bad_target).category();
+    Fail(error, lost ? CallFault::kLost : CallFault::kMalformed);
+    co_return std::nullopt;
+  }
+  ResponseHead head;
+  head.status = parser_->get().result_int();
+  for (const auto& field : parser_->get()) {
+    head.headers.Add({field.name_string().data(), field.name_string().size()},
+                     {field.value().data(), field.value().size()});
+  }
+  reusable_ = parser_->get().keep_alive() && !parser_->get().need_eof();
+  if (const auto time = KeepAliveTime(parser_->get())) connection_->keep_alive = *time;
+  co_return head;
+}
+
+Task<bool> HttpCall::ReadSome(std::string* out, bool* done, base::Duration limit) {
+  const auto self = shared_from_this();
+  *done = parser_->is_done();
+  if (*done) co_return true;
+  std::array<char, kReadSize> part;
+  auto& body = parser_->get().body();
+  body.data = part.data();
+  body.size = part.size();
+  body.more = true;
+  connection_->stream.expires_after(limit);
+  Error error;
+  co_await http::async_read_some(connection_->stream, connection_->buffer, *parser_, Into(error));
+  if (error == http::error::need_buffer) error = {};
+  out->append(part.data(), part.size() - body.size);
+  if (error) {
+    Fail(error, CallFault::kLost);
+    co_return false;
+  }
+  *done = parser_->is_done();
+  co_return true;
+}
+
+void HttpCall::Finish() {
+  if (!connection_) return;
+  auto connection = std::move(connection_);
+  connection->stream.expires_never();
+  if (reusable_ && !writing_ && fault_ == CallFault::kNone) {
+    pool_.Release(std::move(connection));
+    return;
+  }
+  Error ignored;  // the peer may have closed first
+  connection->stream.socket().close(ignored);
+}
+
+void HttpCall::Cancel() {
+  if (fault_ == CallFault::kNone) fault_ = CallFault::kCancelled;
+  if (!connection_) return;
+  Error ignored;  // closing a closed socket changes nothing
+  connection_->stream.socket().close(ignored);
+}
+
+}  // namespace cornelplank::net
--- /dev/null
+++ b/libs/net/internal/http_server.cc
@@ -0,0 +1,59 @@
+#include "libs/net/internal/http_server.h"
+
+#include "libs/net/internal/http_session.h"
+
+namespace cornelplank::net {
+namespace {
+
+// Pause after a failed accept (out of descriptors), so that the loop doesn't spin.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+}  // namespace
+
+HttpServer::HttpServer(asio::io_context& loop, RequestHandler& handler)
+    : loop_(loop), handler_(handler), acceptor_(loop) {}
+
+HttpServer::~HttpServer() = default;
+
+std::unique_ptr<HttpServer> HttpServer::Listen(asio::io_context& loop, const Tcp::endpoint& endpoint,
+                                               RequestHandler& handler, Error* error) {
+  std::unique_ptr<HttpServer> server(new HttpServer(loop, handler));
+  server->acceptor_.open(endpoint.protocol(), *error);
+  if (!*error) server->acceptor_.set_option(Tcp::acceptor::reuse_address(true), *error);
+  if (!*error) server->acceptor_.bind(endpoint, *error);
+  if (!*error) server->acceptor_.listen(asio::socket_base::max_listen_connections, *error);
+  if (*error) return nullptr;
+  Spawn(loop, "accept", server->Accept());
+  return server;
+}
+
+Task<> HttpServer::Accept() {
+  while (!stopped_) {
+    Error error;
+    Tcp::socket socket(loop_);
+    co_await acceptor_.async_accept(socket, Into(error));
+    if (stopped_) co_return;
+    if (error) {
+      base::LogEvent("accept_failed").Text("error", error.message());
+      co_await Sleep(loop_, kAcceptPause);
+      continue;
+    }
+    if (sessions_.size() >= limits_.connections) {
+      base::LogEvent("connection_refused").Number("open", static_cast<int64_t>(sessions_.size()));
+      continue;
+    }
+    Spawn(loop_, "session", HttpSession::Run(std::make_shared<HttpSession>(*this, std::move(socket))));
+  }
+}
+
+void HttpServer::StopAccepting() {
+  if (stopped_) return;
+  stopped_ = true;
+  Error ignored;  // an acceptor that is closed already is what is asked for
+  acceptor_.close(ignored);
+  for (HttpSession* session : sessions_) {
+    if (session->Idle()) session->Close();
+  }
+}
+
+}  // namespace cornelplank::net
--- /dev/null
+++ b/libs/net/internal/loop.cc
@@ -0,0 +1,69 @@
+#include "libs/net/internal/loop.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <exception>
+
+#include "libs/base/internal/event_log.h"
+
+namespace cornelplank::net {
+namespace {
+
+// Keep-alive probes of an idle connection; with TCP_USER_TIMEOUT a dead peer is found within a few seconds.
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+
+}  // namespace
+
+void Spawn(asio::io_context& loop, const char* name, Task<> task) {
+  asio::co_spawn(loop, std::move(task), [name](const std::exception_ptr& failure) {
+    if (!failure) return;
+    try {
+      std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+      base::LogEvent("task_failed").Text("task", name).Text("error", error.what());
+    }
+  });
+}
+
+Task<> Sleep(asio::io_context& loop, base::Duration time) {
+  asio::steady_timer timer(loop);
+  timer.expires_after(time);
+  Error ignored;  // the timer is private, so nothing cancels it
+  co_await timer.async_wait(Into(ignored));
+}
+
+Task<> Notification::Wait(base::Duration limit) {
+  timer_.expires_after(limit);
+  Error ignored;  // a cancelled wait is the notification
+  co_await timer_.async_wait(Into(ignored));
+}
+
+void SetOptions(Tcp::socket& socket, std::chrono::milliseconds silence) {
+  Error error;
+  socket.set_option(Tcp::no_delay(true), error);
+  socket.set_option(asio::socket_base::keep_alive(true), error);
+  const int handle = socket.native_handle();
+  const auto limit = static_cast<unsigned>(silence.count());
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof kKeepAliveIdleSeconds);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+             sizeof kKeepAliveIntervalSeconds);
+}
+
+std::optional<Tcp::endpoint> ParseEndpoint(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  uint16_t port = 0;
+  const std::string_view digits = text.substr(colon + 1);
+  const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (fault != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+  Error error;
+  const auto address = asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+  if (error) return std::nullopt;
+  return Tcp::endpoint(address, port);
+}
+
+}  // namespace cornelplank::net
--- a/libs/retry/internal/budget.h
+++ b/libs/retry/internal/budget.h
@@ -24,6 +24,11 @@
   /// Returns an attempt that was taken and not started.
   void GiveBack() { tokens_ = std::min(burst_, tokens_ + 1); }
   double tokens() const { return tokens_; }
+  /// Changes the greatest filling, for example when the number of VMs that share a budget changes.
+  void SetBurst(double burst) {
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+  }
 
  private:
   double ratio_;
--- /dev/null
+++ b/libs/serving/internal/exchange.cc
@@ -0,0 +1,433 @@
+#include "libs/serving/internal/exchange.h"
+
+#include <algorithm>
+
+namespace cornelplank::serving {
+namespace {
+
+// The answer of a request whose time is up is sent this long before the client gives up, so that it arrives.
+constexpr std::chrono::milliseconds kAnswerMargin{30};
+// Without a deadline of the client the route's timeout holds; without both, this one.
+constexpr std::chrono::seconds kDefaultTimeout{30};
+// A connection that idled longer is not used for a request that can't be repeated: its server may have
+// closed it, and the request's fate would be unknown.
+constexpr std::chrono::milliseconds kFreshIdle{250};
+constexpr std::chrono::seconds kAnyIdle{60};
+// A resumable stream that pauses for longer is continued elsewhere. Clients wait two seconds at least.
+constexpr std::chrono::milliseconds kLeastGapLimit{1000};
+constexpr int kGapLimitFactor = 4;
+// First bytes are awaited for this many target latencies before another replica is tried.
+constexpr int kFirstByteFactor = 2;
+// Bounds of the time after which a refused client is asked to return.
+constexpr std::chrono::milliseconds kLeastRetryAfter{200};
+constexpr std::chrono::milliseconds kGreatestRetryAfter{2000};
+
+bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+/// Statuses that promise that the request has not run.
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool IsEventStream(const net::ResponseHead& head) {
+  const auto type = head.headers.Find("Content-Type");
+  return type && type->starts_with("text/event-stream");
+}
+
+}  // namespace
+
+Exchange::Exchange(RequestEngine& engine, std::shared_ptr<const RoutingConfig> config, const Route& route,
+                   std::string service, const ClientRequest& client, net::Request& request,
+                   net::ResponseWriter& writer, std::optional<HopTerms> hop)
+    : engine_(engine),
+      parts_(engine.parts_),
+      config_(std::move(config)),
+      route_(route),
+      service_(std::move(service)),
+      client_(client),
+      request_(request),
+      writer_(writer),
+      hop_(std::move(hop)),
+      received_(parts_.clock.Now()),
+      last_event_(client.last_event) {
+  base::Duration limit = route_.timeout.count() > 0 ? base::Duration(route_.timeout) : kDefaultTimeout;
+  if (client_.time_left) limit = std::min<base::Duration>(limit, *client_.time_left - kAnswerMargin);
+  if (hop_) limit = std::min(limit, hop_->time_left);
+  ends_at_ = received_ + limit;
+  state_.repeatable = route_.Repeatable();
+  // The entry VM that the client reached decides on further sends, since it knows of all of them.
+  state_.sends_allowed = hop_ ? 1 : std::max<uint32_t>(1, route_.attempts);
+}
+
+PlacementQuery Exchange::Query() const {
+  PlacementQuery query;
+  query.route = &route_;
+  query.service = service_;
+  query.prompt_tokens = client_.prompt_tokens;
+  query.shared_tokens = client_.SharedTokens();
+  query.shared_key = client_.SharedKey();
+  query.output_tokens = client_.output_tokens;
+  query.may_hop = !hop_;
+  query.excluded_replicas = tried_replicas_;
+  query.excluded_regions = tried_regions_;
+  return query;
+}
+
+OutstandingWork Exchange::WorkOf(const Placement& placement) const {
+  OutstandingWork work;
+  work.requests = 1;
+  const uint32_t shared = client_.SharedTokens();
+  const uint32_t own = client_.prompt_tokens - std::min(shared, client_.prompt_tokens);
+  const bool cached =
+      placement.prefix_owner || placement.replica->RecentlyRead(client_.SharedKey(), parts_.clock.Now());
+  work.prefill_tokens = cached ? own : client_.prompt_tokens;
+  work.memory_tokens = own + client_.output_tokens;
+  return work;
+}
+
+bool Exchange::MayRepeat() const { return state_.repeatable && state_.sends < state_.sends_allowed; }
+
+base::Duration Exchange::FirstByteLimit(const Placement& placement) const {
+  if (!MayRepeat()) return TimeLeft();
+  const base::Duration patience = route_.target_latency * kFirstByteFactor + placement.wait;
+  return std::min(TimeLeft(), patience);
+}
+
+base::Duration Exchange::GapLimit() const {
+  if (!MayRepeat()) return TimeLeft();
+  return std::min<base::Duration>(
+      TimeLeft(), std::max<base::Duration>(kLeastGapLimit, route_.target_gap * kGapLimitFactor));
+}
+
+net::Task<> Exchange::Run() {
+  while (!writer_.ClientGone()) {
+    if (TimeLeft() <= kLeastAttemptTime) {
+      co_await Finish(state_.answer_begun   ? NextStep::kBreakOff
+                      : state_.may_have_run ? NextStep::kTimeOut
+                                            : NextStep::kRefuse);
+      co_return;
+    }
+    auto placement =
+        parts_.placer.Choose(Query(), parts_.table, parts_.hops, parts_.clock.Now(), &placement_code_);
+    if (placement && placement->expected > TimeLeft() && state_.sends == 0) {
+      expected_ = placement->expected;
+      placement_code_ = PlacementCode::kNone;
+      placement.reset();
+    }
+    if (!placement) {
+      co_await Finish(state_.answer_begun   ? NextStep::kBreakOff
+                      : held_               ? NextStep::kPassAnswer
+                      : state_.may_have_run ? NextStep::kFail
+                                            : NextStep::kRefuse);
+      co_return;
+    }
+    expected_ = placement->expected;
+    state_.end = co_await Attempt(std::move(*placement));
+    if (writer_.ClientGone()) break;
+    state_.time_left = TimeLeft();
+    state_.answer_begun = writer_.Started();
+    auto& budget = engine_.Budget(service_);
+    state_.budget_left = budget.CanTake();
+    const NextStep step = DecideNext(state_);
+    if (step != NextStep::kTryAgain) {
+      co_await Finish(step);
+      co_return;
+    }
+    const bool reached_replica =
+        state_.end != AttemptEnd::kNotSent && state_.end != AttemptEnd::kWrongReplica;
+    if (reached_replica) {
+      budget.Take();
+      ++engine_.counters_.second_sends;
+    }
+  }
+  ++engine_.counters_.client_gone;
+  LogEnd("client_gone", 0);
+}
+
+net::Task<AttemptEnd> Exchange::Attempt(Placement placement) {
+  const bool hop = placement.replica == nullptr;
+  net::Tcp::endpoint endpoint;
+  if (hop) {
+    const auto vm = parts_.hops.PickVm(placement.region);
+    if (!vm) {
+      tried_regions_.push_back(placement.region);
+      ++state_.unsent;
+      co_return AttemptEnd::kNotSent;
+    }
+    endpoint = *vm;
+    served_by_ = placement.region;
+    ++engine_.counters_.hops;
+  } else {
+    endpoint = placement.replica->facts.address;
+    served_by_ = placement.replica->facts.id;
+    tried_replicas_.push_back(served_by_);
+    replica_ = placement.replica;
+    work_ = WorkOf(placement);
+    parts_.table.Begin(*replica_, work_, client_.SharedKey(), parts_.clock.Now());
+  }
+  prompt_read_ = false;
+  splitter_.Clear();
+  call_ = std::make_shared<net::HttpCall>(parts_.loop, hop ? parts_.peers : parts_.replicas);
+  writer_.OnClientGone([this] { call_->Cancel(); });
+  AttemptEnd end = AttemptEnd::kNotSent;
+  const bool repeatable = state_.repeatable;
+  if (co_await call_->Connect(endpoint, repeatable ? base::Duration(kAnyIdle) : base::Duration(kFreshIdle))) {
+    end = co_await Deliver(*call_, placement);
+  } else if (!writer_.ClientGone()) {
+    if (hop) parts_.hops.HopFailed(endpoint);
+    (hop ? parts_.peers : parts_.replicas).Drop(endpoint);
+  }
+  if (writer_.ClientGone()) end = AttemptEnd::kClientGone;
+  if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWrongReplica) ++state_.unsent;
+  if (end == AttemptEnd::kUnknown || end == AttemptEnd::kErrorAnswer) state_.may_have_run = true;
+  if (hop && end != AttemptEnd::kComplete) tried_regions_.push_back(placement.region);
+  if (end == AttemptEnd::kComplete || end == AttemptEnd::kErrorAnswer) {
+    call_->Finish();
+  } else {
+    call_->Cancel();
+  }
+  FinishAttempt(placement, end);
+  if (end != AttemptEnd::kComplete) LogAttempt(placement, end, *call_);
+  writer_.OnClientGone(nullptr);
+  co_return end;
+}
+
+void Exchange::FinishAttempt(const Placement& placement, AttemptEnd end) {
+  if (!placement.replica) return;
+  if (prompt_read_) work_.prefill_tokens = 0;
+  AttemptResult result = AttemptResult::kNeutral;
+  switch (end) {
+    case AttemptEnd::kComplete:
+      result = AttemptResult::kGood;
+      break;
+    case AttemptEnd::kErrorAnswer:
+      result = AttemptResult::kErrorAnswer;
+      break;
+    case AttemptEnd::kNotSent:
+      result = AttemptResult::kNotConnected;
+      break;
+    case AttemptEnd::kNotRun:
+      result = AttemptResult::kRefused;
+      break;
+    case AttemptEnd::kWrongReplica:
+      result = AttemptResult::kNotConnected;
+      break;
+    case AttemptEnd::kUnknown:
+      result = AttemptResult::kBroken;
+      break;
+    case AttemptEnd::kClientGone:
+      break;
+  }
+  parts_.table.End(*placement.replica, work_, result, parts_.clock.Now());
+  replica_.reset();
+}
+
+net::Task<AttemptEnd> Exchange::Deliver(net::HttpCall& call, const Placement& placement) {
+  const base::Duration left = TimeLeft();
+  if (left <= kLeastAttemptTime) co_return AttemptEnd::kNotSent;
+  const base::TimePoint sent_at = parts_.clock.Now();
+  ++state_.sends;
+  net::Request outgoing;
+  if (placement.replica) {
+    AttemptTerms terms{left, placement.replica->facts.id, route_.priority, last_event_};
+    outgoing = parts_.dialect.EncodeAttempt(request_, terms);
+  } else {
+    outgoing = parts_.dialect.EncodeHop(request_, {service_, left});
+    if (last_event_ && last_event_ != client_.last_event) {
+      AttemptTerms terms{left, "", route_.priority, last_event_};
+      outgoing = parts_.dialect.EncodeHop(parts_.dialect.EncodeAttempt(request_, terms), {service_, left});
+    }
+  }
+  if (!co_await call.Send(outgoing)) co_return AttemptEnd::kUnknown;
+  const base::Duration first_limit = FirstByteLimit(placement);
+  std::optional<net::ResponseHead> head;
+  AnswerFacts facts;
+  while (true) {
+    const base::Duration waited = parts_.clock.Now() - sent_at;
+    if (waited >= first_limit) co_return AttemptEnd::kUnknown;
+    head = co_await call.ReadHead(first_limit - waited);
+    if (!head) co_return AttemptEnd::kUnknown;
+    facts = parts_.dialect.DecodeAnswer(*head);
+    if (facts.request_id.empty() || facts.request_id == client_.id) break;
+    // A second answer to an earlier request of this connection: it is read to its end and dropped.
+    base::LogEvent("crossed_answer").Text("request", client_.id).Text("answers", facts.request_id);
+    std::string dropped;
+    bool done = false;
+    while (!done) {
+      dropped.clear();
+      if (!co_await call.ReadSome(&dropped, &done, TimeLeft())) co_return AttemptEnd::kUnknown;
+    }
+  }
+  if (replica_ && facts.cold_remaining) {
+    parts_.table.ObserveCold(*replica_, *facts.cold_remaining, parts_.clock.Now());
+  }
+  if (facts.wrong_replica) {
+    --state_.sends;
+    co_return AttemptEnd::kWrongReplica;
+  }
+  if (facts.not_run) co_return AttemptEnd::kNotRun;
+  const bool success = IsSuccess(head->status);
+  if (success && (!facts.authentic || facts.encoded || facts.request_id.empty()))
+    co_return AttemptEnd::kUnknown;
+  if (success && IsEventStream(*head)) co_return co_await DeliverStream(call, std::move(*head));
+  std::string body;
+  bool done = false;
+  while (!done) {
+    if (!co_await call.ReadSome(&body, &done, TimeLeft())) co_return AttemptEnd::kUnknown;
+  }
+  if (facts.encoded) co_return AttemptEnd::kUnknown;
+  net::RemoveHopByHop(&head->headers);
+  if (!success) {
+    // An answer without the replica's signature comes from an entry VM of another region.
+    if (!facts.authentic || (PromisesNotRun(head->status) && !state_.repeatable))
+      co_return AttemptEnd::kUnknown;
+    held_ = HeldAnswer{std::move(*head), std::move(body)};
+    co_return AttemptEnd::kErrorAnswer;
+  }
+  if (replica_) parts_.table.ObserveServiceTime(service_, parts_.clock.Now() - sent_at);
+  first_byte_at_ = parts_.clock.Now();
+  co_await writer_.Send(*head, body);
+  co_return AttemptEnd::kComplete;
+}
+
+net::Task<AttemptEnd> Exchange::DeliverStream(net::HttpCall& call, net::ResponseHead head) {
+  net::RemoveHopByHop(&head.headers);
+  bool done = false;
+  bool first = true;
+  const base::TimePoint opened = parts_.clock.Now();
+  while (!done) {
+    std::string part;
+    const base::Duration limit =
+        first ? std::max<base::Duration>(GapLimit(), FirstByteLimit({}) - (parts_.clock.Now() - opened))
+              : GapLimit();
+    if (limit.count() <= 0) co_return AttemptEnd::kUnknown;
+    if (!co_await call.ReadSome(&part, &done, std::min(limit, TimeLeft()))) {
+      splitter_.Append(part);
+      bool in_order = true;
+      co_await PassEvents(head, &in_order);
+      co_return AttemptEnd::kUnknown;
+    }
+    if (part.empty()) continue;
+    splitter_.Append(part);
+    bool in_order = true;
+    if (!co_await PassEvents(head, &in_order)) {
+      co_return in_order ? AttemptEnd::kClientGone : AttemptEnd::kUnknown;
+    }
+    if (writer_.Started()) first = false;
+  }
+  if (!splitter_.Rest().empty()) {
+    if (!co_await BeginStream(head)) co_return AttemptEnd::kClientGone;
+    co_await writer_.Write(splitter_.Rest());
+  }
+  if (!co_await BeginStream(head)) co_return AttemptEnd::kClientGone;
+  co_await writer_.End();
+  co_return AttemptEnd::kComplete;
+}
+
+net::Task<bool> Exchange::BeginStream(const net::ResponseHead& head) {
+  if (writer_.Started()) co_return !writer_.ClientGone();
+  co_return co_await writer_.Begin(head);
+}
+
+net::Task<bool> Exchange::PassEvents(const net::ResponseHead& head, bool* in_order) {
+  std::string out;
+  while (auto event = splitter_.Next()) {
+    if (event->id && last_event_) {
+      if (*event->id <= *last_event_) continue;  // passed on before
+      const bool consecutive = *event->id == *last_event_ + 1;
+      if (!consecutive && ids_consecutive_ && state_.sends > 1) {
+        *in_order = false;
+        break;
+      }
+      ids_consecutive_ = ids_consecutive_ && consecutive;
+    }
+    if (event->id) last_event_ = event->id;
+    out += event->text;
+  }
+  if (out.empty()) co_return *in_order;
+  if (!prompt_read_) {
+    prompt_read_ = true;
+    if (replica_) parts_.table.PromptRead(*replica_, work_.prefill_tokens);
+  }
+  if (first_byte_at_ == base::TimePoint{}) first_byte_at_ = parts_.clock.Now();
+  if (!co_await BeginStream(head)) co_return false;
+  co_return co_await writer_.Write(out) && *in_order;
+}
+
+base::Duration Exchange::RetryAfter() const {
+  const base::Duration wait = std::max<base::Duration>(expected_ / 2, kLeastRetryAfter);
+  return std::min<base::Duration>(wait, kGreatestRetryAfter);
+}
+
+net::Task<> Exchange::SendOwn(unsigned status, bool not_run) {
+  std::optional<base::Duration> retry_after;
+  if (status == 503) retry_after = RetryAfter();
+  auto head = parts_.dialect.OwnAnswer(status, client_.id, retry_after);
+  if (hop_ && not_run) parts_.dialect.MarkNotRun(&head);
+  co_await writer_.Send(head, "");
+}
+
+net::Task<> Exchange::Finish(NextStep step) {
+  switch (step) {
+    case NextStep::kDone:
+      ++engine_.counters_.answered;
+      if (base::LogRoutine()) LogEnd("answered", 200);
+      break;
+    case NextStep::kPassAnswer:
+      ++engine_.counters_.answered;
+      if (base::LogRoutine()) LogEnd("answered", held_->head.status);
+      co_await writer_.Send(held_->head, held_->body);
+      break;
+    case NextStep::kRefuse:
+      ++engine_.counters_.refused;
+      LogEnd("refused", 503);
+      co_await SendOwn(503, true);
+      break;
+    case NextStep::kFail:
+      ++engine_.counters_.failed;
+      LogEnd("failed", 502);
+      co_await SendOwn(502, false);
+      break;
+    case NextStep::kTimeOut:
+      ++engine_.counters_.failed;
+      LogEnd("timed_out", 504);
+      co_await SendOwn(504, false);
+      break;
+    case NextStep::kBreakOff:
+    case NextStep::kTryAgain:
+      ++engine_.counters_.failed;
+      LogEnd("broken_off", 0);
+      break;
+  }
+}
+
+void Exchange::LogAttempt(const Placement& placement, AttemptEnd end, const net::HttpCall& call) const {
+  base::LogEvent("attempt_ended")
+      .Text("request", client_.id)
+      .Text(placement.replica ? "replica" : "region", served_by_)
+      .Text("end", AttemptEndName(end))
+      .Text("fault", net::CallFaultName(call.fault()))
+      .Text("detail", call.detail())
+      .Number("sends", state_.sends)
+      .Time("after_ms", parts_.clock.Now() - received_);
+}
+
+void Exchange::LogEnd(const char* outcome, unsigned status) const {
+  base::LogEvent line(outcome);
+  line.Text("request", client_.id)
+      .Text("route", route_.name)
+      .Text("service", service_)
+      .Text("by", served_by_)
+      .Number("status", status)
+      .Number("sends", state_.sends)
+      .Number("config", static_cast<int64_t>(config_->version))
+      .Time("expected_ms", expected_)
+      .Time("total_ms", parts_.clock.Now() - received_);
+  if (first_byte_at_ != base::TimePoint{}) line.Time("first_ms", first_byte_at_ - received_);
+  if (placement_code_ != PlacementCode::kNone && status == 503) {
+    line.Text("reason", PlacementCodeName(placement_code_));
+  }
+  if (hop_) line.Number("hop", 1);
+}
+
+}  // namespace cornelplank::serving
--- /dev/null
+++ b/libs/serving/internal/exchange.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libs/serving/internal/attempt_policy.h"
+#include "libs/serving/internal/event_splitter.h"
+#include "libs/serving/internal/request_engine.h"
+
+namespace cornelplank::serving {
+
+/// One request from its arrival to its final answer.
+class Exchange {
+ public:
+  /// `hop`: set when another entry VM passed the request on. It then runs in this region or not at all.
+  Exchange(RequestEngine& engine, std::shared_ptr<const RoutingConfig> config, const Route& route,
+           std::string service, const ClientRequest& client, net::Request& request,
+           net::ResponseWriter& writer, std::optional<HopTerms> hop);
+
+  net::Task<> Run();
+
+ private:
+  /// A whole error answer of a replica, kept until it is clear that no other attempt follows.
+  struct HeldAnswer {
+    net::ResponseHead head;
+    std::string body;
+  };
+
+  PlacementQuery Query() const;
+  base::Duration TimeLeft() const { return ends_at_ - parts_.clock.Now(); }
+  OutstandingWork WorkOf(const Placement& placement) const;
+  /// How long to wait for the first byte before another replica is tried; all the time that is left when
+  /// none would be.
+  base::Duration FirstByteLimit(const Placement& placement) const;
+  base::Duration GapLimit() const;
+  bool MayRepeat() const;
+
+  net::Task<AttemptEnd> Attempt(Placement placement);
+  net::Task<AttemptEnd> Deliver(net::HttpCall& call, const Placement& placement);
+  net::Task<AttemptEnd> DeliverStream(net::HttpCall& call, net::ResponseHead head);
+  /// Passes on the whole events in `splitter_`. False on a gap or when the client has left.
+  net::Task<bool> PassEvents(const net::ResponseHead& head, bool* in_order);
+  net::Task<bool> BeginStream(const net::ResponseHead& head);
+  net::Task<> Finish(NextStep step);
+  net::Task<> SendOwn(unsigned status, bool not_run);
+  base::Duration RetryAfter() const;
+  void FinishAttempt(const Placement& placement, AttemptEnd end);
+  void LogAttempt(const Placement& placement, AttemptEnd end, const net::HttpCall& call) const;
+  void LogEnd(const char* outcome, unsigned status) const;
+
+  RequestEngine& engine_;
+  const EngineParts& parts_;
+  std::shared_ptr<const RoutingConfig> config_;
+  const Route& route_;
+  std::string service_;
+  const ClientRequest& client_;
+  net::Request& request_;
+  net::ResponseWriter& writer_;
+  std::optional<HopTerms> hop_;
+
+  base::TimePoint received_;
+  base::TimePoint ends_at_;
+  AttemptState state_;
+  std::vector<std::string> tried_replicas_;
+  std::vector<std::string> tried_regions_;
+  std::shared_ptr<net::HttpCall> call_;
+  std::optional<HeldAnswer> held_;
+  EventSplitter splitter_;
+  std::optional<uint64_t> last_event_;
+  bool ids_consecutive_ = true;
+  bool prompt_read_ = false;
+  base::TimePoint first_byte_at_{};
+  std::shared_ptr<Replica> replica_;
+  OutstandingWork work_;
+  std::string served_by_;
+  PlacementCode placement_code_ = PlacementCode::kNone;
+  base::Duration expected_{0};
+};
+
+}  // namespace cornelplank::serving
--- /dev/null
+++ b/libs/serving/internal/placement.cc
@@ -0,0 +1,159 @@
+#include "libs/serving/internal/placement.h"
+
+#include <algorithm>
+
+namespace cornelplank::serving {
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Added to the expected time of replicas that are used only when nothing better is left.
+constexpr std::chrono::seconds kEjectedPenalty{5};
+constexpr std::chrono::seconds kUnlistedPenalty{3};
+constexpr std::chrono::seconds kColdPenalty{1};
+// Expected time added at a failure rate of 1.
+constexpr std::chrono::milliseconds kFailurePenalty{1500};
+// Failures up to this rate are the requests' own (a lookup of something that does not exist).
+constexpr double kOrdinaryFailureRate = 0.2;
+// Share of an engine's memory that requests may take before further ones wait for it.
+constexpr double kMemoryShare = 0.85;
+
+base::Duration FromMs(double ms) { return std::chrono::duration_cast<base::Duration>(Milliseconds(ms)); }
+
+bool Contains(const std::vector<std::string>& list, std::string_view value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+}  // namespace
+
+const char* PlacementCodeName(PlacementCode code) {
+  switch (code) {
+    case PlacementCode::kNone:
+      return "none";
+    case PlacementCode::kUnknownService:
+      return "unknown_service";
+    case PlacementCode::kNoReplica:
+      return "no_replica";
+    case PlacementCode::kNotAllowed:
+      return "not_allowed";
+    case PlacementCode::kCold:
+      return "cold_replicas_only";
+  }
+  return "unknown";
+}
+
+base::Duration Placer::ReadTime(double tokens) const {
+  return FromMs(tokens / settings_.prefill_tokens_per_ms);
+}
+
+base::Duration Placer::WaitAt(const Replica& replica, const Service& service, const ReplicaTable& table,
+                              base::TimePoint now) const {
+  const OutstandingWork work = replica.Total(now);
+  const double slots = std::max<uint32_t>(1, replica.facts.slots);
+  const double ahead = std::max(0.0, work.requests + 1 - slots);
+  if (!service.engine) return FromMs(ahead * Milliseconds(table.ServiceTime(service.name)).count() / slots);
+  const double slot_wait = ahead * Milliseconds(settings_.stream_time).count() / slots;
+  const double memory = kMemoryShare * static_cast<double>(service.engine->memory_tokens);
+  const double beyond = memory > 0 ? std::max(0.0, static_cast<double>(work.memory_tokens) - memory) : 0;
+  const double memory_wait = memory > 0 ? beyond * Milliseconds(settings_.stream_time).count() / memory : 0;
+  return ReadTime(static_cast<double>(work.prefill_tokens)) + FromMs(std::max(slot_wait, memory_wait));
+}
+
+std::optional<Placement> Placer::ChooseLocal(const PlacementQuery& query, const Service& service,
+                                             const ReplicaTable& table, const HopDirectory& hops,
+                                             base::TimePoint now, PlacementCode* code) const {
+  std::optional<Placement> best;
+  std::shared_ptr<Replica> owner;
+  uint64_t owner_weight = 0;
+  std::vector<std::shared_ptr<Replica>> usable;
+  for (const auto& [id, replica] : table.replicas()) {
+    if (replica->facts.service != query.service || replica->facts.region != own_region_) continue;
+    if (!table.Usable(*replica) || Contains(query.excluded_replicas, id)) continue;
+    usable.push_back(replica);
+    if (replica->Cold(now) || replica->Ejected(now) || replica->unlisted_since) continue;
+    const uint64_t weight = base::RendezvousWeight(
+        {reinterpret_cast<const char*>(&query.shared_key), sizeof query.shared_key}, id);
+    if (!owner || weight > owner_weight) {
+      owner = replica;
+      owner_weight = weight;
+    }
+  }
+  std::vector<std::string> vms;
+  base::Duration best_score{0};
+  for (const auto& replica : usable) {
+    if (replica->Cold(now)) {
+      if (vms.empty()) vms = hops.RegionVms();
+      const base::Duration interval =
+          ColdGate::Interval(replica->facts.id, own_id_, vms, service.cold_requests_per_second);
+      if (interval.count() == 0 || now - replica->last_cold_send < interval) {
+        *code = PlacementCode::kCold;
+        continue;
+      }
+    }
+    Placement placement{replica, {}, {}, WaitAt(*replica, service, table, now), replica == owner};
+    const bool cached =
+        query.shared_key != 0 && (replica == owner || replica->RecentlyRead(query.shared_key, now));
+    const uint32_t to_read =
+        query.prompt_tokens - (cached ? std::min(query.shared_tokens, query.prompt_tokens) : 0);
+    placement.expected = placement.wait;
+    if (service.engine) placement.expected += ReadTime(to_read);
+    base::Duration score = placement.expected;
+    if (!cached) score += FromMs(query.shared_tokens * settings_.read_again_ms_per_1000 / 1000);
+    const double failures = std::max(0.0, replica->failure_rate - kOrdinaryFailureRate);
+    score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
+    if (replica->Ejected(now)) score += kEjectedPenalty;
+    if (replica->unlisted_since) score += kUnlistedPenalty;
+    if (replica->Cold(now)) score += kColdPenalty;
+    if (!best || score < best_score) {
+      best = placement;
+      best_score = score;
+    }
+  }
+  if (best) best->expected = best_score;
+  return best;
+}
+
+std::optional<Placement> Placer::Choose(const PlacementQuery& query, const ReplicaTable& table,
+                                        const HopDirectory& hops, base::TimePoint now,
+                                        PlacementCode* code) const {
+  *code = PlacementCode::kNoReplica;
+  const RoutingConfig* config = table.config();
+  const Service* service = config == nullptr ? nullptr : config->FindService(query.service);
+  if (service == nullptr) {
+    *code = PlacementCode::kUnknownService;
+    return std::nullopt;
+  }
+  std::optional<Placement> best;
+  const bool home = query.route->AllowsRegion(own_region_);
+  if (home) {
+    best = ChooseLocal(query, *service, table, hops, now, code);
+  } else {
+    *code = PlacementCode::kNotAllowed;
+  }
+  if (!query.may_hop) return best;
+  for (const RegionOffer& offer : hops.Offers(query.service)) {
+    if (!query.route->AllowsRegion(offer.region) || Contains(query.excluded_regions, offer.region)) continue;
+    base::Duration expected = offer.wait + offer.round_trip + settings_.hop_cost;
+    if (service->engine) expected += ReadTime(query.prompt_tokens);
+    if (best && best->expected <= expected) continue;
+    best = Placement{nullptr, offer.region, expected, offer.wait, false};
+  }
+  return best;
+}
+
+std::optional<base::Duration> Placer::RegionWait(const std::string& service_name, const ReplicaTable& table,
+                                                 base::TimePoint now) const {
+  const RoutingConfig* config = table.config();
+  const Service* service = config == nullptr ? nullptr : config->FindService(service_name);
+  if (service == nullptr) return std::nullopt;
+  std::optional<base::Duration> best;
+  for (const auto& [id, replica] : table.replicas()) {
+    if (replica->facts.service != service_name || replica->facts.region != own_region_) continue;
+    if (!table.Usable(*replica) || replica->Cold(now) || replica->Ejected(now)) continue;
+    const base::Duration wait = WaitAt(*replica, *service, table, now);
+    if (!best || wait < *best) best = wait;
+  }
+  return best;
+}
+
+}  // namespace cornelplank::serving
--- /dev/null
+++ b/libs/serving/internal/placement.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libs/serving/internal/cold_gate.h"
+#include "libs/serving/internal/hop_directory.h"
+#include "libs/serving/internal/replica_table.h"
+
+namespace cornelplank::serving {
+
+/// What the choice of a replica depends on.
+struct PlacementQuery {
+  const Route* route = nullptr;
+  std::string service;
+  uint32_t prompt_tokens = 0;
+  uint32_t shared_tokens = 0;
+  uint64_t shared_key = 0;
+  uint32_t output_tokens = 0;
+  bool may_hop = true;
+  std::vector<std::string> excluded_replicas;  // tried before
+  std::vector<std::string> excluded_regions;
+};
+
+enum class PlacementCode {
+  kNone,
+  kUnknownService,  // not in the configuration
+  kNoReplica,       // none is known, or all were tried, are leaving or evacuated
+  kNotAllowed,      // replicas exist, but none where the route's data may be processed
+  kCold,            // only cold replicas are left, and each has had its share
+};
+
+const char* PlacementCodeName(PlacementCode code);
+
+struct Placement {
+  std::shared_ptr<Replica> replica;  // null for a hop
+  std::string region;                // to hop to
+  base::Duration expected{0};        // time to the first byte
+  base::Duration wait{0};            // the part of it that other requests cause
+  bool prefix_owner = false;
+};
+
+struct PlacerSettings {
+  // Engines of the deployments read 68.2 prompt tokens a millisecond (the sheets); chunks of other requests'
+  // tokens between them take about a fifth.
+  double prefill_tokens_per_ms = 55;
+  // Mean time that a slot of an engine is taken by one request: 300 tokens at 5 ms.
+  std::chrono::milliseconds stream_time{1500};
+  // Time that reading a thousand shared tokens once more is taken to be worth: its price against the value of
+  // an answer in time.
+  double read_again_ms_per_1000 = 60;
+  // Extra cost of a hop for the bytes between regions.
+  std::chrono::milliseconds hop_cost{60};
+};
+
+/// Chooses replicas: the one with the least expected time, where a request whose shared prompt parts another
+/// replica holds counts the time to read them again. Engines that share a prefix are ordered by rendezvous
+/// hashing, so all VMs agree on the owner of a prefix without talking to each other.
+class Placer {
+ public:
+  Placer(std::string own_id, std::string own_region, const PlacerSettings& settings)
+      : own_id_(std::move(own_id)), own_region_(std::move(own_region)), settings_(settings) {}
+
+  /// Returns no value, with the reason in `code`, when nothing can take the request now.
+  std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaTable& table,
+                                  const HopDirectory& hops, base::TimePoint now, PlacementCode* code) const;
+
+  /// Estimated wait at the best usable replica of the own region; nothing when there is none.
+  std::optional<base::Duration> RegionWait(const std::string& service, const ReplicaTable& table,
+                                           base::TimePoint now) const;
+
+ private:
+  base::Duration WaitAt(const Replica& replica, const Service& service, const ReplicaTable& table,
+                        base::TimePoint now) const;
+  std::optional<Placement> ChooseLocal(const PlacementQuery& query, const Service& service,
+                                       const ReplicaTable& table, const HopDirectory& hops,
+                                       base::TimePoint now, PlacementCode* code) const;
+  base::Duration ReadTime(double tokens) const;
+
+  std::string own_id_;
+  std::string own_region_;
+  PlacerSettings settings_;
+};
+
+}  // namespace cornelplank::serving
--- /dev/null
+++ b/libs/serving/internal/request_engine.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "libs/net/net.h"
+#include "libs/retry/retry.h"
+#include "libs/serving/internal/dialect.h"
+#include "libs/serving/internal/hop_directory.h"
+#include "libs/serving/internal/placement.h"
+#include "libs/serving/internal/replica_table.h"
+
+namespace cornelplank::serving {
+
+/// Counts of one process since its start.
+struct EngineCounters {
+  uint64_t requests = 0;
+  uint64_t answered = 0;  // whole answers of replicas, errors included
+  uint64_t refused = 0;   // own 503
+  uint64_t failed = 0;    // own 502, 504 and answers broken off
+  uint64_t client_gone = 0;
+  uint64_t second_sends = 0;
+  uint64_t hops = 0;
+};
+
+/// What the engine works with. All references outlive it.
+struct EngineParts {
+  net::asio::io_context& loop;
+  const base::Clock& clock;
+  const Dialect& dialect;
+  ReplicaTable& table;
+  HopDirectory& hops;
+  const Placer& placer;
+  net::ConnectionPool& replicas;
+  net::ConnectionPool& peers;
+};
+
+/// Serves requests: finds the route, chooses replicas, sends, repeats where that is allowed, and answers.
+/// One instance serves clients and, through `ServeHop`, the entry VMs of other regions.
+class RequestEngine final : public net::RequestHandler {
+ public:
+  explicit RequestEngine(const EngineParts& parts) : parts_(parts) {}
+
+  net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override;
+  net::Task<> ServeHop(net::Request& request, net::ResponseWriter& writer);
+
+  /// Second sends that this VM may make at once per service; further ones follow its requests.
+  void SetSecondSendBurst(double burst);
+  const EngineCounters& counters() const { return counters_; }
+
+ private:
+  friend class Exchange;
+
+  /// Second sends per request. All VMs together may make `budget_ratio` (0.2) of the requests.
+  static constexpr double kSecondSendRatio = 0.15;
+
+  retry::TokenBudget& Budget(const std::string& service);
+
+  EngineParts parts_;
+  std::map<std::string, retry::TokenBudget> budgets_;
+  double burst_ = 2;
+  EngineCounters counters_;
+};
+
+/// Serves hops on the peers' listener.
+class HopHandler final : public net::RequestHandler {
+ public:
+  explicit HopHandler(RequestEngine& engine) : engine_(engine) {}
+  net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
+    co_await engine_.ServeHop(request, writer);
+  }
+
+ private:
+  RequestEngine& engine_;
+};
+
+}  // namespace cornelplank::serving
--- /dev/null
+++ b/libs/serving/serving.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "libs/serving/internal/attempt_policy.h"
+#include "libs/serving/internal/cold_gate.h"
+#include "libs/serving/internal/dialect.h"
+#include "libs/serving/internal/event_splitter.h"
+#include "libs/serving/internal/hop_directory.h"
+#include "libs/serving/internal/placement.h"
+#include "libs/serving/internal/replica_table.h"
+#include "libs/serving/internal/request_engine.h"
+#include "libs/serving/internal/routing_config.h"
