Name VMs of a home region to clients whose region has none left; test the event-driven HTTP library

Ruled out: a wrong region of a VM (the addresses were right and live).

Now the fallback takes the regions that every route of the host allows before all others.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -82,7 +82,7 @@
       peer_pool_(loop, clock_, PeerPool()),
       engine_({loop, clock_, dialect_, table_, hops_, placer_, replica_pool_, peer_pool_}),
       hop_handler_(engine_),
-      directory_(members_, clock_, settings.clients.port(), [this] { return Ready(); }),
+      directory_(members_, table_, clock_, settings.clients.port(), [this] { return Ready(); }),
       store_(loop, clock_, settings.store, settings.zone_regions, table_,
              [this](const serving::RoutingConfig& config) { ApplyConfig(config); }),
       stop_signals_(loop, SIGTERM, SIGINT),
--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -94,6 +94,12 @@
   return place == nullptr ? kUnknown : place->region;
 }
 
+std::vector<std::string> MemberTable::Regions() const {
+  std::vector<std::string> names;
+  for (const auto& [key, name] : regions_) names.push_back(name);
+  return names;
+}
+
 std::vector<VmAddress> MemberTable::Ready(std::string_view zone, std::string_view region,
                                           base::TimePoint now) const {
   std::vector<VmAddress> ready;
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -79,6 +79,7 @@
   bool Alive(const Entry& entry, base::TimePoint now) const;
   const std::string& ZoneOf(const Member& member) const;
   const std::string& RegionOf(const Member& member) const;
+  std::vector<std::string> Regions() const;
 
   /// Live ready VMs of a zone or a region, this one included if it is ready. Empty names match all.
   std::vector<VmAddress> Ready(std::string_view zone, std::string_view region, base::TimePoint now) const;
--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -106,12 +106,12 @@
     co_return true;
   }
   bytes->erase(0, written);
-  Spawn(loop_, "send_body", WriteBody(shared_from_this(), std::move(bytes)));
+  Spawn(loop_, "send_body", WriteBody(shared_from_this(), connection_, std::move(bytes)));
   co_return true;
 }
 
-Task<> HttpCall::WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<std::string> bytes) {
-  const auto connection = call->connection_;
+Task<> HttpCall::WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<Connection> connection,
+                           std::shared_ptr<std::string> bytes) {
   Error error;
   co_await asio::async_write(connection->stream.socket(), asio::buffer(*bytes), Into(error));
   if (!error) {
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -50,7 +50,8 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  static Task<> WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<std::string> bytes);
+  static Task<> WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<Connection> connection,
+                          std::shared_ptr<std::string> bytes);
   void Fail(const Error& error, CallFault otherwise);
 
   asio::io_context& loop_;
--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -61,7 +61,8 @@
   virtual Task<> Handle(Request& request, ResponseWriter& writer) = 0;
 };
 
-/// An HTTP/1.1 server on one address of the loop.
+/// An HTTP/1.1 server on one address of the loop. It must outlive its sessions: before destroying it, stop
+/// accepting and run the loop until `Sessions()` is 0.
 class HttpServer {
  public:
   /// Listens at `endpoint`. Returns null and the error when it can't.
--- a/libs/serving/internal/routing_config.cc
+++ b/libs/serving/internal/routing_config.cc
@@ -31,6 +31,12 @@
   return best;
 }
 
+bool RoutingConfig::HostAllowsRegion(std::string_view host, std::string_view region) const {
+  return std::all_of(routes.begin(), routes.end(), [&](const Route& route) {
+    return route.host != host || route.AllowsRegion(region);
+  });
+}
+
 const Service* RoutingConfig::FindService(std::string_view name) const {
   const auto entry = services.find(name);
   return entry == services.end() ? nullptr : &entry->second;
--- /dev/null
+++ b/tests/net/http_server_test.cc
@@ -0,0 +1,160 @@
+#include <gtest/gtest.h>
+
+#include "tests/net/loopback.h"
+
+namespace cornelplank {
+namespace {
+
+namespace asio = net::asio;
+using testing::RunFor;
+using testing::RunTask;
+
+/// Echoes the request, or holds it until it is told to go on.
+class EchoHandler final : public net::RequestHandler {
+ public:
+  explicit EchoHandler(asio::io_context& loop) : loop_(loop) {}
+
+  net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
+    ++requests_;
+    last_ = request;
+    writer.OnClientGone([this] { ++clients_gone_; });
+    while (hold_ && !writer.ClientGone()) co_await net::Sleep(loop_, std::chrono::milliseconds(5));
+    co_await writer.Send({200, {}}, request.target + "|" + request.body);
+  }
+
+  int requests_ = 0;
+  int clients_gone_ = 0;
+  bool hold_ = false;
+  net::Request last_;
+
+ private:
+  asio::io_context& loop_;
+};
+
+struct ServerFixture : ::testing::Test {
+  ServerFixture() : handler(loop) {
+    net::Error error;
+    server = net::HttpServer::Listen(loop, testing::Loopback(), handler, &error);
+    if (!server) throw std::runtime_error(error.message());
+    net::ServerLimits limits;
+    limits.header_bytes = 2000;
+    limits.body_bytes = 1000;
+    limits.header_timeout = std::chrono::milliseconds(150);
+    limits.idle_timeout = std::chrono::milliseconds(300);
+    server->SetLimits(limits);
+  }
+
+  ~ServerFixture() override {
+    server->StopAccepting();
+    RunFor(loop, std::chrono::milliseconds(50));
+  }
+
+  std::shared_ptr<net::Tcp::socket> Client() {
+    auto socket = std::make_shared<net::Tcp::socket>(loop);
+    socket->connect(testing::Loopback(server->Port()));
+    return socket;
+  }
+
+  /// Sends `bytes` and returns all that arrives within `time`.
+  std::string Talk(net::Tcp::socket& socket, const std::string& bytes, std::chrono::milliseconds time) {
+    asio::write(socket, asio::buffer(bytes));
+    RunFor(loop, time);
+    std::string received(65536, '\0');
+    net::Error error;
+    socket.non_blocking(true);
+    const size_t size = socket.read_some(asio::buffer(received), error);
+    received.resize(size);
+    return received;
+  }
+
+  asio::io_context loop{1};
+  EchoHandler handler;
+  std::unique_ptr<net::HttpServer> server;
+};
+
+struct WireCase {
+  const char* name;
+  std::string bytes;
+  std::string answer_begins;
+  std::string answer_holds;
+  int requests;
+};
+
+class ServerWireTest : public ServerFixture, public ::testing::WithParamInterface<WireCase> {};
+
+// Guards against smuggled requests (two ways to frame a body), unbounded input, and changed bytes.
+TEST_P(ServerWireTest, AnswersOrRefuses) {
+  auto socket = Client();
+  const std::string answer = Talk(*socket, GetParam().bytes, std::chrono::milliseconds(250));
+  EXPECT_TRUE(answer.starts_with(GetParam().answer_begins)) << answer.substr(0, 200);
+  EXPECT_NE(answer.find(GetParam().answer_holds), std::string::npos) << answer.substr(0, 400);
+  EXPECT_EQ(handler.requests_, GetParam().requests);
+}
+
+const std::string kPost = "POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h\r\n";  // NOLINT(runtime/string)
+
+INSTANTIATE_TEST_SUITE_P(
+    Bytes, ServerWireTest,
+    ::testing::Values(
+        WireCase{"RawTarget", kPost + "Content-Length: 2\r\n\r\nhi", "HTTP/1.1 200", "/a%2Fb?x=1|hi", 1},
+        WireCase{"ChunkedBody", kPost + "Transfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n",
+                 "HTTP/1.1 200", "|hi", 1},
+        WireCase{"TwoInOnePacket", kPost + "Content-Length: 0\r\n\r\n" + kPost + "Content-Length: 1\r\n\r\nz",
+                 "HTTP/1.1 200", "|z", 2},
+        WireCase{"LengthAndChunked",
+                 kPost + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s HTTP/1.1\r\n\r\n",
+                 "HTTP/1.1 400", "close", 0},
+        WireCase{"TwoLengths", kPost + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nhihi", "HTTP/1.1 400",
+                 "close", 0},
+        WireCase{"UnknownCoding", kPost + "Transfer-Encoding: gzip\r\n\r\nhi", "HTTP/1.1 400", "close", 0},
+        WireCase{"LongHeader", kPost + "X: " + std::string(3000, 'x') + "\r\n\r\n", "HTTP/1.1 431", "close", 0},
+        WireCase{"LongBody", kPost + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x'), "HTTP/1.1 413",
+                 "close", 0},
+        WireCase{"NoHttp", "hello\r\n\r\n", "HTTP/1.1 400", "close", 0}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against attempts that go on for a client that has left: it must be noticed within 200 ms.
+TEST_F(ServerFixture, NoticesThatTheClientLeft) {
+  handler.hold_ = true;
+  auto socket = Client();
+  Talk(*socket, kPost + "Content-Length: 0\r\n\r\n", std::chrono::milliseconds(30));
+  ASSERT_EQ(handler.requests_, 1);
+  socket->close();
+  RunFor(loop, std::chrono::milliseconds(200));
+  EXPECT_EQ(handler.clients_gone_, 1);
+}
+
+// Guards against holding connections of clients that begin a request and never end it.
+TEST_F(ServerFixture, EndsAConnectionWhoseHeaderNeverEnds) {
+  auto socket = Client();
+  Talk(*socket, "POST / HTTP/1.1\r\n", std::chrono::milliseconds(250));
+  EXPECT_EQ(server->Sessions(), 0U);
+}
+
+TEST_F(ServerFixture, EndsIdleConnections) {
+  auto socket = Client();
+  RunFor(loop, std::chrono::milliseconds(100));
+  EXPECT_EQ(server->Sessions(), 1U);
+  RunFor(loop, std::chrono::milliseconds(400));
+  EXPECT_EQ(server->Sessions(), 0U);
+}
+
+// Guards against a shutdown that cuts off an answer in progress or leaves idle connections open.
+TEST_F(ServerFixture, StopsWithoutCuttingAnAnswer) {
+  handler.hold_ = true;
+  auto idle = Client();
+  auto busy = Client();
+  Talk(*busy, kPost + "Content-Length: 0\r\n\r\n", std::chrono::milliseconds(30));
+  server->AnnounceClose();
+  server->StopAccepting();
+  RunFor(loop, std::chrono::milliseconds(50));
+  EXPECT_EQ(server->Sessions(), 1U);
+  handler.hold_ = false;
+  const std::string answer = Talk(*busy, "", std::chrono::milliseconds(60));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  EXPECT_EQ(server->Sessions(), 0U);
+}
+
+}  // namespace
+}  // namespace cornelplank
