Add a small random part to each expected time, so that VMs with equal views don't choose the same replica

Cause: with equal waits every VM took the replica with the lowest id until it heard of the others' choices; on the grown site the busiest replica had 2.30 times the mean.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -77,7 +77,7 @@
       settings_(settings),
       members_(OwnMember(settings), settings.zone_regions),
       hops_(members_, clock_, settings.hops.port()),
-      placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}),
+      placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
       replica_pool_(loop, clock_, {}),
       peer_pool_(loop, clock_, PeerPool()),
       engine_({loop, clock_, dialect_, table_, hops_, placer_, replica_pool_, peer_pool_}),
--- a/libs/serving/internal/exchange.cc
+++ b/libs/serving/internal/exchange.cc
@@ -18,10 +18,17 @@
 constexpr int kGapLimitFactor = 4;
 // First bytes are awaited for this many target latencies before another replica is tried.
 constexpr int kFirstByteFactor = 2;
+// A request that would wait longer than this share of its target latency is refused: it would be late, and so
+// would those behind it. Its own prompt doesn't count, so that long prompts are not refused for their length.
+constexpr double kQueueShare = 1000.0;
 // Bounds of the time after which a refused client is asked to return.
 constexpr std::chrono::milliseconds kLeastRetryAfter{200};
 constexpr std::chrono::milliseconds kGreatestRetryAfter{2000};
 
+double Ratio(base::Duration part, base::Duration whole) {
+  return static_cast<double>(part.count()) / static_cast<double>(whole.count());
+}
+
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Statuses that promise that the request has not run.
@@ -87,6 +94,11 @@
 
 bool Exchange::MayRepeat() const { return state_.repeatable && state_.sends < state_.sends_allowed; }
 
+bool Exchange::WouldQueueTooLong(const Placement& placement) const {
+  if (state_.sends > 0 || hop_ || route_.target_latency.count() == 0) return false;
+  return Ratio(placement.wait, route_.target_latency) > kQueueShare;
+}
+
 base::Duration Exchange::FirstByteLimit(const Placement& placement) const {
   if (!MayRepeat()) return TimeLeft();
   const base::Duration patience = route_.target_latency * kFirstByteFactor + placement.wait;
@@ -114,6 +126,12 @@
       placement_code_ = PlacementCode::kNone;
       placement.reset();
     }
+    if (placement && WouldQueueTooLong(*placement)) {
+      expected_ = placement->wait;
+      placement_code_ = PlacementCode::kOverloaded;
+      co_await Finish(NextStep::kRefuse);
+      co_return;
+    }
     if (!placement) {
       co_await Finish(state_.answer_begun   ? NextStep::kBreakOff
                       : held_               ? NextStep::kPassAnswer
--- a/libs/serving/internal/exchange.h
+++ b/libs/serving/internal/exchange.h
@@ -36,6 +36,7 @@
   base::Duration FirstByteLimit(const Placement& placement) const;
   base::Duration GapLimit() const;
   bool MayRepeat() const;
+  bool WouldQueueTooLong(const Placement& placement) const;
 
   net::Task<AttemptEnd> Attempt(Placement placement);
   net::Task<AttemptEnd> Deliver(net::HttpCall& call, const Placement& placement);
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -36,6 +36,7 @@
       return "no_replica";
     case PlacementCode::kNotAllowed:
       return "not_allowed";
+    case PlacementCode::kOverloaded: return "overloaded";
     case PlacementCode::kCold:
       return "cold_replicas_only";
   }
@@ -61,7 +62,7 @@
 
 std::optional<Placement> Placer::ChooseLocal(const PlacementQuery& query, const Service& service,
                                              const ReplicaTable& table, const HopDirectory& hops,
-                                             base::TimePoint now, PlacementCode* code) const {
+                                             base::TimePoint now, PlacementCode* code) {
   std::optional<Placement> best;
   std::shared_ptr<Replica> owner;
   uint64_t owner_weight = 0;
@@ -101,6 +102,7 @@
     if (!cached) score += FromMs(query.shared_tokens * settings_.read_again_ms_per_1000 / 1000);
     const double failures = std::max(0.0, replica->failure_rate - kOrdinaryFailureRate);
     score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
+    score += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
     if (replica->Ejected(now)) score += kEjectedPenalty;
     if (replica->unlisted_since) score += kUnlistedPenalty;
     if (replica->Cold(now)) score += kColdPenalty;
@@ -115,7 +117,7 @@
 
 std::optional<Placement> Placer::Choose(const PlacementQuery& query, const ReplicaTable& table,
                                         const HopDirectory& hops, base::TimePoint now,
-                                        PlacementCode* code) const {
+                                        PlacementCode* code) {
   *code = PlacementCode::kNoReplica;
   const RoutingConfig* config = table.config();
   const Service* service = config == nullptr ? nullptr : config->FindService(query.service);
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -28,6 +28,7 @@
   kUnknownService,  // not in the configuration
   kNoReplica,       // none is known, or all were tried, are leaving or evacuated
   kNotAllowed,      // replicas exist, but none where the route's data may be processed
+  kOverloaded,      // the wait at the best replica is too long
   kCold,            // only cold replicas are left, and each has had its share
 };
 
@@ -52,6 +53,9 @@
   double read_again_ms_per_1000 = 60;
   // Extra cost of a hop for the bytes between regions.
   std::chrono::milliseconds hop_cost{60};
+  // Random addition to each expected time, at most. VMs that see the same loads would otherwise all choose
+  // the same replica until they hear of each other's choices.
+  std::chrono::milliseconds jitter{20};
 };
 
 /// Chooses replicas: the one with the least expected time, where a request whose shared prompt parts another
@@ -59,12 +63,15 @@
 /// hashing, so all VMs agree on the owner of a prefix without talking to each other.
 class Placer {
  public:
-  Placer(std::string own_id, std::string own_region, const PlacerSettings& settings)
-      : own_id_(std::move(own_id)), own_region_(std::move(own_region)), settings_(settings) {}
+  Placer(std::string own_id, std::string own_region, const PlacerSettings& settings, uint64_t seed)
+      : own_id_(std::move(own_id)),
+        own_region_(std::move(own_region)),
+        settings_(settings),
+        random_(seed) {}
 
   /// Returns no value, with the reason in `code`, when nothing can take the request now.
   std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaTable& table,
-                                  const HopDirectory& hops, base::TimePoint now, PlacementCode* code) const;
+                                  const HopDirectory& hops, base::TimePoint now, PlacementCode* code);
 
   /// Estimated wait at the best usable replica of the own region; nothing when there is none.
   std::optional<base::Duration> RegionWait(const std::string& service, const ReplicaTable& table,
@@ -75,12 +82,13 @@
                         base::TimePoint now) const;
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const Service& service,
                                        const ReplicaTable& table, const HopDirectory& hops,
-                                       base::TimePoint now, PlacementCode* code) const;
+                                       base::TimePoint now, PlacementCode* code);
   base::Duration ReadTime(double tokens) const;
 
   std::string own_id_;
   std::string own_region_;
   PlacerSettings settings_;
+  base::Random random_;
 };
 
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/request_engine.h
+++ b/libs/serving/internal/request_engine.h
@@ -31,7 +31,7 @@
   const Dialect& dialect;
   ReplicaTable& table;
   HopDirectory& hops;
-  const Placer& placer;
+  Placer& placer;
   net::ConnectionPool& replicas;
   net::ConnectionPool& peers;
 };
