--- a/libs/serving/internal/exchange.cc
+++ b/libs/serving/internal/exchange.cc
@@ -16,19 +16,15 @@
 // A resumable stream that pauses for longer is continued elsewhere. Clients wait two seconds at least.
 constexpr std::chrono::milliseconds kLeastGapLimit{1000};
 constexpr int kGapLimitFactor = 4;
-// First bytes are awaited for this many target latencies before another replica is tried.
-constexpr int kFirstByteFactor = 2;
-// A request that would wait longer than this share of its target latency is refused: it would be late, and so
-// would those behind it. Its own prompt doesn't count, so that long prompts are not refused for their length.
-constexpr double kQueueShare = 1000.0;
+// A first byte is overdue after this many target latencies.
+constexpr double kFirstByteFactor = 1;
+// A replica with work that sends nothing on any connection for this long is silent. Busy engines produce a
+// token for each running request every few ten milliseconds.
+constexpr std::chrono::milliseconds kReplicaSilence{700};
 // Bounds of the time after which a refused client is asked to return.
 constexpr std::chrono::milliseconds kLeastRetryAfter{200};
 constexpr std::chrono::milliseconds kGreatestRetryAfter{2000};
 
-double Ratio(base::Duration part, base::Duration whole) {
-  return static_cast<double>(part.count()) / static_cast<double>(whole.count());
-}
-
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Statuses that promise that the request has not run.
@@ -64,8 +60,11 @@
   state_.repeatable = route_.Repeatable();
   // The entry VM that the client reached decides on further sends, since it knows of all of them.
   state_.sends_allowed = hop_ ? 1 : std::max<uint32_t>(1, route_.attempts);
+  engine_.exchanges_.insert(this);
 }
 
+Exchange::~Exchange() { engine_.exchanges_.erase(this); }
+
 PlacementQuery Exchange::Query() const {
   PlacementQuery query;
   query.route = &route_;
@@ -94,15 +93,13 @@
 
 bool Exchange::MayRepeat() const { return state_.repeatable && state_.sends < state_.sends_allowed; }
 
-bool Exchange::WouldQueueTooLong(const Placement& placement) const {
-  if (state_.sends > 0 || hop_ || route_.target_latency.count() == 0) return false;
-  return Ratio(placement.wait, route_.target_latency) > kQueueShare;
-}
-
-base::Duration Exchange::FirstByteLimit(const Placement& placement) const {
-  if (!MayRepeat()) return TimeLeft();
-  const base::Duration patience = route_.target_latency * kFirstByteFactor + placement.wait;
-  return std::min(TimeLeft(), patience);
+void Exchange::CheckSilence(base::TimePoint now) {
+  if (!awaits_first_ || !MayRepeat() || !call_) return;
+  if (static_cast<double>((now - sent_at_).count()) <
+      kFirstByteFactor * static_cast<double>(base::Duration(route_.target_latency).count())) return;
+  if (replica_ && now - std::max(replica_->last_progress, sent_at_) < kReplicaSilence) return;
+  awaits_first_ = false;
+  call_->Cancel();
 }
 
 base::Duration Exchange::GapLimit() const {
@@ -126,12 +123,6 @@
       placement_code_ = PlacementCode::kNone;
       placement.reset();
     }
-    if (placement && WouldQueueTooLong(*placement)) {
-      expected_ = placement->wait;
-      placement_code_ = PlacementCode::kOverloaded;
-      co_await Finish(NextStep::kRefuse);
-      co_return;
-    }
     if (!placement) {
       co_await Finish(state_.answer_begun   ? NextStep::kBreakOff
                       : held_               ? NextStep::kPassAnswer
@@ -184,6 +175,7 @@
     parts_.table.Begin(*replica_, work_, client_.SharedKey(), parts_.clock.Now());
   }
   prompt_read_ = false;
+  awaits_first_ = false;
   splitter_.Clear();
   call_ = std::make_shared<net::HttpCall>(parts_.loop, hop ? parts_.peers : parts_.replicas);
   writer_.OnClientGone([this] { call_->Cancel(); });
@@ -243,7 +235,7 @@
 net::Task<AttemptEnd> Exchange::Deliver(net::HttpCall& call, const Placement& placement) {
   const base::Duration left = TimeLeft();
   if (left <= kLeastAttemptTime) co_return AttemptEnd::kNotSent;
-  const base::TimePoint sent_at = parts_.clock.Now();
+  sent_at_ = parts_.clock.Now();
   ++state_.sends;
   net::Request outgoing;
   if (placement.replica) {
@@ -257,13 +249,11 @@
     }
   }
   if (!co_await call.Send(outgoing)) co_return AttemptEnd::kUnknown;
-  const base::Duration first_limit = FirstByteLimit(placement);
+  awaits_first_ = true;
   std::optional<net::ResponseHead> head;
   AnswerFacts facts;
   while (true) {
-    const base::Duration waited = parts_.clock.Now() - sent_at;
-    if (waited >= first_limit) co_return AttemptEnd::kUnknown;
-    head = co_await call.ReadHead(first_limit - waited);
+    head = co_await call.ReadHead(std::max<base::Duration>(TimeLeft(), kLeastAttemptTime));
     if (!head) co_return AttemptEnd::kUnknown;
     facts = parts_.dialect.DecodeAnswer(*head);
     if (facts.request_id.empty() || facts.request_id == client_.id) break;
@@ -276,6 +266,7 @@
       if (!co_await call.ReadSome(&dropped, &done, TimeLeft())) co_return AttemptEnd::kUnknown;
     }
   }
+  if (replica_) replica_->last_progress = parts_.clock.Now();
   if (replica_ && facts.cold_remaining) {
     parts_.table.ObserveCold(*replica_, *facts.cold_remaining, parts_.clock.Now());
   }
@@ -302,7 +293,7 @@
     held_ = HeldAnswer{std::move(*head), std::move(body)};
     co_return AttemptEnd::kErrorAnswer;
   }
-  if (replica_) parts_.table.ObserveServiceTime(service_, parts_.clock.Now() - sent_at);
+  if (replica_) parts_.table.ObserveServiceTime(service_, parts_.clock.Now() - sent_at_);
   first_byte_at_ = parts_.clock.Now();
   co_await writer_.Send(*head, body);
   co_return AttemptEnd::kComplete;
@@ -311,27 +302,23 @@
 net::Task<AttemptEnd> Exchange::DeliverStream(net::HttpCall& call, net::ResponseHead head) {
   net::RemoveHopByHop(&head.headers);
   bool done = false;
-  bool first = true;
-  const base::TimePoint opened = parts_.clock.Now();
   while (!done) {
     std::string part;
-    const base::Duration limit =
-        first ? std::max<base::Duration>(GapLimit(), FirstByteLimit({}) - (parts_.clock.Now() - opened))
-              : GapLimit();
+    const base::Duration limit = awaits_first_ ? TimeLeft() : GapLimit();
     if (limit.count() <= 0) co_return AttemptEnd::kUnknown;
-    if (!co_await call.ReadSome(&part, &done, std::min(limit, TimeLeft()))) {
+    if (!co_await call.ReadSome(&part, &done, limit)) {
       splitter_.Append(part);
       bool in_order = true;
       co_await PassEvents(head, &in_order);
       co_return AttemptEnd::kUnknown;
     }
     if (part.empty()) continue;
+    if (replica_) replica_->last_progress = parts_.clock.Now();
     splitter_.Append(part);
     bool in_order = true;
     if (!co_await PassEvents(head, &in_order)) {
       co_return in_order ? AttemptEnd::kClientGone : AttemptEnd::kUnknown;
     }
-    if (writer_.Started()) first = false;
   }
   if (!splitter_.Rest().empty()) {
     if (!co_await BeginStream(head)) co_return AttemptEnd::kClientGone;
@@ -363,6 +350,7 @@
     out += event->text;
   }
   if (out.empty()) co_return *in_order;
+  awaits_first_ = false;
   if (!prompt_read_) {
     prompt_read_ = true;
     if (replica_) parts_.table.PromptRead(*replica_, work_.prefill_tokens);
--- a/libs/serving/internal/exchange.h
+++ b/libs/serving/internal/exchange.h
@@ -19,7 +19,14 @@
            std::string service, const ClientRequest& client, net::Request& request,
            net::ResponseWriter& writer, std::optional<HopTerms> hop);
 
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
   net::Task<> Run();
+  /// Ends the current attempt if it may be repeated, its first byte is overdue, and its replica has not
+  /// answered anything else either. A replica that is only busy keeps its requests, which wait in its queue.
+  void CheckSilence(base::TimePoint now);
 
  private:
   /// A whole error answer of a replica, kept until it is clear that no other attempt follows.
@@ -31,12 +38,8 @@
   PlacementQuery Query() const;
   base::Duration TimeLeft() const { return ends_at_ - parts_.clock.Now(); }
   OutstandingWork WorkOf(const Placement& placement) const;
-  /// How long to wait for the first byte before another replica is tried; all the time that is left when
-  /// none would be.
-  base::Duration FirstByteLimit(const Placement& placement) const;
   base::Duration GapLimit() const;
   bool MayRepeat() const;
-  bool WouldQueueTooLong(const Placement& placement) const;
 
   net::Task<AttemptEnd> Attempt(Placement placement);
   net::Task<AttemptEnd> Deliver(net::HttpCall& call, const Placement& placement);
@@ -72,6 +75,8 @@
   std::optional<uint64_t> last_event_;
   bool ids_consecutive_ = true;
   bool prompt_read_ = false;
+  bool awaits_first_ = false;
+  base::TimePoint sent_at_{};
   base::TimePoint first_byte_at_{};
   std::shared_ptr<Replica> replica_;
   OutstandingWork work_;
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -36,7 +36,6 @@
       return "no_replica";
     case PlacementCode::kNotAllowed:
       return "not_allowed";
-    case PlacementCode::kOverloaded: return "overloaded";
     case PlacementCode::kCold:
       return "cold_replicas_only";
   }
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -28,7 +28,6 @@
   kUnknownService,  // not in the configuration
   kNoReplica,       // none is known, or all were tried, are leaving or evacuated
   kNotAllowed,      // replicas exist, but none where the route's data may be processed
-  kOverloaded,      // the wait at the best replica is too long
   kCold,            // only cold replicas are left, and each has had its share
 };
 
--- a/libs/serving/internal/replica_table.h
+++ b/libs/serving/internal/replica_table.h
@@ -53,6 +53,7 @@
   std::optional<base::TimePoint> unlisted_since;                          // its entry is gone
   base::TimePoint cold_until{};
   base::TimePoint last_cold_send{};
+  base::TimePoint last_progress{};  // last bytes of any answer
   base::TimePoint ejected_until{};
   base::Duration ejection{0};                                  // the last one; doubles
   double failure_rate = 0;                                     // moving average over own attempts, 0 to 1
--- a/libs/serving/internal/request_engine.cc
+++ b/libs/serving/internal/request_engine.cc
@@ -8,6 +8,9 @@
 // A VM that has no configuration yet gets one within this time of its start.
 constexpr std::chrono::milliseconds kNoConfigRetry{500};
 
+// Interval of the search for silent replicas; a tenth of the shortest target latencies.
+constexpr std::chrono::milliseconds kSilenceSweep{50};
+
 }  // namespace
 
 retry::TokenBudget& RequestEngine::Budget(const std::string& service) {
@@ -49,6 +52,14 @@
   co_await exchange.Run();
 }
 
+net::Task<> RequestEngine::WatchSilence() {
+  while (true) {
+    co_await net::Sleep(parts_.loop, kSilenceSweep);
+    const base::TimePoint now = parts_.clock.Now();
+    for (Exchange* exchange : exchanges_) exchange->CheckSilence(now);
+  }
+}
+
 net::Task<> RequestEngine::ServeHop(net::Request& request, net::ResponseWriter& writer) {
   const auto terms = parts_.dialect.DecodeHop(request);
   std::string problem;
--- a/libs/serving/internal/request_engine.h
+++ b/libs/serving/internal/request_engine.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "libs/net/net.h"
@@ -36,6 +37,8 @@
   net::ConnectionPool& peers;
 };
 
+class Exchange;
+
 /// Serves requests: finds the route, chooses replicas, sends, repeats where that is allowed, and answers.
 /// One instance serves clients and, through `ServeHop`, the entry VMs of other regions.
 class RequestEngine final : public net::RequestHandler {
@@ -43,6 +46,8 @@
   explicit RequestEngine(const EngineParts& parts) : parts_(parts) {}
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override;
+  /// Gives up attempts at replicas that have gone silent. Runs as long as the loop.
+  net::Task<> WatchSilence();
   net::Task<> ServeHop(net::Request& request, net::ResponseWriter& writer);
 
   /// Second sends that this VM may make at once per service; further ones follow its requests.
@@ -61,6 +66,7 @@
   std::map<std::string, retry::TokenBudget> budgets_;
   double burst_ = 2;
   EngineCounters counters_;
+  std::set<Exchange*> exchanges_;
 };
 
 /// Serves hops on the peers' listener.
