Let one VM of a zone read the store and the others follow it

Ruled out: longer watches (half of the calls answer a change); pushing datagrams (configurations exceed them). VMs of a zone are ranked by rendezvous hashing; the first live one reads, the others watch its mirror by the same calls, and go to the next one or to the store when it fails or its own contact is older than 2.5 s.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -83,8 +83,9 @@
       engine_({loop, clock_, dialect_, table_, hops_, placer_, replica_pool_, peer_pool_}),
       hop_handler_(engine_),
       directory_(members_, table_, clock_, settings.clients.port(), [this] { return Ready(); }),
-      store_(loop, clock_, settings.store, settings.zone_regions, table_,
+      store_(loop, clock_, {settings.store, settings.hops.port()}, members_, settings.zone_regions, table_,
              [this](const serving::RoutingConfig& config) { ApplyConfig(config); }),
+      peer_handler_(store_.ServeMirrors(hop_handler_)),
       stop_signals_(loop, SIGTERM, SIGINT),
       reload_signals_(loop, SIGHUP) {}
 
@@ -114,7 +115,7 @@
     std::unique_ptr<net::HttpServer>& server;
   };
   const Listener listeners[] = {{"clients", settings_.clients, engine_, clients_},
-                                {"hops", settings_.hops, hop_handler_, hop_server_},
+                                {"hops", settings_.hops, *peer_handler_, hop_server_},
                                 {"readiness", settings_.readiness, directory_, readiness_server_},
                                 {"directory", settings_.directory, directory_, directory_server_}};
   net::Error error;
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -67,6 +67,7 @@
   serving::HopHandler hop_handler_;
   platform::Directory directory_;
   platform::StoreSync store_;
+  std::unique_ptr<platform::MirrorServer> peer_handler_;
   std::unique_ptr<fleet::BeatLoop> beats_;
   std::unique_ptr<net::HttpServer> clients_;
   std::unique_ptr<net::HttpServer> hop_server_;
--- a/libs/net/internal/loop.cc
+++ b/libs/net/internal/loop.cc
@@ -36,9 +36,12 @@
 }
 
 Task<> Notification::Wait(base::Duration limit) {
-  timer_.expires_after(limit);
+  asio::steady_timer timer(loop_);
+  timer.expires_after(limit);
+  const auto position = waiters_.insert(waiters_.end(), &timer);
   Error ignored;  // a cancelled wait is the notification
-  co_await timer_.async_wait(Into(ignored));
+  co_await timer.async_wait(Into(ignored));
+  waiters_.erase(position);
 }
 
 void SetOptions(Tcp::socket& socket, std::chrono::milliseconds silence) {
--- a/libs/net/internal/loop.h
+++ b/libs/net/internal/loop.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <list>
 
 #include "libs/base/base.h"
 
@@ -30,22 +31,21 @@
 /// Suspends the caller for `time`.
 Task<> Sleep(asio::io_context& loop, base::Duration time);
 
-/// Wakes one or more waiting coroutines of one loop.
+/// Wakes the waiting coroutines of one loop.
 class Notification {
  public:
-  explicit Notification(asio::io_context& loop) : timer_(loop) { timer_.expires_at(Never()); }
+  explicit Notification(asio::io_context& loop) : loop_(loop) {}
 
-  /// Wakes the current waiters.
-  void Notify() { timer_.cancel(); }
+  /// Wakes all current waiters.
+  void Notify() {
+    for (asio::steady_timer* waiter : waiters_) waiter->cancel();
+  }
   /// Returns at the next `Notify` or after `limit`, whichever comes first.
   Task<> Wait(base::Duration limit);
 
  private:
-  static std::chrono::steady_clock::time_point Never() {
-    return std::chrono::steady_clock::time_point::max();
-  }
-
-  asio::steady_timer timer_;
+  asio::io_context& loop_;
+  std::list<asio::steady_timer*> waiters_;
 };
 
 /// Options of every connection: no Nagle delay, keep-alive probes, and `silence` as the time after which
