--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -95,7 +95,9 @@
       co_await http::async_write(stream_, go_on, Into(error));
     }
     stream_.expires_after(server_.limits_.idle_timeout);
-    if (!error) co_await http::async_read(stream_, buffer_, parser, Into(error));
+    if (!error) {
+      co_await http::async_read(stream_, buffer_, parser, Into(error));
+    }
   }
   if (error) {
     co_await Reject(error);
--- a/libs/serving/internal/exchange.cc
+++ b/libs/serving/internal/exchange.cc
@@ -280,7 +280,9 @@
   const bool success = IsSuccess(head->status);
   if (success && (!facts.authentic || facts.encoded || facts.request_id.empty()))
     co_return AttemptEnd::kUnknown;
-  if (success && IsEventStream(*head)) co_return co_await DeliverStream(call, std::move(*head));
+  if (success && IsEventStream(*head)) {
+    co_return co_await DeliverStream(call, std::move(*head));
+  }
   std::string body;
   bool done = false;
   while (!done) {
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -18,7 +18,9 @@
     ++requests_;
     last_ = request;
     writer.OnClientGone([this] { ++clients_gone_; });
-    while (hold_ && !writer.ClientGone()) co_await net::Sleep(loop_, std::chrono::milliseconds(5));
+    while (hold_ && !writer.ClientGone()) {
+      co_await net::Sleep(loop_, std::chrono::milliseconds(5));
+    }
     co_await writer.Send({200, {}}, request.target + "|" + request.body);
   }
 
@@ -101,13 +103,15 @@
                  "HTTP/1.1 200", "|hi", 1},
         WireCase{"TwoInOnePacket", kPost + "Content-Length: 0\r\n\r\n" + kPost + "Content-Length: 1\r\n\r\nz",
                  "HTTP/1.1 200", "|z", 2},
-        WireCase{"LengthAndChunked",
-                 kPost + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s HTTP/1.1\r\n\r\n",
-                 "HTTP/1.1 400", "close", 0},
+        WireCase{
+            "LengthAndChunked",
+            kPost + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s HTTP/1.1\r\n\r\n",
+            "HTTP/1.1 400", "close", 0},
         WireCase{"TwoLengths", kPost + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nhihi", "HTTP/1.1 400",
                  "close", 0},
         WireCase{"UnknownCoding", kPost + "Transfer-Encoding: gzip\r\n\r\nhi", "HTTP/1.1 400", "close", 0},
-        WireCase{"LongHeader", kPost + "X: " + std::string(3000, 'x') + "\r\n\r\n", "HTTP/1.1 431", "close", 0},
+        WireCase{"LongHeader", kPost + "X: " + std::string(3000, 'x') + "\r\n\r\n", "HTTP/1.1 431", "close",
+                 0},
         WireCase{"LongBody", kPost + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x'), "HTTP/1.1 413",
                  "close", 0},
         WireCase{"NoHttp", "hello\r\n\r\n", "HTTP/1.1 400", "close", 0}),
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -20,7 +20,11 @@
   enum class Ending { kClose, kReset, kKeepOpen };
 
   ScriptedServer(asio::io_context& loop, std::string bytes, Ending ending, bool read_request = true)
-      : loop_(loop), acceptor_(loop, Loopback()), bytes_(std::move(bytes)), ending_(ending), read_(read_request) {
+      : loop_(loop),
+        acceptor_(loop, Loopback()),
+        bytes_(std::move(bytes)),
+        ending_(ending),
+        read_(read_request) {
     net::Spawn(loop, "scripted", Serve());
   }
 
@@ -45,12 +49,14 @@
     std::string buffer;
     while (!error) {
       if (read_) {
-        const size_t size =
-            co_await asio::async_read_until(*socket, asio::dynamic_buffer(buffer), "\r\n\r\n", net::Into(error));
+        const size_t size = co_await asio::async_read_until(*socket, asio::dynamic_buffer(buffer), "\r\n\r\n",
+                                                            net::Into(error));
         received_ += buffer.substr(0, size);
         buffer.clear();
       }
-      if (!error) co_await asio::async_write(*socket, asio::buffer(bytes_), net::Into(error));
+      if (!error) {
+        co_await asio::async_write(*socket, asio::buffer(bytes_), net::Into(error));
+      }
       if (ending_ != Ending::kKeepOpen) break;
     }
     if (ending_ == Ending::kReset) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -44,7 +44,9 @@
     ++calls_;
     const Mode mode = mode_;
     if (mode == Mode::kSilent) {
-      while (mode_ == Mode::kSilent) co_await net::Sleep(loop_, std::chrono::milliseconds(20));
+      while (mode_ == Mode::kSilent) {
+        co_await net::Sleep(loop_, std::chrono::milliseconds(20));
+      }
       co_return;
     }
     if (mode == Mode::kBusy) {
