--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -238,7 +238,9 @@
     beats_->TellAll();
     co_await net::Sleep(loop_, kTick);
   }
-  while (clock_.Now() - begin < kLeavingAccept) co_await net::Sleep(loop_, kDrainPoll);
+  while (clock_.Now() - begin < kLeavingAccept) {
+    co_await net::Sleep(loop_, kDrainPoll);
+  }
   clients_->StopAccepting();
   hop_server_->StopAccepting();
   while (clock_.Now() - begin < settings_.grace - kKillMargin) {
--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -18,12 +18,13 @@
 
 uint32_t NameKey(std::string_view name) { return static_cast<uint32_t>(base::Hash64(name)); }
 
-MemberTable::MemberTable(const Member& own, std::map<std::string, std::string> zone_regions) : own_(own) {
-  SetZones(std::move(zone_regions));
+MemberTable::MemberTable(const Member& own, const std::map<std::string, std::string>& zone_regions)
+    : own_(own) {
+  SetZones(zone_regions);
 }
 
-void MemberTable::SetZones(std::map<std::string, std::string> zone_regions) {
-  for (auto& [zone, region] : zone_regions) {
+void MemberTable::SetZones(const std::map<std::string, std::string>& zone_regions) {
+  for (const auto& [zone, region] : zone_regions) {
     regions_[NameKey(region)] = region;
     zones_[NameKey(zone)] = {zone, region};
   }
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -55,11 +55,11 @@
   /// Region waits older than this are not used.
   static constexpr std::chrono::milliseconds kOfferAge{4000};
 
-  MemberTable(const Member& own, std::map<std::string, std::string> zone_regions);
+  MemberTable(const Member& own, const std::map<std::string, std::string>& zone_regions);
 
   Member& own() { return own_; }
   const Member& own() const { return own_; }
-  void SetZones(std::map<std::string, std::string> zone_regions);
+  void SetZones(const std::map<std::string, std::string>& zone_regions);
 
   /// News of a VM, from itself or from others.
   void Learn(const Member& member, base::TimePoint now);
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -140,7 +140,9 @@
   if (*watching) {
     Error ignored;  // a socket that is closed has no wait to cancel
     stream_.socket().cancel(ignored);
-    while (*watching) co_await watch_ended_.Wait(std::chrono::seconds(1));
+    while (*watching) {
+      co_await watch_ended_.Wait(std::chrono::seconds(1));
+    }
   }
 }
 
--- a/libs/serving/internal/exchange.cc
+++ b/libs/serving/internal/exchange.cc
@@ -16,8 +16,6 @@
 // A resumable stream that pauses for longer is continued elsewhere. Clients wait two seconds at least.
 constexpr std::chrono::milliseconds kLeastGapLimit{1000};
 constexpr int kGapLimitFactor = 4;
-// A first byte is overdue after this many target latencies.
-constexpr double kFirstByteFactor = 1;
 // A replica with work that sends nothing on any connection for this long is silent. Busy engines produce a
 // token for each running request every few ten milliseconds.
 constexpr std::chrono::milliseconds kReplicaSilence{700};
@@ -96,9 +94,7 @@
 
 void Exchange::CheckSilence(base::TimePoint now) {
   if (!awaits_first_ || !MayRepeat() || !call_) return;
-  if (static_cast<double>((now - sent_at_).count()) <
-      kFirstByteFactor * static_cast<double>(base::Duration(route_.target_latency).count()))
-    return;
+  if (now - sent_at_ < route_.target_latency) return;
   if (replica_ && now - std::max(replica_->last_progress, sent_at_) < kReplicaSilence) return;
   awaits_first_ = false;
   call_->Cancel();
@@ -278,8 +274,9 @@
   }
   if (facts.not_run) co_return AttemptEnd::kNotRun;
   const bool success = IsSuccess(head->status);
-  if (success && (!facts.authentic || facts.encoded || facts.request_id.empty()))
+  if (success && (!facts.authentic || facts.encoded || facts.request_id.empty())) {
     co_return AttemptEnd::kUnknown;
+  }
   if (success && IsEventStream(*head)) {
     co_return co_await DeliverStream(call, std::move(*head));
   }
@@ -292,8 +289,9 @@
   net::RemoveHopByHop(&head->headers);
   if (!success) {
     // An answer without the replica's signature comes from an entry VM of another region.
-    if (!facts.authentic || (PromisesNotRun(head->status) && !state_.repeatable))
+    if (!facts.authentic || (PromisesNotRun(head->status) && !state_.repeatable)) {
       co_return AttemptEnd::kUnknown;
+    }
     held_ = HeldAnswer{std::move(*head), std::move(body)};
     co_return AttemptEnd::kErrorAnswer;
   }
