Name VMs of the regions that most routes of the host allow, when the client's region has none

Routes of one host have different homes, so no region suited them all and the directory fell back to every VM. Ruled out: old answers kept by clients, a wrong region of a VM (the answers were logged: they named thrissur and kozhikode together). Test: platform DirectoryTest, 6 cases; DifferentHomes failed before.

--- a/libs/serving/internal/routing_config.cc
+++ b/libs/serving/internal/routing_config.cc
@@ -31,10 +31,10 @@
   return best;
 }
 
-bool RoutingConfig::HostAllowsRegion(std::string_view host, std::string_view region) const {
-  return std::all_of(routes.begin(), routes.end(), [&](const Route& route) {
-    return route.host != host || route.AllowsRegion(region);
-  });
+size_t RoutingConfig::RoutesAllowed(std::string_view host, std::string_view region) const {
+  return static_cast<size_t>(std::count_if(routes.begin(), routes.end(), [&](const Route& route) {
+    return route.host == host && route.AllowsRegion(region);
+  }));
 }
 
 const Service* RoutingConfig::FindService(std::string_view name) const {
--- a/libs/serving/internal/routing_config.h
+++ b/libs/serving/internal/routing_config.h
@@ -76,8 +76,8 @@
 
   /// The route of that host whose prefix is the longest that begins `path`; null when there is none.
   const Route* Match(std::string_view host, std::string_view path) const;
-  /// True when every route of `host` allows its data in `region`; true for an unknown host.
-  bool HostAllowsRegion(std::string_view host, std::string_view region) const;
+  /// Number of the host's routes whose data may be processed in `region`.
+  size_t RoutesAllowed(std::string_view host, std::string_view region) const;
   const Service* FindService(std::string_view name) const;
 };
 
