Serve requests that have begun to arrive when a VM stops accepting

Ruled out: the end of the grace time (the process had 5.8 s left). A connection counts as busy from the first byte of a request on, one with bytes in its socket isn't closed, and the process ends when its last session has. Test: StopsWithoutDroppingAnArrivingRequest failed before; 30 tests of net_test pass.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -244,7 +244,7 @@
   clients_->StopAccepting();
   hop_server_->StopAccepting();
   while (clock_.Now() - begin < settings_.grace - kKillMargin) {
-    if (clients_->Active() == 0 && hop_server_->Active() == 0) break;
+    if (clients_->Sessions() == 0 && hop_server_->Sessions() == 0) break;
     co_await net::Sleep(loop_, kDrainPoll);
   }
 }
--- a/libs/net/internal/http_server.cc
+++ b/libs/net/internal/http_server.cc
@@ -51,9 +51,7 @@
   stopped_ = true;
   Error ignored;  // an acceptor that is closed already is what is asked for
   acceptor_.close(ignored);
-  for (HttpSession* session : registry_->sessions) {
-    if (session->Idle()) session->Close();
-  }
+  for (HttpSession* session : registry_->sessions) session->CloseIfIdle();
 }
 
 }  // namespace cornelplank::net
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -42,6 +42,13 @@
 
 HttpSession::~HttpSession() { registry_->sessions.erase(this); }
 
+void HttpSession::CloseIfIdle() {
+  if (!idle_) return;
+  char byte;
+  const ssize_t size = recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size <= 0) Close();
+}
+
 void HttpSession::Close() {
   Error ignored;  // the socket may be closed already
   stream_.socket().close(ignored);
@@ -51,9 +58,9 @@
 
 Task<> HttpSession::ServeRequests() {
   while (keep_alive_ && co_await AwaitRequest()) {
+    idle_ = false;
     auto request = co_await ReadRequest();
     if (!request) break;
-    idle_ = false;
     ++registry_->active;
     co_await Serve(*request);
     --registry_->active;
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -22,11 +22,12 @@
   /// Serves the connection until it ends. A task starts later than it is made, so it holds the session
   /// itself.
   static Task<> Run(std::shared_ptr<HttpSession> session);
-  bool Idle() const { return idle_; }
-  void Close();
+  /// Closes the connection unless a request has begun to arrive on it.
+  void CloseIfIdle();
 
  private:
   friend class ResponseWriter;
+  void Close();
   Task<> ServeRequests();
   using Parser = http::request_parser<http::string_body>;
 
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -143,6 +143,22 @@
   EXPECT_EQ(server->Sessions(), 0U);
 }
 
+// Guards against a shutdown that drops a request whose bytes have begun to arrive: some are read, some wait
+// in the socket.
+TEST_F(ServerFixture, StopsWithoutDroppingAnArrivingRequest) {
+  auto half_read = Client();
+  Talk(*half_read, "POST /half HTTP/1.1\r\nHost: h\r\n", std::chrono::milliseconds(20));
+  auto unread = Client();
+  RunFor(loop, std::chrono::milliseconds(20));
+  asio::write(*unread, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+  server->AnnounceClose();
+  server->StopAccepting();
+  const std::string first = Talk(*half_read, "Content-Length: 0\r\n\r\n", std::chrono::milliseconds(60));
+  EXPECT_TRUE(first.starts_with("HTTP/1.1 200")) << first;
+  const std::string second = Talk(*unread, "", std::chrono::milliseconds(30));
+  EXPECT_TRUE(second.starts_with("HTTP/1.1 200")) << second;
+}
+
 // Guards against a shutdown that cuts off an answer in progress or leaves idle connections open.
 TEST_F(ServerFixture, StopsWithoutCuttingAnAnswer) {
   handler.hold_ = true;
