--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -115,8 +115,7 @@
 }
 
 std::optional<Placement> Placer::Choose(const PlacementQuery& query, const ReplicaTable& table,
-                                        const HopDirectory& hops, base::TimePoint now,
-                                        PlacementCode* code) {
+                                        const HopDirectory& hops, base::TimePoint now, PlacementCode* code) {
   *code = PlacementCode::kNoReplica;
   const RoutingConfig* config = table.config();
   const Service* service = config == nullptr ? nullptr : config->FindService(query.service);
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -63,10 +63,7 @@
 class Placer {
  public:
   Placer(std::string own_id, std::string own_region, const PlacerSettings& settings, uint64_t seed)
-      : own_id_(std::move(own_id)),
-        own_region_(std::move(own_region)),
-        settings_(settings),
-        random_(seed) {}
+      : own_id_(std::move(own_id)), own_region_(std::move(own_region)), settings_(settings), random_(seed) {}
 
   /// Returns no value, with the reason in `code`, when nothing can take the request now.
   std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaTable& table,
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -65,15 +65,16 @@
 INSTANTIATE_TEST_SUITE_P(
     Answers, AnswerTest,
     ::testing::Values(
-        AnswerCase{"WithLength", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Ending::kKeepOpen, true, "ok", 1},
+        AnswerCase{"WithLength", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Ending::kKeepOpen, true,
+                   "ok", 1},
         AnswerCase{"Chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
                    Ending::kKeepOpen, true, "ok", 1},
         AnswerCase{"CloseAnnounced", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
                    Ending::kKeepOpen, true, "ok", 2},
         AnswerCase{"EndsWithItsConnection", "HTTP/1.1 200 OK\r\n\r\nok", Ending::kClose, true, "ok", 2},
         AnswerCase{"ResetWithoutLength", "HTTP/1.1 200 OK\r\n\r\nok", Ending::kReset, false, "", 2},
-        AnswerCase{"ClosedInsideLength", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", Ending::kClose, false,
-                   "", 2},
+        AnswerCase{"ClosedInsideLength", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", Ending::kClose,
+                   false, "", 2},
         AnswerCase{"ClosedInsideChunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
                    Ending::kClose, false, "", 2},
         AnswerCase{"SilentInsideLength", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", Ending::kKeepOpen,
@@ -92,7 +93,8 @@
   asio::io_context loop(1);
   base::SystemClock clock;
   net::ConnectionPool pool(loop, clock, {});
-  ScriptedServer server(loop, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno", Ending::kKeepOpen, true);
+  ScriptedServer server(loop, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno", Ending::kKeepOpen,
+                        true);
   const net::Request long_request{"POST", "/", {}, std::string(8 << 20, 'x')};
   Exchange first;
   ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, server.Endpoint(), &first, long_request)));
@@ -140,7 +142,8 @@
                       HopByHopCase{"ListedByConnection",
                                    {{"Connection", "close, X-One"}, {"x-one", "1"}, {"Other", "2"}},
                                    {"Other=2"}},
-                      HopByHopCase{"Framing", {{"transfer-encoding", "chunked"}, {"Content-Length", "3"}}, {}}),
+                      HopByHopCase{
+                          "Framing", {{"transfer-encoding", "chunked"}, {"Content-Length", "3"}}, {}}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
