--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "tests/platform/fake_store.h"
 
@@ -62,8 +63,11 @@
     store.Put("servers/i-1", ReplicaText("svc", testing::Loopback(9)));
   }
 
+  // Tests run as processes side by side, so each takes another port.
+  const uint16_t mirror_port = static_cast<uint16_t>(20000 + getpid() % 12000);
+
   std::unique_ptr<Vm> MakeVm(uint32_t index = 0) {
-    return std::make_unique<Vm>(loop, clock, store.Endpoint(), kFirstAddress + index, 39017);
+    return std::make_unique<Vm>(loop, clock, store.Endpoint(), kFirstAddress + index, mirror_port);
   }
 
   net::asio::io_context loop{1};
