End an attempt for silence only when another one can be made

Cause: a resumable stream that paused for over 1.2 s, or a request without a first byte at its target, was ended before the budget of second sends and the other replicas were asked. Without either its answer was cut or became 502 although the replica went on with it: a busy engine interrupts requests for seconds.

Hops get twice the limits, as the VM there sees what its replicas do.

Ruled out by the trace: an exit of the process (it stopped at 33.5 s), and the shutdown itself (the stream was ended 1.5 s before its connection was closed).

Tests: PauseTest NoSecondSendLeft and NoOtherReplica failed on the code before and pass.

--- a/libs/serving/internal/exchange.cc
+++ b/libs/serving/internal/exchange.cc
@@ -16,6 +16,11 @@
 // A resumable stream that pauses for longer is continued elsewhere. Clients wait two seconds at least.
 constexpr std::chrono::milliseconds kLeastGapLimit{1000};
 constexpr int kGapLimitFactor = 4;
+// A hop gets this many times the limits of a replica of the own region: the VM there sees whether the replica
+// is silent or only busy, this one doesn't.
+constexpr int kHopSilenceFactor = 2;
+// Longest pause at which a client still listens, less the time that a second replica takes to continue.
+constexpr std::chrono::milliseconds kGreatestGapLimit{1700};
 // A replica with work that sends nothing on any connection for this long is silent. Busy engines produce a
 // token for each running request every few ten milliseconds.
 constexpr std::chrono::milliseconds kReplicaSilence{700};
@@ -92,20 +97,27 @@
 
 bool Exchange::MayRepeat() const { return state_.repeatable && state_.sends < state_.sends_allowed; }
 
+base::Duration Exchange::SilenceLimit() const {
+  const int factor = replica_ ? 1 : kHopSilenceFactor;
+  if (awaits_first_) return route_.target_latency * factor;
+  return std::min<base::Duration>(
+      kGreatestGapLimit,
+      std::max<base::Duration>(kLeastGapLimit, route_.target_gap * kGapLimitFactor) * factor);
+}
+
 void Exchange::CheckSilence(base::TimePoint now) {
-  if (!awaits_first_ || !MayRepeat() || !call_) return;
-  if (now - sent_at_ < route_.target_latency) return;
+  if (!awaits_bytes_ || !call_ || !MayRepeat() || now - heard_at_ < SilenceLimit()) return;
   if (replica_ && now - std::max(replica_->last_progress, sent_at_) < kReplicaSilence) return;
-  awaits_first_ = false;
+  // The attempt is ended only for a second one: an answer that comes late is better than none.
+  auto& budget = engine_.Budget(service_);
+  PlacementCode code = PlacementCode::kNone;
+  if (!budget.CanTake() || !parts_.placer.Choose(Query(), parts_.table, parts_.hops, now, &code)) return;
+  budget.Take();
+  second_send_taken_ = true;
+  awaits_bytes_ = false;
   call_->Cancel();
 }
 
-base::Duration Exchange::GapLimit() const {
-  if (!MayRepeat()) return TimeLeft();
-  return std::min<base::Duration>(
-      TimeLeft(), std::max<base::Duration>(kLeastGapLimit, route_.target_gap * kGapLimitFactor));
-}
-
 net::Task<> Exchange::Run() {
   while (!writer_.ClientGone()) {
     if (TimeLeft() <= kLeastAttemptTime) {
@@ -134,7 +146,7 @@
     state_.time_left = TimeLeft();
     state_.answer_begun = writer_.Started();
     auto& budget = engine_.Budget(service_);
-    state_.budget_left = budget.CanTake();
+    state_.budget_left = second_send_taken_ || budget.CanTake();
     const NextStep step = DecideNext(state_);
     if (step != NextStep::kTryAgain) {
       co_await Finish(step);
@@ -143,7 +155,8 @@
     const bool reached_replica =
         state_.end != AttemptEnd::kNotSent && state_.end != AttemptEnd::kWrongReplica;
     if (reached_replica) {
-      budget.Take();
+      if (!second_send_taken_) budget.Take();
+      second_send_taken_ = false;
       ++engine_.counters_.second_sends;
     }
   }
@@ -173,7 +186,7 @@
     parts_.table.Begin(*replica_, work_, client_.SharedKey(), parts_.clock.Now());
   }
   prompt_read_ = false;
-  awaits_first_ = false;
+  awaits_bytes_ = false;
   splitter_.Clear();
   call_ = std::make_shared<net::HttpCall>(parts_.loop, hop ? parts_.peers : parts_.replicas);
   writer_.OnClientGone([this] { call_->Cancel(); });
@@ -248,6 +261,8 @@
   }
   if (!co_await call.Send(outgoing)) co_return AttemptEnd::kUnknown;
   awaits_first_ = true;
+  awaits_bytes_ = true;
+  heard_at_ = sent_at_;
   std::optional<net::ResponseHead> head;
   AnswerFacts facts;
   while (true) {
@@ -306,16 +321,20 @@
   bool done = false;
   while (!done) {
     std::string part;
-    const base::Duration limit = awaits_first_ ? TimeLeft() : GapLimit();
-    if (limit.count() <= 0) co_return AttemptEnd::kUnknown;
-    if (!co_await call.ReadSome(&part, &done, limit)) {
+    const base::Duration left = TimeLeft();
+    if (left.count() <= 0) co_return AttemptEnd::kUnknown;
+    awaits_bytes_ = true;
+    const bool read = co_await call.ReadSome(&part, &done, left);
+    awaits_bytes_ = false;
+    if (!read) {
       splitter_.Append(part);
       bool in_order = true;
       co_await PassEvents(head, &in_order);
       co_return AttemptEnd::kUnknown;
     }
     if (part.empty()) continue;
-    if (replica_) replica_->last_progress = parts_.clock.Now();
+    heard_at_ = parts_.clock.Now();
+    if (replica_) replica_->last_progress = heard_at_;
     splitter_.Append(part);
     bool in_order = true;
     if (!co_await PassEvents(head, &in_order)) {
--- a/libs/serving/internal/exchange.h
+++ b/libs/serving/internal/exchange.h
@@ -24,8 +24,9 @@
   Exchange& operator=(const Exchange&) = delete;
 
   net::Task<> Run();
-  /// Ends the current attempt if it may be repeated, its first byte is overdue, and its replica has not
-  /// answered anything else either. A replica that is only busy keeps its requests, which wait in its queue.
+  /// Ends the current attempt if its next byte is overdue, its replica has not answered anything else either,
+  /// and another attempt may be made now. A replica that is only busy keeps its requests, which wait in its
+  /// queue.
   void CheckSilence(base::TimePoint now);
 
  private:
@@ -38,7 +39,8 @@
   PlacementQuery Query() const;
   base::Duration TimeLeft() const { return ends_at_ - parts_.clock.Now(); }
   OutstandingWork WorkOf(const Placement& placement) const;
-  base::Duration GapLimit() const;
+  /// Time without a byte after which the attempt counts as silent.
+  base::Duration SilenceLimit() const;
   bool MayRepeat() const;
 
   net::Task<AttemptEnd> Attempt(Placement placement);
@@ -76,7 +78,10 @@
   std::optional<uint64_t> last_event_;
   bool ids_consecutive_ = true;
   bool prompt_read_ = false;
-  bool awaits_first_ = false;
+  bool awaits_first_ = false;       // event or whole answer of the attempt
+  bool awaits_bytes_ = false;       // of the answer; not while the client takes bytes
+  bool second_send_taken_ = false;  // from the budget, before the attempt that it is for
+  base::TimePoint heard_at_{};      // last bytes of the attempt; at first the time of its sending
   base::TimePoint sent_at_{};
   base::TimePoint first_byte_at_{};
   std::shared_ptr<Replica> replica_;
--- a/tests/platform/engine_test.cc
+++ b/tests/platform/engine_test.cc
@@ -42,7 +42,9 @@
     config->services["svc"] = serving::Service{"svc", "/health", 10, {}, 0, std::nullopt};
     config->routes = {MakeRoute("/safe/", serving::RequestKind::kIdempotent, 2, false),
                       MakeRoute("/once/", serving::RequestKind::kAtMostOnce, 2, false),
-                      MakeRoute("/stream/", serving::RequestKind::kStream, 2, true)};
+                      MakeRoute("/stream/", serving::RequestKind::kStream, 2, true),
+                      MakeRoute("/long/", serving::RequestKind::kStream, 2, true)};
+    config->routes.back().timeout = std::chrono::seconds(5);
     table.SetConfig(config);
     engine.SetSecondSendBurst(5);
     net::Error error;
@@ -178,6 +180,35 @@
   EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos) << answer;
 }
 
+struct PauseCase {
+  const char* name;
+  double second_sends;
+  bool second_replica;
+  int resumed;
+};
+class PauseTest : public EngineTest, public ::testing::WithParamInterface<PauseCase> {};
+
+// Guards against ending an answer in its middle for a pause of its replica when nothing can continue it.
+TEST_P(PauseTest, EndsAnAttemptOnlyForAnother) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nResponse-Signature: one\r\nContent-Type: "
+      "text/event-stream\r\n\r\n";
+  ScriptedServer first(loop, head + "id: 1\ndata: a\n\n", Ending::kKeepOpen);
+  ScriptedServer second(loop, head + "id: 2\ndata: b\n\n", Ending::kClose);
+  AddReplica("first", first.Endpoint(), true);
+  if (GetParam().second_replica) AddReplica("second", second.Endpoint(), false);
+  engine.SetSecondSendBurst(GetParam().second_sends);
+  Ask("/long/a", std::chrono::milliseconds(1600));
+  EXPECT_EQ(engine.counters().failed, 0U);
+  EXPECT_EQ(second.connections(), GetParam().resumed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Pauses, PauseTest,
+                         ::testing::Values(PauseCase{"NoSecondSendLeft", 0, true, 0},
+                                           PauseCase{"NoOtherReplica", 5, false, 0},
+                                           PauseCase{"Continued", 5, true, 1}),
+                         [](const auto& info) { return info.param.name; });
+
 TEST_F(EngineTest, RefusesAtOnceWhenNothingCanServe) {
   const std::string answer = Ask("/safe/a", std::chrono::milliseconds(60));
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
