Publish no sum of a zone before its first load report

Cause of the listed failure of HopTest.ServesARequestInTheHomeOfItsData: a VM that had heard no load of its zone's replicas published a sum of zero slots with age zero. Another zone took it for a zone without room, expected a wait of 21.6 s and refused for the deadline (traced: queue 21600, deadline 5000 ms). The test met it when the first poll of the replica came after the first gossip call, as beside busy processes.

Ruled out by the trace: link delay (0), distance (2 ms), prefill (0.6 ms). Test: GossipTest.AZoneWithoutLoadReportsHasNoSum failed before and passes.

--- a/libs/membership/internal/gossip_state.cc
+++ b/libs/membership/internal/gossip_state.cc
@@ -188,15 +188,18 @@
   sum.zone = static_cast<uint8_t>(PositionOf(names_.zones, zone_));
   uint64_t slots = 0;
   uint64_t running = 0;
+  bool heard = loads_.empty();
   for (size_t i = 0; i < loads_.size(); ++i) {
     const LoadEntry& entry = loads_[i];
+    heard = heard || entry.as_of != base::TimePoint::min();
     if (entry.as_of == base::TimePoint::min() || entry.load.state != ReplicaState::kReady) continue;
     slots += names_.slots[i];
     running += entry.load.running;
   }
   sum.slots = Saturated(slots);
   sum.running = Saturated(running);
-  sum.age = 0;
+  // Before the first load report a sum of nothing would tell other zones that this one has no slots.
+  sum.age = heard ? AgeTenths{0} : kNoAge;
   std::array<uint64_t, kSumClasses> queued{};
   const auto add = [&](const std::vector<ClassDemand>& demand) {
     for (size_t i = 0; i < demand.size(); ++i) queued[std::min(i, kSumClasses - 1)] += demand[i].queued;
--- a/tests/gateway/hop_test.cc
+++ b/tests/gateway/hop_test.cc
@@ -43,7 +43,7 @@
   bool whole = false;
   const std::string stream = fleet.ReadStream(request, &whole);
   EXPECT_TRUE(whole) << stream;
-  EXPECT_TRUE(stream.ends_with("data: [DONE]\n\n"));
+  EXPECT_TRUE(stream.ends_with("data: [DONE]\n\n")) << stream;
   EXPECT_EQ(home.Received().size(), 1U);
   EXPECT_TRUE(near.Received().empty());
 }
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -46,6 +46,19 @@
   return EncodedBytes(call) + EncodedBytes(answer);
 }
 
+// Guards against a zone that seems full to other zones until its first load report.
+TEST(GossipTest, AZoneWithoutLoadReportsHasNoSum) {
+  Node near("a", "ost", 1);
+  Node far("b", "nord", 2);
+  Exchange(far, near, kStart);
+  EXPECT_FALSE(far.gossip.SumOf(1, kStart));
+  near.gossip.SetOwnLoad(0, 5, 1, ReplicaState::kReady, kStart);
+  const base::TimePoint later = kStart + seconds{10};
+  Exchange(far, near, later);
+  ASSERT_TRUE(far.gossip.SumOf(1, later));
+  EXPECT_EQ(far.gossip.SumOf(1, later)->slots, 16);
+}
+
 // Guards against entries that are sent again although the peer has them, or that never reach it.
 TEST(GossipTest, SendsEachChangeOnceAndAnswersStaleEntries) {
   Node a("a", "ost", 1);
