Explain a request from the logs of entry VMs (cornelplank-ctl explain ID)

The lines of a request stand in the logs of up to two VMs, and what decided them (configuration, news of a replica, the store) on lines before them. The command joins both.

--- a/apps/ctl/commands/commands.h
+++ b/apps/ctl/commands/commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <istream>
 #include <ostream>
 #include <string>
 
@@ -19,6 +20,8 @@
 
 /// `status`, `dump` and `explain`: prints the JSON answer of a gateway as it came.
 int RunQuery(const std::string& name, const Options& options, Transport* transport, const Output& output);
+/// `explain ID`: prints what the logs of entry VMs (files, or `input`) say of a request.
+int RunExplainRequest(const Options& options, std::istream& input, const Output& output);
 /// `check-patch`: judges a patch against a snapshot file, a document file or the platform's head.
 int RunCheckPatch(const Options& options, Transport* transport, const Output& output);
 /// `verdict SEQ`: judges a published entry and asks the gateways where it is in force.
--- /dev/null
+++ b/apps/ctl/commands/explain_request.cc
@@ -0,0 +1,29 @@
+#include <fstream>
+
+#include "apps/ctl/commands/commands.h"
+#include "apps/ctl/commands/request_story.h"
+
+namespace cornelplank::ctl {
+
+int RunExplainRequest(const Options& options, std::istream& input, const Output& output) {
+  RequestStory story(options.request);
+  for (const std::string& name : options.log_files) {
+    std::ifstream file(name);
+    if (!file) {
+      output.err << name << " can't be read\n";
+      return kUsage;
+    }
+    story.Read(file, name);
+  }
+  if (options.log_files.empty()) story.Read(input, "stdin");
+  const std::string text = story.Text();
+  if (text.empty()) {
+    output.err << "no line names request " << options.request
+               << "; answered requests beyond 400 a second are not logged\n";
+    return kUnavailable;
+  }
+  output.out << text;
+  return kDone;
+}
+
+}  // namespace cornelplank::ctl
--- a/apps/ctl/commands/options.h
+++ b/apps/ctl/commands/options.h
@@ -31,6 +31,9 @@
   std::optional<uint64_t> seq;
   std::string output_file;
 
+  std::string request;                 // id of the request to explain
+  std::vector<std::string> log_files;  // of entry VMs; none: standard input
+
   std::string client;
   std::string priority_class;
   std::string model;
--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -18,6 +18,8 @@
   dump          print the state of a gateway (--address, --token-file)
   explain       print how a gateway would route a request
                 (--client, --class, --model or --service, --home)
+  explain ID [LOG...]
+                print the story of a request from logs of entry VMs (files or standard input)
   check-patch   judge a patch before it is published
                 (--patch, --author; --snapshot, --document or --platform)
   verdict SEQ   judge a published entry and show where it is in force
@@ -32,7 +34,7 @@
 struct CommandLine {
   Options options;
   std::string command;
-  std::string argument;
+  std::vector<std::string> arguments;
   std::string token_file;
   std::string settings_file;
   std::string gateways;
@@ -99,17 +101,24 @@
   return faults.empty();
 }
 
-/// The sequence number of `verdict SEQ`. False when the argument is no number or is not expected.
-bool ReadArgument(CommandLine* line) {
-  if (line->argument.empty()) return true;
-  std::istringstream stream(line->argument);
+/// The sequence number of `verdict SEQ` or the id and files of `explain ID LOG...`. False when an argument is
+/// no number or is not expected.
+bool ReadArguments(CommandLine* line) {
+  if (line->arguments.empty()) return true;
+  if (line->command == "explain") {
+    line->options.request = line->arguments.front();
+    line->options.log_files.assign(line->arguments.begin() + 1, line->arguments.end());
+    return true;
+  }
+  const std::string& argument = line->arguments.front();
+  std::istringstream stream(argument);
   uint64_t seq = 0;
-  const bool is_number = line->argument.find_first_not_of("0123456789") == std::string::npos;
-  if (line->command == "verdict" && is_number && stream >> seq) {
+  const bool is_number = argument.find_first_not_of("0123456789") == std::string::npos;
+  if (line->command == "verdict" && line->arguments.size() == 1 && is_number && stream >> seq) {
     line->options.seq = seq;
     return true;
   }
-  std::cerr << "unexpected argument '" << line->argument << "'\n";
+  std::cerr << "unexpected argument '" << argument << "'\n";
   return false;
 }
 
@@ -121,9 +130,9 @@
   CommandLine line;
   po::options_description visible = Describe(&line);
   po::options_description all;
-  all.add(visible).add_options()("command", po::value(&line.command))("argument", po::value(&line.argument));
+  all.add(visible).add_options()("command", po::value(&line.command))("argument", po::value(&line.arguments));
   po::positional_options_description positional;
-  positional.add("command", 1).add("argument", 1);
+  positional.add("command", 1).add("argument", -1);
   po::variables_map values;
   try {
     po::store(po::command_line_parser(argc, argv).options(all).positional(positional).run(), values);
@@ -152,11 +161,14 @@
     std::cerr << *fault << "\n";
     return kUsage;
   }
-  if (!ReadArgument(&line) || !ReadToken(&line)) return kUsage;
+  if (!ReadArguments(&line) || !ReadToken(&line)) return kUsage;
   if (line.command.empty()) {
     std::cerr << kCommands;
     return kUsage;
   }
+  if (!line.options.request.empty()) {
+    return cornelplank::ctl::RunExplainRequest(line.options, std::cin, {std::cout, std::cerr});
+  }
   const auto transport = cornelplank::ctl::MakeHttpTransport(std::chrono::milliseconds{line.timeout_ms});
   return cornelplank::ctl::RunCommand(line.command, line.options, transport.get(), {std::cout, std::cerr});
 }
