--- a/libs/serving/internal/exchange.cc
+++ b/libs/serving/internal/exchange.cc
@@ -346,6 +346,10 @@
     co_await writer_.Write(splitter_.Rest());
   }
   if (!co_await BeginStream(head)) co_return AttemptEnd::kClientGone;
+  if (replica_) {
+    const base::Duration reading = parts_.placer.ReadTime(static_cast<double>(work_.prefill_tokens));
+    parts_.table.ObserveServiceTime(service_, parts_.clock.Now() - first_event_at_ + reading);
+  }
   co_await writer_.End();
   co_return AttemptEnd::kComplete;
 }
@@ -374,6 +378,7 @@
   awaits_first_ = false;
   if (!prompt_read_) {
     prompt_read_ = true;
+    first_event_at_ = parts_.clock.Now();
     if (replica_) parts_.table.PromptRead(*replica_, work_.prefill_tokens);
   }
   if (first_byte_at_ == base::TimePoint{}) first_byte_at_ = parts_.clock.Now();
--- a/libs/serving/internal/exchange.h
+++ b/libs/serving/internal/exchange.h
@@ -83,7 +83,8 @@
   bool second_send_taken_ = false;  // from the budget, before the attempt that it is for
   base::TimePoint heard_at_{};      // last bytes of the attempt; at first the time of its sending
   base::TimePoint sent_at_{};
-  base::TimePoint first_byte_at_{};
+  base::TimePoint first_event_at_{};  // of the attempt
+  base::TimePoint first_byte_at_{};   // of the answer to the client
   std::shared_ptr<Replica> replica_;
   OutstandingWork work_;
   std::string served_by_;
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -57,11 +57,12 @@
 base::Duration Placer::WaitAt(const OutstandingWork& work, uint32_t slots, const Service& service,
                               const ReplicaTable& table) const {
   const double ahead = std::max(0.0, work.requests + 1.0 - slots);
-  if (!service.engine) return FromMs(ahead * Milliseconds(table.ServiceTime(service.name)).count() / slots);
-  const double slot_wait = ahead * Milliseconds(settings_.stream_time).count() / slots;
+  const double slot_time = Milliseconds(table.ServiceTime(service)).count();
+  const double slot_wait = ahead * slot_time / slots;
+  if (!service.engine) return FromMs(slot_wait);
   const double memory = kMemoryShare * static_cast<double>(service.engine->memory_tokens);
   const double beyond = memory > 0 ? std::max(0.0, static_cast<double>(work.memory_tokens) - memory) : 0;
-  const double memory_wait = memory > 0 ? beyond * Milliseconds(settings_.stream_time).count() / memory : 0;
+  const double memory_wait = memory > 0 ? beyond * slot_time / memory : 0;
   return ReadTime(static_cast<double>(work.prefill_tokens)) + FromMs(std::max(slot_wait, memory_wait));
 }
 
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -46,8 +46,6 @@
   // Engines of the deployments read 68.2 prompt tokens a millisecond (the sheets); chunks of other requests'
   // tokens between them take about a fifth.
   double prefill_tokens_per_ms = 55;
-  // Mean time that a slot of an engine is taken by one request: 300 tokens at 5 ms.
-  std::chrono::milliseconds stream_time{1500};
   // Time that reading a thousand shared tokens once more is taken to be worth: its price against the value of
   // an answer in time.
   double read_again_ms_per_1000 = 60;
@@ -76,6 +74,9 @@
   std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaTable& table,
                                   const HopDirectory& hops, base::TimePoint now, PlacementCode* code);
 
+  /// Time in which an engine reads as many prompt tokens.
+  base::Duration ReadTime(double tokens) const;
+
   /// Estimated wait and cost for an ordinary request at the less loaded replicas of the own region; nothing
   /// when there is none.
   std::optional<base::Duration> RegionWait(const std::string& service, const ReplicaTable& table,
@@ -90,7 +91,6 @@
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const Service& service,
                                        const ReplicaTable& table, const HopDirectory& hops,
                                        base::TimePoint now, PlacementCode* code);
-  base::Duration ReadTime(double tokens) const;
 
   std::string own_id_;
   std::string own_region_;
--- a/libs/serving/internal/replica_table.cc
+++ b/libs/serving/internal/replica_table.cc
@@ -11,6 +11,8 @@
 constexpr double kServiceTimeWeight = 0.05;
 // Time of a plain request before any was measured; the order of magnitude of ledgers and booking services.
 constexpr std::chrono::milliseconds kDefaultServiceTime{50};
+// Time of a stream before any was measured: 300 tokens at 5 ms.
+constexpr std::chrono::milliseconds kDefaultStreamTime{1500};
 // First ejection after a refused connection or a row of failures; doubles to the greatest.
 constexpr std::chrono::milliseconds kFirstEjection{300};
 constexpr std::chrono::milliseconds kGreatestEjection{2000};
@@ -149,13 +151,14 @@
 }
 
 void ReplicaTable::ObserveServiceTime(const std::string& service, base::Duration time) {
-  auto& average = service_times_.try_emplace(service, kDefaultServiceTime).first->second;
+  auto& average = service_times_.try_emplace(service, time).first->second;
   average += std::chrono::duration_cast<base::Duration>((time - average) * kServiceTimeWeight);
 }
 
-base::Duration ReplicaTable::ServiceTime(const std::string& service) const {
-  const auto entry = service_times_.find(service);
-  return entry == service_times_.end() ? kDefaultServiceTime : entry->second;
+base::Duration ReplicaTable::ServiceTime(const Service& service) const {
+  const auto entry = service_times_.find(service.name);
+  if (entry != service_times_.end()) return entry->second;
+  return service.engine ? kDefaultStreamTime : kDefaultServiceTime;
 }
 
 std::vector<ReplicaLoadShare> ReplicaTable::OwnLoads() const {
--- a/libs/serving/internal/replica_table.h
+++ b/libs/serving/internal/replica_table.h
@@ -109,7 +109,7 @@
   void ObserveCold(Replica& replica, std::chrono::milliseconds remaining, base::TimePoint now);
   /// Moving average of the time that a request of a plain service takes.
   void ObserveServiceTime(const std::string& service, base::Duration time);
-  base::Duration ServiceTime(const std::string& service) const;
+  base::Duration ServiceTime(const Service& service) const;
 
   std::vector<ReplicaLoadShare> OwnLoads() const;
   void MergePeerLoads(uint32_t vm, const std::vector<ReplicaLoadShare>& loads, base::TimePoint now);
