Take up a VM that restarts with an earlier wall clock

Incarnations are start times by the wall clock. A VM that started while its clock was ahead and starts again within that lead was taken for its own past, and not named or hopped to until its entry was forgotten. Now a VM that hears of a later run of itself raises its incarnation, and what a VM says of itself holds once its entry has fallen silent; hearsay still can't bring it back. Test: TakesUpAVmThatRestartedWithAnEarlierClock, written with the change (its second function is new, so it does not build on the code before).

--- a/libs/fleet/internal/beat_loop.cc
+++ b/libs/fleet/internal/beat_loop.cc
@@ -65,7 +65,7 @@
 
 void BeatLoop::Merge(const Beat& beat) {
   const base::TimePoint now = clock_.Now();
-  members_.Learn(beat.sender, now);
+  members_.LearnSender(beat.sender, now);
   members_.Heard(beat.sender.address, now);
   for (const Member& member : beat.members) members_.Learn(member, now);
   for (const RegionWait& offer : beat.offers) members_.LearnOffer(offer, now);
--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -30,7 +30,20 @@
   }
 }
 
+void MemberTable::LearnSender(const Member& sender, base::TimePoint now) {
+  const auto known = others_.find(sender.address);
+  if (known != others_.end() && known->second.member.incarnation > sender.incarnation &&
+      !Alive(known->second, now)) {
+    others_.erase(known);
+  }
+  Learn(sender, now);
+}
+
 void MemberTable::Learn(const Member& member, base::TimePoint now) {
+  if (member.address == own_.address && member.incarnation > own_.incarnation) {
+    base::LogEvent("incarnation_raised").Number("to", static_cast<int64_t>(member.incarnation + 1));
+    own_.incarnation = member.incarnation + 1;  // others still hold this VM for an earlier run of it
+  }
   if (member.address == own_.address || member.address == 0) return;
   const auto [position, added] = others_.try_emplace(member.address);
   Entry& entry = position->second;
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -63,6 +63,9 @@
 
   /// News of a VM, from itself or from others.
   void Learn(const Member& member, base::TimePoint now);
+  /// Takes what a VM says of itself. A VM that had fallen silent may come back with an earlier incarnation,
+  /// as wall clocks are set back at times.
+  void LearnSender(const Member& sender, base::TimePoint now);
   /// A datagram of the VM itself arrived, which proves the path from it.
   void Heard(VmAddress vm, base::TimePoint now);
   void HopFailed(VmAddress vm, base::TimePoint now);
--- a/tests/fleet/member_table_test.cc
+++ b/tests/fleet/member_table_test.cc
@@ -45,6 +45,22 @@
         NewsCase{"UnknownZone", {MemberAt(2, 1, 1, MemberState::kReady, "c1")}, {}, false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a VM that started while its wall clock was ahead, starts again with an earlier one, and is
+// then taken for its own past.
+TEST(MemberTable, TakesUpAVmThatRestartedWithAnEarlierClock) {
+  const auto later = kStart + std::chrono::seconds(4);
+  MemberTable table(MemberAt(1, 1, 1, MemberState::kStarting), {{"a1", "a"}});
+  table.LearnSender(MemberAt(2, 5000, 9, MemberState::kLeaving), kStart);
+  table.Learn(MemberAt(2, 3000, 1), later);
+  EXPECT_TRUE(table.Ready("a1", "a", later).empty());  // hearsay may be old
+  table.LearnSender(MemberAt(2, 3000, 2), later);
+  EXPECT_EQ(table.Ready("a1", "a", later).size(), 1U);
+
+  MemberTable restarted(MemberAt(2, 3000), {{"a1", "a"}});
+  restarted.Learn(MemberAt(2, 5000, 9, MemberState::kLeaving), kStart);
+  EXPECT_GT(restarted.own().incarnation, 5000U);
+}
+
 TEST(MemberTable, PassesOverAVmThatRefusedAHop) {
   MemberTable table(MemberAt(1), {{"a1", "a"}, {"b1", "b"}});
   table.Learn(MemberAt(2, 1, 1, MemberState::kReady, "b1"), kStart);
