--- /dev/null
+++ b/apps/entry/entry_metrics.cc
@@ -0,0 +1,79 @@
+#include "apps/entry/entry_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace cornelplank::entry {
+namespace {
+
+/// Upper bounds in seconds: from a lookup's few milliseconds to the longest time budgets.
+prometheus::Histogram::BucketBoundaries Bounds() {
+  return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.4, 2, 4, 8, 15};
+}
+
+double Seconds(base::Duration time) { return std::chrono::duration<double>(time).count(); }
+
+}  // namespace
+
+EntryMetrics::EntryMetrics(std::function<EntryGauges()> gauges)
+    : gauges_(std::move(gauges)),
+      registry_(std::make_shared<prometheus::Registry>()),
+      requests_(prometheus::BuildCounter()
+                    .Name("cornelplank_requests_total")
+                    .Help("Requests that ended, by outcome, reason of a refusal, and whether they were hops.")
+                    .Register(*registry_)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("cornelplank_first_byte_seconds")
+                      .Help("Time from a request to the first byte of its answer, by priority.")
+                      .Register(*registry_)),
+      duration_(prometheus::BuildHistogram()
+                    .Name("cornelplank_request_duration_seconds")
+                    .Help("Time from a request to its end, by priority and outcome.")
+                    .Register(*registry_)),
+      state_(prometheus::BuildGauge()
+                 .Name("cornelplank_state")
+                 .Help("What the VM believes now, by kind.")
+                 .Register(*registry_)),
+      totals_(prometheus::BuildGauge()
+                  .Name("cornelplank_events_total")
+                  .Help("Events since the start of the process, by kind.")
+                  .Register(*registry_)) {}
+
+void EntryMetrics::OnRequestEnd(const serving::RequestEnd& end) {
+  const std::string outcome(end.outcome);
+  const std::string priority = std::to_string(end.priority);
+  requests_.Add({{"outcome", outcome}, {"reason", std::string(end.reason)}, {"hop", end.hop ? "1" : "0"}})
+      .Increment();
+  if (end.hop) return;  // its times are those of the VM that passed it on
+  if (end.first_byte) first_byte_.Add({{"priority", priority}}, Bounds()).Observe(Seconds(*end.first_byte));
+  duration_.Add({{"priority", priority}, {"outcome", outcome}}, Bounds()).Observe(Seconds(end.total));
+}
+
+void EntryMetrics::SetGauges() {
+  const EntryGauges now = gauges_();
+  const auto set = [](prometheus::Family<prometheus::Gauge>& family, const char* kind, double value) {
+    family.Add({{"kind", kind}}).Set(value);
+  };
+  set(state_, "config_version", static_cast<double>(now.config_version));
+  set(state_, "replicas", static_cast<double>(now.replicas));
+  set(state_, "vms", static_cast<double>(now.vms));
+  set(state_, "active_requests", static_cast<double>(now.active));
+  set(state_, "ready", now.ready ? 1 : 0);
+  set(totals_, "second_sends", static_cast<double>(now.second_sends));
+  set(totals_, "hops", static_cast<double>(now.hops));
+  set(totals_, "store_calls", static_cast<double>(now.store_calls));
+  set(totals_, "dropped_log_lines", static_cast<double>(now.dropped_log_lines));
+}
+
+std::string EntryMetrics::Text() {
+  SetGauges();
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+net::Task<> EntryMetrics::Handle(net::Request&, net::ResponseWriter& writer) {
+  net::ResponseHead head;
+  head.status = 200;
+  head.headers.Add("Content-Type", "text/plain; version=0.0.4");
+  co_await writer.Send(head, Text());
+}
+
+}  // namespace cornelplank::entry
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -15,6 +15,15 @@
   return endpoint.value_or(net::Tcp::endpoint());
 }
 
+std::optional<net::Tcp::endpoint> OptionalEndpoint(base::Settings& settings, const char* section,
+                                                   const char* key) {
+  const std::string text = settings.Text(section, key, "");
+  if (text.empty()) return std::nullopt;
+  const auto endpoint = net::ParseEndpoint(text);
+  if (!endpoint) settings.AddFault(section, key, "is not IP:PORT");
+  return endpoint;
+}
+
 std::optional<fleet::VmAddress> ParseIp(const std::string& text) {
   net::Error error;
   const auto address = net::asio::ip::make_address_v4(text, error);
@@ -65,6 +74,7 @@
   out.directory = Endpoint(settings, "listen", "directory");
   out.beats = Endpoint(settings, "listen", "beats");
   out.hops = Endpoint(settings, "listen", "hops");
+  out.metrics = OptionalEndpoint(settings, "listen", "metrics");
   out.store = Endpoint(settings, "store", "address");
   out.second_sends = settings.Number("limits", "second_sends", out.second_sends, 0, kMostSecondSends);
   out.grace = settings.Time("limits", "grace", out.grace, kLongestGrace);
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -26,6 +26,7 @@
   net::Tcp::endpoint directory;
   net::Tcp::endpoint beats;  // UDP
   net::Tcp::endpoint hops;
+  std::optional<net::Tcp::endpoint> metrics;  // none: not served
   net::Tcp::endpoint store;
 
   double second_sends = 10;               // burst of second sends that all VMs share
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -80,7 +80,8 @@
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
       replica_pool_(loop, clock_, {}),
       peer_pool_(loop, clock_, PeerPool()),
-      engine_({loop, clock_, dialect_, table_, hops_, placer_, replica_pool_, peer_pool_}),
+      metrics_([this] { return Gauges(); }),
+      engine_({loop, clock_, dialect_, table_, hops_, placer_, replica_pool_, peer_pool_, &metrics_}),
       hop_handler_(engine_),
       directory_(members_, table_, clock_, settings.clients.port(), [this] { return Ready(); }),
       store_(loop, clock_, {settings.store, settings.hops.port()}, members_, settings.zone_regions, table_,
@@ -114,10 +115,11 @@
     net::RequestHandler& handler;
     std::unique_ptr<net::HttpServer>& server;
   };
-  const Listener listeners[] = {{"clients", settings_.clients, engine_, clients_},
-                                {"hops", settings_.hops, *peer_handler_, hop_server_},
-                                {"readiness", settings_.readiness, directory_, readiness_server_},
-                                {"directory", settings_.directory, directory_, directory_server_}};
+  std::vector<Listener> listeners = {{"clients", settings_.clients, engine_, clients_},
+                                     {"hops", settings_.hops, *peer_handler_, hop_server_},
+                                     {"readiness", settings_.readiness, directory_, readiness_server_},
+                                     {"directory", settings_.directory, directory_, directory_server_}};
+  if (settings_.metrics) listeners.push_back({"metrics", *settings_.metrics, metrics_, metrics_server_});
   net::Error error;
   for (const Listener& listener : listeners) {
     listener.server = net::HttpServer::Listen(loop_, listener.endpoint, listener.handler, &error);
@@ -161,6 +163,20 @@
   return offers;
 }
 
+EntryGauges EntryVm::Gauges() const {
+  EntryGauges gauges;
+  if (table_.config() != nullptr) gauges.config_version = table_.config()->version;
+  gauges.replicas = table_.replicas().size();
+  gauges.vms = members_.LiveCount(clock_.Now());
+  gauges.active = clients_->Active() + hop_server_->Active();
+  gauges.ready = Ready();
+  gauges.second_sends = engine_.counters().second_sends;
+  gauges.hops = engine_.counters().hops;
+  gauges.store_calls = store_.Calls();
+  gauges.dropped_log_lines = base::DroppedLogLines();
+  return gauges;
+}
+
 bool EntryVm::Ready() const { return !leaving_ && store_.Loaded(); }
 
 void EntryVm::ShareSecondSends() {
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "apps/entry/entry_metrics.h"
 #include "apps/entry/entry_settings.h"
 #include "libs/fleet/fleet.h"
 #include "libs/net/net.h"
@@ -44,6 +45,7 @@
   bool Listen(std::string* problem);
   void ApplyConfig(const serving::RoutingConfig& config);
   std::vector<fleet::RegionWait> OwnOffers() const;
+  EntryGauges Gauges() const;
   net::Task<> Housekeeping();
   net::Task<> AwaitSignals();
   net::Task<> AwaitReload();
@@ -63,6 +65,7 @@
   serving::Placer placer_;
   net::ConnectionPool replica_pool_;
   net::ConnectionPool peer_pool_;
+  EntryMetrics metrics_;
   serving::RequestEngine engine_;
   serving::HopHandler hop_handler_;
   platform::Directory directory_;
@@ -73,6 +76,7 @@
   std::unique_ptr<net::HttpServer> hop_server_;
   std::unique_ptr<net::HttpServer> readiness_server_;
   std::unique_ptr<net::HttpServer> directory_server_;
+  std::unique_ptr<net::HttpServer> metrics_server_;
   net::asio::signal_set stop_signals_;
   net::asio::signal_set reload_signals_;
   bool leaving_ = false;
