--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -174,7 +174,8 @@
                     CrowdingAt(work, slots, *service, kOrdinaryPriority));
   }
   if (waits.empty()) return std::nullopt;
-  const auto offered = waits.begin() + static_cast<ptrdiff_t>(kOfferedRank * waits.size());
+  const auto offered =
+      waits.begin() + static_cast<ptrdiff_t>(kOfferedRank * static_cast<double>(waits.size()));
   std::nth_element(waits.begin(), offered, waits.end());
   return *offered;
 }
