--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -9,4 +9,5 @@
 #include "libs/base/internal/rcu_pointer.h"
 #include "libs/base/internal/reason.h"
 #include "libs/base/internal/settings.h"
+#include "libs/base/internal/socket_address.h"
 #include "libs/base/internal/version.h"
--- a/libs/http/internal/server.cc
+++ b/libs/http/internal/server.cc
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <atomic>
-#include <charconv>
 #include <cstring>
 #include <thread>
 #include <utility>
@@ -22,20 +21,6 @@
 // even when every stack is touched once.
 constexpr size_t kThreadStackBytes = 256 * 1024;
 
-std::optional<sockaddr_in> ParseAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
-  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) return std::nullopt;
-  address.sin_port = htons(port);
-  return address;
-}
-
 /// Binds here and hands the socket to the library, because ulfius refuses port 0.
 int BindSocket(sockaddr_in* address, HttpReason* reason) {
   const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -88,7 +73,7 @@
   }
 
   bool Start(HttpReason* reason) {
-    auto address = ParseAddress(options_.address);
+    auto address = base::ParseSocketAddress(options_.address);
     if (!address) {
       base::SetReason(reason, HttpCode::kBind, "'" + options_.address + "' is not IP:PORT");
       return false;
--- a/standins/relay/relay.cc
+++ b/standins/relay/relay.cc
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 
 namespace cornelplank::standins::relay {
@@ -20,20 +19,6 @@
 constexpr uint64_t kWakeKey = 0;
 constexpr uint64_t kFirstConnectionKey = 1000;
 
-std::optional<sockaddr_in> ParseAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
-  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) return std::nullopt;
-  address.sin_port = htons(port);
-  return address;
-}
-
 const sockaddr* Raw(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
 // With SO_REUSEADDR several sockets of one address may be bound as long as only one of them listens.
@@ -70,8 +55,8 @@
 std::unique_ptr<Relay> Relay::Start(const std::vector<PairAddresses>& pairs, std::string* problem) {
   std::unique_ptr<Relay> relay(new Relay());
   for (const PairAddresses& addresses : pairs) {
-    const auto listen = ParseAddress(addresses.listen);
-    const auto target = ParseAddress(addresses.target);
+    const auto listen = base::ParseSocketAddress(addresses.listen);
+    const auto target = base::ParseSocketAddress(addresses.target);
     Pair& pair = relay->pairs_.emplace_back();
     if (!listen || !target) {
       *problem = "'" + addresses.listen + "' or '" + addresses.target + "' is not IP:PORT";
@@ -140,7 +125,7 @@
 }
 
 bool Relay::SetTarget(size_t index, const std::string& target) {
-  const auto address = ParseAddress(target);
+  const auto address = base::ParseSocketAddress(target);
   if (!address) return false;
   const std::lock_guard<std::mutex> lock(mutex_);
   pairs_.at(index).target_address = *address;
