--- a/tests/gateway/completion_test.cc
+++ b/tests/gateway/completion_test.cc
@@ -172,7 +172,7 @@
   if (!GetParam().body.empty()) request.body = GetParam().body;
   const auto response = fleet.Send(request);
   ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, GetParam().status);
+  EXPECT_EQ(response->status, GetParam().status) << response->body;
   const auto problem = json::parse(response->body);
   EXPECT_EQ(problem["code"], GetParam().code);
   EXPECT_EQ(problem["outcome"], "not-run");
