Count a zone without replicas as not serving, also when it can't be reached

Cause of the listed failure of RefusedTest UnknownModel: once the first poll had marked a zone without VMs as unreachable, a model that no zone serves was refused with 503 unreachable instead of 404, although that zone has no replica at all. The test met it when it asked after the poll, as beside busy processes (detail printed: unreachable). No test of its own with a manual clock yet.

--- a/libs/routing/internal/eligibility.cc
+++ b/libs/routing/internal/eligibility.cc
@@ -43,7 +43,9 @@
     return false;
   }
   if (!world.Distance(zone) || !world.Replicas().Forwarded(zone)->Reachable()) {
-    ++rejections->unreachable;
+    // A zone without replicas could not serve the request if it were reached.
+    const upstreams::ZoneRange range = world.Replicas().Zone(zone);
+    ++(range.begin == range.end ? rejections->not_served : rejections->unreachable);
     return false;
   }
   return true;
