State in heartbeats, logs and metrics how current each VM's configuration is

Callers saw requests outside of their home regions. The logs could not tell which VM used an outdated configuration, since when, and whether a newer one was known to other VMs: `config_in_force` gives only each VM's own view.

Change: heartbeats carry the version in force at each VM and whether the VM reads the store itself, follows another VM or is turned away. ConfigFreshness judges the configuration in force by its last confirmation and by the versions heard from others. The VM logs each change of this state and serves the newest version heard and the age as gauges. Nothing acts on it yet.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -176,6 +176,8 @@
 EntryGauges EntryVm::ReadGauges() const {
   EntryGauges gauges;
   if (registry_.config() != nullptr) gauges.config_version = registry_.config()->version;
+  gauges.newest_config_version = registry_.config_freshness().newest_heard();
+  gauges.config_age = registry_.config_freshness().Age(clock_.Now());
   gauges.replicas = registry_.replicas().size();
   gauges.vms = members_.LiveCount(clock_.Now());
   gauges.active_requests = client_server_->ActiveSessionCount() + hop_server_->ActiveSessionCount();
@@ -199,6 +201,7 @@
   for (int tick = 1;; ++tick) {
     co_await net::Sleep(loop_, kTickInterval);
     registry_.Tick(clock_.Now());
+    UpdateConfigState();
     if (!leaving_ && Ready() && members_.own().state == fleet::MemberState::kStarting) {
       members_.own().state = fleet::MemberState::kReady;
       heartbeat_loop_->BroadcastState();
@@ -217,6 +220,22 @@
   }
 }
 
+void EntryVm::UpdateConfigState() {
+  const base::TimePoint now = clock_.Now();
+  serving::ConfigFreshness& freshness = registry_.config_freshness();
+  members_.own().config_version = registry_.config() == nullptr ? 0 : registry_.config()->version;
+  members_.own().store_contact = store_sync_.Contact();
+  freshness.OnVersionHeard(members_.NewestConfigVersion(now), now);
+  const auto state = freshness.Assess(now);
+  if (state == config_state_) return;
+  config_state_ = state;
+  base::LogEvent("config_freshness")
+      .Text("state", serving::ConfigStateName(state))
+      .Number("version", static_cast<int64_t>(members_.own().config_version))
+      .Number("newest", static_cast<int64_t>(freshness.newest_heard()))
+      .Time("age_ms", freshness.Age(now).value_or(base::Duration::zero()));
+}
+
 net::Task<> EntryVm::HandleReloadSignals() {
   while (true) {
     net::Error error;
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -54,6 +54,9 @@
   /// Periodic work: updates the replica registry, announces that the VM is ready, closes idle connections and
   /// reloads changed settings. Never returns.
   net::Task<> RunHousekeeping();
+  /// States the own configuration and contact with the store to other VMs, and logs when the configuration in
+  /// force becomes outdated or current again.
+  void UpdateConfigState();
   net::Task<> HandleStopSignals();
   net::Task<> HandleReloadSignals();
   /// Announces that the VM leaves, accepts connections a little longer and waits for the requests in
@@ -92,6 +95,8 @@
   std::unique_ptr<net::HttpServer> metrics_server_;
   net::asio::signal_set stop_signals_;
   net::asio::signal_set reload_signals_;
+  serving::ConfigFreshness::State config_state_ =
+      serving::ConfigFreshness::State::kCurrent;  // as last logged
   bool leaving_ = false;
 };
 
--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -9,6 +9,8 @@
   beat @2 :UInt32;
   zone @3 :UInt32;         # hash of the name
   state @4 :UInt8;
+  configVersion @5 :UInt64;
+  storeContact @6 :UInt8;
 }
 
 struct Offer {
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -36,7 +36,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9834872a088faae7, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9834872a088faae7, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -117,6 +117,10 @@
 
   inline  ::uint8_t getState() const;
 
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline  ::uint8_t getStoreContact() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -160,6 +164,12 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline  ::uint8_t getStoreContact();
+  inline void setStoreContact( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -557,6 +567,34 @@
       ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Member::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getStoreContact() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getStoreContact() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStoreContact( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Offer::Reader::getRegion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -27,6 +27,8 @@
   out.setBeat(member.heartbeat_count);
   out.setZone(member.zone);
   out.setState(static_cast<uint8_t>(member.state));
+  out.setConfigVersion(member.config_version);
+  out.setStoreContact(static_cast<uint8_t>(member.store_contact));
 }
 
 Member Read(schema::Member::Reader in) {
@@ -37,6 +39,10 @@
   member.zone = in.getZone();
   const uint8_t state = std::min<uint8_t>(in.getState(), static_cast<uint8_t>(MemberState::kLeaving));
   member.state = static_cast<MemberState>(state);
+  member.config_version = in.getConfigVersion();
+  const uint8_t contact =
+      std::min<uint8_t>(in.getStoreContact(), static_cast<uint8_t>(StoreContact::kFailing));
+  member.store_contact = static_cast<StoreContact>(contact);
   return member;
 }
 
--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -142,6 +142,28 @@
   return vms;
 }
 
+uint64_t MemberTable::NewestConfigVersion(base::TimePoint now) const {
+  uint64_t newest = 0;
+  for (const auto& [address, entry] : others_) {
+    if (IsAlive(entry, now)) newest = std::max(newest, entry.member.config_version);
+  }
+  return newest;
+}
+
+std::vector<VmAddress> MemberTable::VmsWithConfig(uint64_t version, base::TimePoint now) const {
+  std::vector<std::pair<int, VmAddress>> vms;  // distance and address
+  for (const auto& [address, entry] : others_) {
+    if (!IsAlive(entry, now) || entry.member.config_version < version) continue;
+    const bool own_zone = ZoneOf(entry.member) == ZoneOf(own_);
+    const bool own_region = RegionOf(entry.member) == RegionOf(own_);
+    vms.emplace_back(own_zone ? 0 : own_region ? 1 : 2, address);
+  }
+  std::sort(vms.begin(), vms.end());
+  std::vector<VmAddress> addresses;
+  for (const auto& [distance, address] : vms) addresses.push_back(address);
+  return addresses;
+}
+
 size_t MemberTable::LiveCount(base::TimePoint now) const {
   return 1 + static_cast<size_t>(std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
            return IsAlive(entry.second, now);
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -20,6 +20,13 @@
   kLeaving,  // finishes the requests in progress and exits
 };
 
+/// Where a VM reads what the platform's store publishes.
+enum class StoreContact : uint8_t {
+  kFollowing,  // from the mirror of another VM, or nothing yet
+  kInContact,  // from the store, which answered a short time ago
+  kFailing,    // from the store, which does not answer
+};
+
 /// What a VM states about itself in its heartbeats. Other VMs pass it on unchanged.
 struct Member {
   VmAddress address = 0;
@@ -27,6 +34,8 @@
   uint32_t heartbeat_count = 0;  // grows with each heartbeat that the process makes
   uint32_t zone = 0;             // NameKey of its zone
   MemberState state = MemberState::kStarting;
+  uint64_t config_version = 0;  // of its configuration in force; 0 before the first one
+  StoreContact store_contact = StoreContact::kFollowing;
 };
 
 /// Hash that stands for the name of a zone, region or service in heartbeats.
@@ -102,6 +111,11 @@
   std::vector<VmAddress> ReadyVms(std::string_view zone, std::string_view region, base::TimePoint now) const;
   /// Live VMs of the own region in any state but leaving. This VM comes first, whatever its state.
   std::vector<VmAddress> OwnRegionVms(base::TimePoint now) const;
+  /// The greatest version of a configuration that another live VM has in force; 0 when none has any.
+  uint64_t NewestConfigVersion(base::TimePoint now) const;
+  /// The live VMs that have a configuration of at least `version` in force, those of the own zone first, then
+  /// those of the own region.
+  std::vector<VmAddress> VmsWithConfig(uint64_t version, base::TimePoint now) const;
   /// Number of live VMs, including this one.
   size_t LiveCount(base::TimePoint now) const;
   /// The greatest number of live VMs in about the last minute.
--- /dev/null
+++ b/libs/serving/internal/config_freshness.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "libs/base/base.h"
+
+namespace cornelplank::serving {
+
+/// Judges whether the configuration in force may still be the newest one. Not thread-safe; the caller passes
+/// in the time, which has to advance while the process is suspended.
+class ConfigFreshness {
+ public:
+  enum class State {
+    kCurrent,      // confirmed recently
+    kUnconfirmed,  // not confirmed for longer than the greatest age, and reading it has not failed for long
+    kOutdated,     // another VM has had a newer one in force for longer than `kPropagationTime`
+    kIsolated,     // not confirmed for longer than the greatest age, and reading it has failed for a while
+  };
+
+  /// Time that a version normally takes from the first VM that has it to all others.
+  static constexpr std::chrono::milliseconds kPropagationTime{1000};
+  /// Failed reads for this long show that the store can't be reached, rather than that the process was
+  /// suspended and its connections broke meanwhile.
+  static constexpr std::chrono::milliseconds kIsolationTime{1000};
+
+  /// `max_age`: time without a confirmation after which the configuration counts as unconfirmed. Below the
+  /// time within which a new version has to be in force everywhere.
+  explicit ConfigFreshness(std::chrono::milliseconds max_age = std::chrono::milliseconds(3500))
+      : max_age_(max_age) {}
+
+  /// The store, or a VM in contact with it, had no newer version at this time.
+  void OnConfirmed(base::TimePoint confirmed_at);
+  /// A read of the configuration failed, or its source was out of contact with the store.
+  void OnReadFailed(base::TimePoint now);
+  /// A configuration of this version came into force.
+  void OnApplied(uint64_t version);
+  /// Another VM states that it has this version in force.
+  void OnVersionHeard(uint64_t version, base::TimePoint now);
+
+  State Assess(base::TimePoint now) const;
+  /// Whether requests may be placed whose data is bound to regions. An isolated VM serves them by the
+  /// configuration that it has: no newer one can reach it, and its region keeps serving its own clients.
+  bool MayPlaceBoundRequests(base::TimePoint now) const;
+  /// Time since the last confirmation; no value before the first one.
+  std::optional<base::Duration> Age(base::TimePoint now) const;
+  uint64_t newest_heard() const { return newest_heard_; }
+
+ private:
+  std::chrono::milliseconds max_age_;
+  std::optional<base::TimePoint> confirmed_at_;
+  std::optional<base::TimePoint> failing_since_;  // first failed read since the last confirmation
+  uint64_t applied_ = 0;                          // version in force
+  uint64_t newest_heard_ = 0;
+  base::TimePoint newer_heard_at_{};  // when a version above `applied_` was first heard of
+};
+
+/// The state's name in log lines.
+const char* ConfigStateName(ConfigFreshness::State state);
+
+}  // namespace cornelplank::serving
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libs/net/net.h"
+#include "libs/serving/internal/config_freshness.h"
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/routing_config.h"
 
@@ -92,10 +93,16 @@
   /// Loads that another VM reported longer ago than this are not counted.
   static constexpr std::chrono::milliseconds kMaxPeerLoadAge{1500};
 
-  void SetConfig(std::shared_ptr<const RoutingConfig> config) { config_ = std::move(config); }
+  void SetConfig(std::shared_ptr<const RoutingConfig> config) {
+    config_ = std::move(config);
+    if (config_) config_freshness_.OnApplied(config_->version);
+  }
   /// The configuration in force; null before the first `SetConfig`.
   const RoutingConfig* config() const { return config_.get(); }
   std::shared_ptr<const RoutingConfig> SharedConfig() const { return config_; }
+  /// Whether the configuration in force may still be the newest one.
+  ConfigFreshness& config_freshness() { return config_freshness_; }
+  const ConfigFreshness& config_freshness() const { return config_freshness_; }
 
   /// Adds a replica or updates its entry. A changed incarnation means that it has restarted: it then starts
   /// a new record and counts as cold for the cold start time of its service.
@@ -142,6 +149,7 @@
 
  private:
   std::shared_ptr<const RoutingConfig> config_;
+  ConfigFreshness config_freshness_;
   std::map<std::string, std::shared_ptr<TrackedReplica>, std::less<>> replicas_;  // by id
   std::unordered_map<uint32_t, std::weak_ptr<TrackedReplica>> by_key_;
   std::set<std::string> evacuated_;                                   // names of zones
--- a/tests/fleet/member_table_test.cc
+++ b/tests/fleet/member_table_test.cc
@@ -90,6 +90,8 @@
 TEST(HeartbeatCodec, DecodesWhatItEncoded) {
   Heartbeat heartbeat;
   heartbeat.sender = MemberAt(0x0a010203, 99, 7, MemberState::kLeaving);
+  heartbeat.sender.config_version = 41;
+  heartbeat.sender.store_contact = StoreContact::kFailing;
   heartbeat.members = {MemberAt(5), MemberAt(6)};
   heartbeat.wait_reports = {{1, 2, std::chrono::milliseconds(30), std::chrono::milliseconds(400)}};
   heartbeat.loads.emplace().push_back({77, {3, 4000, 5000}});
@@ -98,6 +100,8 @@
   EXPECT_EQ(decoded->sender.address, 0x0a010203U);
   EXPECT_EQ(decoded->sender.incarnation, 99U);
   EXPECT_EQ(decoded->sender.state, MemberState::kLeaving);
+  EXPECT_EQ(decoded->sender.config_version, 41U);
+  EXPECT_EQ(decoded->sender.store_contact, StoreContact::kFailing);
   ASSERT_EQ(decoded->members.size(), 2U);
   EXPECT_EQ(decoded->wait_reports.at(0).age, std::chrono::milliseconds(400));
   EXPECT_EQ(decoded->loads->at(0).work.prefill_tokens, 4000U);
