--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -14,12 +14,12 @@
 
 constexpr std::chrono::milliseconds kSyncTime{120};  // enough for a change to reach the VM
 
-fleet::Member MemberAt(uint32_t address) {
+fleet::Member MemberAt(uint32_t address, const std::string& zone = "z") {
   fleet::Member member;
   member.address = address;
   member.incarnation = 1;
   member.heartbeat_count = 1;
-  member.zone = fleet::NameKey("z");
+  member.zone = fleet::NameKey(zone);
   member.state = fleet::MemberState::kReady;
   return member;
 }
@@ -28,8 +28,8 @@
 /// own.
 struct VmUnderTest {
   VmUnderTest(net::asio::io_context& loop, const base::Clock& clock, const net::Tcp::endpoint& store,
-              uint32_t address, uint16_t mirror_port)
-      : members(MemberAt(address), {{"z", "r"}}),
+              uint32_t address, uint16_t mirror_port, const std::string& zone = "z")
+      : members(MemberAt(address, zone), {{"z", "r"}, {"y", "q"}}),
         sync(loop, clock, {store, mirror_port}, members, {{"z", "r"}}, registry,
              [this](const serving::RoutingConfig& config) { versions.push_back(config.version); }),
         not_found(),
@@ -235,6 +235,78 @@
   for (const auto& vm : vms) EXPECT_FALSE(vm->registry.IsUsable(*vm->registry.Find("i-1")));
 }
 
+struct TurnedAwayCase {
+  const char* name;
+  Mode mode;           // of the store towards the VMs that it turns away
+  size_t turned_away;  // VMs that are first in line to read the store
+  std::string last_vm_zone = "z";
+};
+
+class TurnedAwayTest : public StoreSyncTest, public ::testing::WithParamInterface<TurnedAwayCase> {
+ protected:
+  static constexpr uint32_t kVms = 10;
+
+  /// Lets each VM state what it has to all others, as heartbeats do.
+  void ExchangeHeartbeats(const std::vector<std::unique_ptr<VmUnderTest>>& vms) {
+    for (const auto& vm : vms) {
+      fleet::Member& own = vm->members.own();
+      ++own.heartbeat_count;
+      own.config_version = vm->versions.empty() ? 0 : vm->versions.back();
+      own.store_contact = vm->sync.Contact();
+      for (const auto& other : vms) other->members.MergeMember(own, clock.Now());
+    }
+  }
+};
+
+// Guards against VMs that stay at an outdated configuration while they ask one VM after the other, none of
+// which is in contact with the store.
+TEST_P(TurnedAwayTest, ReceivesNewConfigurationsInTime) {
+  constexpr std::chrono::milliseconds kBound{4000};  // a new configuration has to be in force everywhere
+  constexpr std::chrono::milliseconds kHeartbeatInterval{200};
+  FakeStore other_store(loop);
+  other_store.Put("op/config", ConfigText(7));
+  std::vector<uint32_t> addresses;
+  for (uint32_t i = 0; i < kVms; ++i) addresses.push_back(kFirstVmAddress + i);
+  std::sort(addresses.begin(), addresses.end(), [](uint32_t a, uint32_t b) {
+    return base::RendezvousWeight("z", std::to_string(a)) > base::RendezvousWeight("z", std::to_string(b));
+  });
+  std::vector<std::unique_ptr<VmUnderTest>> vms;
+  for (uint32_t i = 0; i < kVms; ++i) {
+    const auto& own_store = i < GetParam().turned_away ? other_store : store;
+    vms.push_back(std::make_unique<VmUnderTest>(loop, clock, own_store.Endpoint(), addresses[i], mirror_port,
+                                                i + 1 < kVms ? "z" : GetParam().last_vm_zone));
+  }
+  for (int i = 0; i < 10; ++i) {
+    ExchangeHeartbeats(vms);
+    RunFor(loop, kHeartbeatInterval);
+  }
+  other_store.SetMode(GetParam().mode);
+  std::map<int, base::TimePoint> published;
+  for (int round = 0; round < 50; ++round) {
+    if (round % 5 == 0) {
+      const int version = 8 + round / 5;
+      store.Put("op/config", ConfigText(version));
+      published[version] = clock.Now();
+    }
+    ExchangeHeartbeats(vms);
+    RunFor(loop, kHeartbeatInterval);
+    for (const auto& vm : vms) {
+      for (const auto& [version, at] : published) {
+        if (vm->versions.back() >= static_cast<uint64_t>(version)) continue;
+        ASSERT_LE(clock.Now() - at, kBound) << "a VM has version " << vm->versions.back();
+      }
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Stores, TurnedAwayTest,
+                         ::testing::Values(TurnedAwayCase{"BusyForFour", Mode::kBusy, 4},
+                                           TurnedAwayCase{"SilentForFour", Mode::kSilent, 4},
+                                           TurnedAwayCase{"SilentForAllButOne", Mode::kSilent, 9},
+                                           TurnedAwayCase{"BusyForAWholeZone", Mode::kBusy, 9, "y"},
+                                           TurnedAwayCase{"SilentForAWholeZone", Mode::kSilent, 9, "y"}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against a zone that gets no more changes when the VM that reads the store for it stops.
 TEST_F(StoreSyncTest, AnotherVmReadsTheStoreWhenTheReaderStops) {
   std::vector<std::unique_ptr<VmUnderTest>> vms;
