Place no bound requests by a configuration that may be outdated

Callers saw requests with home regions at replicas of a region that had ceased to be a home.

Cause: a VM used the configuration that it had, however old it was and whatever newer version other VMs stated to have.

Change: after a suspension, when the configuration has not been confirmed for 3.5 s and reads have not failed for a second, requests wait up to 0.5 s for a confirmation and are then placed by what is in force. Requests whose data is bound to regions are refused at once with a Retry-After of 0.5 s while the configuration is unconfirmed, or while another VM has had a newer one for more than a second. A VM that reaches neither the store nor any other VM goes on with what it has: its region keeps serving its own clients.

Evidence: without the change the process that is stopped for 6 s while the home of a route moves serves the waiting request in the former home, and 3 of 6 table cases fail; with it all pass.

--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -44,6 +44,8 @@
       return "unknown_service";
     case RefusalReason::kNoReplica:
       return "no_replica";
+    case RefusalReason::kConfigOutdated:
+      return "config_outdated";
     case RefusalReason::kNotAllowed:
       return "not_allowed";
     case RefusalReason::kNoTime:
@@ -146,15 +148,18 @@
     return std::nullopt;
   }
   std::optional<Placement> best;
-  const bool home = query.route->AllowsRegion(own_region_);
-  if (home) {
+  if (!query.config_fresh && query.Bound()) {
+    *reason = RefusalReason::kConfigOutdated;
+    return std::nullopt;
+  }
+  if (query.AllowsRegion(own_region_)) {
     best = ChooseLocal(query, *service, registry, hops, now, reason);
   } else {
     *reason = RefusalReason::kNotAllowed;
   }
   if (!query.may_hop) return best;
   for (const RemoteRegion& remote : hops.RemoteRegions(query.service)) {
-    if (!query.route->AllowsRegion(remote.region) || Contains(query.excluded_regions, remote.region)) {
+    if (!query.AllowsRegion(remote.region) || Contains(query.excluded_regions, remote.region)) {
       continue;
     }
     base::Duration expected = remote.wait + remote.round_trip + settings_.hop_cost;
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -13,6 +13,7 @@
 /// The request to place, with the replicas and regions that it must not go to again.
 struct PlacementQuery {
   const RouteConfig* route = nullptr;
+  bool config_fresh = true;  // the configuration in force may be used for data that is bound to regions
   std::string service;
   uint32_t prompt_tokens = 0;
   uint32_t prefix_tokens = 0;  // of the prompt's shared prefix
@@ -21,6 +22,13 @@
   bool may_hop = true;                         // may be forwarded to another region
   std::vector<std::string> excluded_replicas;  // ids; tried before
   std::vector<std::string> excluded_regions;   // tried before
+
+  /// Whether the request's data is bound to regions.
+  bool Bound() const { return !route->home_regions.empty(); }
+  /// Whether the request's data may be processed in the region.
+  bool AllowsRegion(std::string_view region) const {
+    return (config_fresh || !Bound()) && route->AllowsRegion(region);
+  }
 };
 
 /// Why a request is refused.
@@ -28,6 +36,8 @@
   kNone,
   kUnknownService,  // not in the configuration
   kNoReplica,       // none is known, or all were tried, are leaving or are in evacuated zones
+  kConfigOutdated,  // the data is bound to regions, and the configuration may have been replaced by a newer
+                    // one
   kNotAllowed,      // the route's data may not be processed here, and no region where it may is available
   kNoTime,          // the first byte is expected after the request's deadline
   kOverloaded,      // refused by admission control: too many responses miss their target latency
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -28,6 +28,9 @@
 // Bounds of Retry-After for refused requests, except those that admission control refuses.
 constexpr std::chrono::milliseconds kMinRetryAfter{200};
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
+// Retry-After when the configuration may be outdated: a VM that reaches any other catches up within this
+// time.
+constexpr std::chrono::milliseconds kOutdatedConfigRetryAfter{500};
 
 }  // namespace
 
@@ -64,6 +67,7 @@
 PlacementQuery ProxiedRequest::MakePlacementQuery() const {
   PlacementQuery query;
   query.route = &route_;
+  query.config_fresh = deps_.registry.config_freshness().MayPlaceBoundRequests(deps_.clock.Now());
   query.service = service_;
   query.prompt_tokens = request_info_.prompt_tokens;
   query.prefix_tokens = request_info_.SharedPrefixTokens();
@@ -273,6 +277,7 @@
   if (refusal_reason_ == RefusalReason::kOverloaded) {
     return AdaptiveAdmission::RetryAfter(proxy_.random_.Unit());
   }
+  if (refusal_reason_ == RefusalReason::kConfigOutdated) return kOutdatedConfigRetryAfter;
   const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
   return std::min<base::Duration>(wait, kMaxRetryAfter);
 }
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -8,6 +8,11 @@
 // Retry-After while this VM has no configuration: a VM gets its first one within this time of its start.
 constexpr std::chrono::milliseconds kNoConfigRetryAfter{500};
 
+// Greatest time for which requests wait for a confirmation of the configuration: a few round trips to the
+// store.
+constexpr std::chrono::milliseconds kConfirmationWait{500};
+constexpr std::chrono::milliseconds kConfirmationPoll{10};
+
 // Time between checks for silent replicas: a tenth of the shortest target latencies in use.
 constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
 
@@ -22,8 +27,18 @@
   for (auto& [service, budget] : budgets_) budget.SetBurst(burst);
 }
 
+net::Task<> RequestProxy::AwaitConfirmedConfig() {
+  const base::TimePoint begin = deps_.clock.Now();
+  const ConfigFreshness& freshness = deps_.registry.config_freshness();
+  while (freshness.Assess(deps_.clock.Now()) == ConfigFreshness::State::kUnconfirmed) {
+    if (deps_.clock.Now() - begin >= kConfirmationWait) break;
+    co_await net::Sleep(deps_.loop, kConfirmationPoll);
+  }
+}
+
 net::Task<> RequestProxy::Handle(net::Request& request, net::ResponseWriter& writer) {
   ++counters_.requests;
+  co_await AwaitConfirmedConfig();
   std::string problem;
   const auto client = deps_.codec.DecodeRequest(request, &problem);
   const auto config = deps_.registry.SharedConfig();
@@ -61,6 +76,7 @@
 }
 
 net::Task<> RequestProxy::ServeHop(net::Request& request, net::ResponseWriter& writer) {
+  co_await AwaitConfirmedConfig();
   const auto parameters = deps_.codec.DecodeHop(request);
   std::string problem;
   const auto client = deps_.codec.DecodeRequest(request, &problem);
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -66,6 +66,9 @@
   /// Second sends per request. All VMs together may make `budget_ratio` (0.2) of the requests.
   static constexpr double kSecondSendRatio = 0.15;
 
+  /// Waits a short time for a confirmation of the configuration after the process was suspended, as newer
+  /// versions may not have been read yet. Returns at once in all other cases.
+  net::Task<> AwaitConfirmedConfig();
   retry::ExtraAttemptBudget& RetryBudget(const std::string& service);
   AdaptiveAdmission& Admission(const std::string& service, int priority) {
     return admissions_[{service, priority}];
--- a/tests/platform/entry_process_test.cc
+++ b/tests/platform/entry_process_test.cc
@@ -202,6 +202,35 @@
   EXPECT_TRUE(WaitUntil([&] { return process_->Output().find("event=client_gone") != std::string::npos; }));
 }
 
+// Guards against requests that are served in a former home region by a process that was suspended while the
+// configuration changed.
+TEST_F(EntryProcessTest, ServesNoRequestInAFormerHomeAfterASuspension) {
+  const auto config_with_home = [](int version, const std::string& region) {
+    std::string text = testing::ConfigText(version);
+    const std::string field = R"("attempts":2)";
+    return text.replace(text.find(field), field.size(), field + R"(,"home_regions":[")" + region + R"("])");
+  };
+  ScriptedServer replica(loop_, kResponse, ScriptedServer::Ending::kKeepOpen);
+  StartStore();
+  store_->Put("op/config", config_with_home(4, "r"));
+  store_->Put("servers/i-1", testing::ReplicaText("svc", replica.Endpoint()));
+  Start(Settings());
+  ASSERT_TRUE(WaitUntilStatus("200"));
+  net::Tcp::socket socket(loop_);
+  socket.connect(EndpointOf("clients"));
+  RunFor(loop_, std::chrono::milliseconds(100));
+  process_->Signal(SIGSTOP);
+  asio::write(socket, asio::buffer(std::string("GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 78\r\n"
+                                               "Deadline-Ms: 9000\r\n\r\n")));
+  RunFor(loop_, std::chrono::seconds(1));
+  store_->Put("op/config", config_with_home(5, "q"));
+  RunFor(loop_, std::chrono::seconds(5));
+  process_->Signal(SIGCONT);
+  const std::string response = ReadResponse(socket, std::chrono::seconds(2));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+  EXPECT_EQ(replica.received().find("Attempt-Id: 78"), std::string::npos);
+}
+
 // Guards against a shutdown that closes connections before their requests are served, and against a process
 // that does not exit.
 TEST_F(EntryProcessTest, ServesOpenConnectionsBeforeItExits) {
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -218,6 +218,57 @@
                                            PauseCase{"OtherReplicaResumes", 5, true, 1}),
                          [](const auto& info) { return info.param.name; });
 
+struct OutdatedConfigCase {
+  const char* name;
+  std::vector<std::string> homes;        // of the route, by the configuration at the arrival of the request
+  std::vector<std::string> later_homes;  // by a version that is read 50 ms later; empty: none is read
+  bool read_failed;                      // reads have failed for some seconds
+  int expected_sends;
+};
+class HomeChangeTest : public RequestProxyTest {
+ protected:
+  /// Puts a new version in force in which the route has these home regions.
+  void SetHomes(const std::string& prefix, const std::vector<std::string>& homes) {
+    auto config = std::make_shared<serving::RoutingConfig>(*registry.config());
+    ++config->version;
+    for (serving::RouteConfig& route : config->routes) {
+      if (route.path_prefix == prefix) route.home_regions = homes;
+    }
+    registry.SetConfig(config);
+  }
+};
+class OutdatedConfigTest : public HomeChangeTest, public ::testing::WithParamInterface<OutdatedConfigCase> {};
+
+// Guards against requests that are served in a former home region because the process was suspended while the
+// configuration changed.
+TEST_P(OutdatedConfigTest, PlacesBoundRequestsByAConfirmedVersionOnly) {
+  ScriptedServer replica(loop, MakeResponse("200 OK", "77", "body"), Ending::kKeepOpen);
+  AddReplica("replica", replica.Endpoint(), true);
+  SetHomes("/once/", GetParam().homes);
+  registry.config_freshness().OnConfirmed(clock.Now() - std::chrono::seconds(7));
+  if (GetParam().read_failed) registry.config_freshness().OnReadFailed(clock.Now() - std::chrono::seconds(4));
+  asio::steady_timer read(loop, std::chrono::milliseconds(50));
+  if (!GetParam().later_homes.empty()) {
+    read.async_wait([&](const net::Error&) {
+      SetHomes("/once/", GetParam().later_homes);
+      registry.config_freshness().OnConfirmed(clock.Now());
+    });
+  }
+  const std::string response = SendRequest("/once/a", std::chrono::milliseconds(900));
+  EXPECT_TRUE(response.starts_with(GetParam().expected_sends > 0 ? "HTTP/1.1 200" : "HTTP/1.1 503"))
+      << response;
+  EXPECT_EQ(replica.connections(), GetParam().expected_sends);
+}
+
+INSTANTIATE_TEST_SUITE_P(Versions, OutdatedConfigTest,
+                         ::testing::Values(OutdatedConfigCase{"NotConfirmed", {"r"}, {}, false, 0},
+                                           OutdatedConfigCase{"HomeMoved", {"r"}, {"q"}, false, 0},
+                                           OutdatedConfigCase{"HomeKept", {"r"}, {"r", "q"}, false, 1},
+                                           OutdatedConfigCase{"NewlyBound", {}, {"q"}, false, 0},
+                                           OutdatedConfigCase{"StoreUnreachable", {"r"}, {}, true, 1},
+                                           OutdatedConfigCase{"NotBound", {}, {}, false, 1}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against requests that wait although no replica is known. A path without a route gets a 404.
 TEST_F(RequestProxyTest, RefusesAtOnceWithoutReplicas) {
   const std::string response = SendRequest("/safe/a", std::chrono::milliseconds(60));
