Hold further attempts to the home regions of the newest configuration

Callers of streams and idempotent requests could be served in a former home region: a request kept the homes that its route had when it arrived, for all its attempts. Trial: after the homes had moved, a reset or a silent replica led to one more send to a replica of the former home each time.

Cause: placement read the route of the configuration at the request's arrival only, and nothing was checked between the choice of a target and the send, for up to 0.9 s of connecting or for as long as the process was suspended.

Change: a region has to be allowed by the route as of the arrival and, if it still exists, as of the configuration in force. It is checked again after the connection is established. A request whose attempts can't go on ends as after any other failure: a stream breaks off, and no 503 is sent once it may have run.

Evidence: HomeChangeTest.ResumesNoStreamInAFormerHome fails without the change (the second replica gets the resumption) and passes with it.

--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -13,6 +13,9 @@
 /// The request to place, with the replicas and regions that it must not go to again.
 struct PlacementQuery {
   const RouteConfig* route = nullptr;
+  // The request's route in the configuration that is in force now. Null when it is gone, or the same as
+  // `route`.
+  const RouteConfig* newest_route = nullptr;
   bool config_fresh = true;  // the configuration in force may be used for data that is bound to regions
   std::string service;
   uint32_t prompt_tokens = 0;
@@ -24,10 +27,13 @@
   std::vector<std::string> excluded_regions;   // tried before
 
   /// Whether the request's data is bound to regions.
-  bool Bound() const { return !route->home_regions.empty(); }
-  /// Whether the request's data may be processed in the region.
+  bool Bound() const {
+    return !route->home_regions.empty() || (newest_route != nullptr && !newest_route->home_regions.empty());
+  }
+  /// Whether the request's data may be processed in the region, by both versions of its route.
   bool AllowsRegion(std::string_view region) const {
-    return (config_fresh || !Bound()) && route->AllowsRegion(region);
+    return (config_fresh || !Bound()) && route->AllowsRegion(region) &&
+           (newest_route == nullptr || newest_route->AllowsRegion(region));
   }
 };
 
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -67,6 +67,10 @@
 PlacementQuery ProxiedRequest::MakePlacementQuery() const {
   PlacementQuery query;
   query.route = &route_;
+  const RoutingConfig* newest = deps_.registry.config();
+  if (newest != nullptr && newest != config_.get()) {
+    query.newest_route = newest->FindRoute(request_info_.host, request_info_.path);
+  }
   query.config_fresh = deps_.registry.config_freshness().MayPlaceBoundRequests(deps_.clock.Now());
   query.service = service_;
   query.prompt_tokens = request_info_.prompt_tokens;
@@ -219,7 +223,9 @@
   const bool repeatable = progress_.repeatable;
   if (co_await call_->Connect(
           endpoint, repeatable ? base::Duration(kMaxIdleRepeatable) : base::Duration(kMaxIdleUnrepeatable))) {
-    outcome = co_await SendAndRelay(*call_, placement);
+    // The configuration may have changed while the connection was established.
+    const std::string region = hop ? placement.region : placement.replica->published.region;
+    if (MakePlacementQuery().AllowsRegion(region)) outcome = co_await SendAndRelay(*call_, placement);
   } else if (!writer_.ClientGone()) {
     if (hop) deps_.hops.ReportHopFailure(endpoint);
     (hop ? deps_.peer_pool : deps_.replica_pool).CloseIdle(endpoint);
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -269,6 +269,24 @@
                                            OutdatedConfigCase{"NotBound", {}, {}, false, 1}),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against a further attempt in a region that has ceased to be a home since the request arrived.
+TEST_F(HomeChangeTest, ResumesNoStreamInAFormerHome) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nResponse-Signature: one\r\nContent-Type: "
+      "text/event-stream\r\n\r\n";
+  ScriptedServer first(loop, head + "id: 1\ndata: a\n\n", Ending::kReset);
+  ScriptedServer second(loop, head + "id: 2\ndata: b\n\n", Ending::kClose);
+  AddReplica("first", first.Endpoint(), true);
+  AddReplica("second", second.Endpoint(), false);
+  SetHomes("/stream/", {"r"});
+  asio::steady_timer change(loop, std::chrono::milliseconds(10));
+  change.async_wait([&](const net::Error&) { SetHomes("/stream/", {"q"}); });
+  const std::string response = SendRequest("/stream/a", std::chrono::milliseconds(400));
+  EXPECT_NE(response.find("data: a"), std::string::npos) << response;
+  EXPECT_EQ(second.connections(), 0);
+  EXPECT_EQ(response.find("\r\n0\r\n\r\n"), std::string::npos) << response;
+}
+
 // Guards against requests that wait although no replica is known. A path without a route gets a 404.
 TEST_F(RequestProxyTest, RefusesAtOnceWithoutReplicas) {
   const std::string response = SendRequest("/safe/a", std::chrono::milliseconds(60));
