Bound the work of PromptQuarantine and close gaps in its tests

Change: a clearance evaluates only while verdicts are in force, entries older than all held ones are not added when the limit is reached, and four tests and some expectations are added.

--- a/libs/serving/internal/prompt_quarantine.cc
+++ b/libs/serving/internal/prompt_quarantine.cc
@@ -27,6 +27,18 @@
   for (const auto& [time, key] : order) entries->erase(key);
 }
 
+/// Whether `KeepNewest` would erase a new entry at once. Such entries are not added, so that they don't count
+/// as news each time that another VM sends them.
+template <typename Map, typename TimeOf>
+bool IsTooOld(const Map& entries, size_t limit, TimeOf time_of, const typename Map::key_type& key,
+              base::TimePoint time) {
+  return entries.size() >= limit && std::all_of(entries.begin(), entries.end(), [&](const auto& entry) {
+           return std::pair(time_of(entry.second), entry.first) > std::pair(time, key);
+         });
+}
+
+base::TimePoint TimeOfClearance(base::TimePoint at) { return at; }
+
 }  // namespace
 
 base::TimePoint PromptQuarantine::Verdict::End() const {
@@ -57,11 +69,19 @@
   if (suspects_.empty()) return;
   bool cleared = false;
   for (const uint64_t part : shared_parts) {
-    if (!std::binary_search(suspects_.begin(), suspects_.end(), part)) continue;
+    const auto suspect = std::lower_bound(suspects_.begin(), suspects_.end(), part);
+    if (suspect == suspects_.end() || *suspect != part) continue;
     AddClearance(part, now);
+    suspects_.erase(suspect);
     cleared = true;
   }
-  if (cleared) Update(now);
+  if (!cleared) return;
+  // After a mass failure many parts are cleared one by one. Without verdicts, fewer suspicions change none.
+  if (verdicts_.empty()) {
+    KeepNewest(&clearances_, kMaxClearances, TimeOfClearance);
+  } else {
+    Update(now);
+  }
 }
 
 QuarantineReport PromptQuarantine::Report(size_t max_crashes, base::TimePoint now) const {
@@ -156,10 +176,19 @@
   return clearance != clearances_.end() && crashed_at <= clearance->second + kClearanceSkew;
 }
 
+base::TimePoint PromptQuarantine::Rank(const Observation& observation) {
+  return observation.parts.empty() ? observation.crashed_at - kEvidenceAge - kHoldMargin
+                                   : observation.crashed_at;
+}
+
 bool PromptQuarantine::AddObservation(const ObservationId& id, Observation observation) {
   std::erase_if(observation.parts, [&](uint64_t part) { return IsCleared(part, observation.crashed_at); });
-  const auto [position, added] = observations_.try_emplace(id, observation);
-  if (added) return true;
+  const auto position = observations_.find(id);
+  if (position == observations_.end()) {
+    if (IsTooOld(observations_, kMaxObservations, Rank, id, Rank(observation))) return false;
+    observations_.emplace(id, std::move(observation));
+    return true;
+  }
   Observation& known = position->second;
   const size_t parts_before = known.parts.size();
   const base::TimePoint time_before = known.crashed_at;
@@ -172,9 +201,14 @@
 }
 
 bool PromptQuarantine::AddClearance(uint64_t part, base::TimePoint at) {
-  const auto [position, added] = clearances_.try_emplace(part, at);
-  if (!added && at <= position->second) return false;
-  position->second = at;
+  const auto position = clearances_.find(part);
+  if (position != clearances_.end()) {
+    if (at <= position->second) return false;
+    position->second = at;
+  } else {
+    if (IsTooOld(clearances_, kMaxClearances, TimeOfClearance, part, at)) return false;
+    clearances_.emplace(part, at);
+  }
   for (auto& [id, observation] : observations_) {
     if (IsCleared(part, observation.crashed_at)) std::erase(observation.parts, part);
   }
@@ -185,8 +219,12 @@
 
 bool PromptQuarantine::AddRecord(uint64_t part, const Verdict& verdict) {
   if (IsCleared(part, verdict.since)) return false;
-  const auto [position, added] = records_.try_emplace(part, verdict);
-  if (added) return true;
+  const auto position = records_.find(part);
+  if (position == records_.end()) {
+    if (IsTooOld(records_, kMaxQuarantined, TimeOfVerdict, part, verdict.since)) return false;
+    records_.emplace(part, verdict);
+    return true;
+  }
   Verdict& known = position->second;
   if (std::tie(verdict.since, verdict.level) <= std::tie(known.since, known.level)) return false;
   known = verdict;
@@ -213,25 +251,20 @@
 }
 
 std::optional<std::pair<uint64_t, PromptQuarantine::Verdict>> PromptQuarantine::NextVerdict() const {
-  struct Mentions {
-    size_t observations = 0;
-    size_t position = 0;  // the last place of the part in a prompt
-  };
-  std::map<uint64_t, Mentions> mentions;  // by part
+  std::vector<std::pair<uint64_t, size_t>> mentions;  // part and its place in a prompt
   for (const auto& [id, observation] : observations_) {
     if (observation.explained) continue;
-    for (size_t i = 0; i < observation.parts.size(); ++i) {
-      Mentions& part = mentions[observation.parts[i]];
-      ++part.observations;
-      part.position = std::max(part.position, i);
-    }
+    for (size_t i = 0; i < observation.parts.size(); ++i) mentions.emplace_back(observation.parts[i], i);
   }
+  std::sort(mentions.begin(), mentions.end());
   std::optional<std::pair<uint64_t, Verdict>> next;
   std::pair<size_t, size_t> best{0, 0};  // crashes and position of `next`
-  for (const auto& [part, mention] : mentions) {
-    if (mention.observations < kCrashesToCondemn || verdicts_.contains(part)) continue;
+  for (auto begin = mentions.begin(), end = begin; begin != mentions.end(); begin = end) {
+    const uint64_t part = begin->first;
+    end = std::find_if(begin, mentions.end(), [&](const auto& mention) { return mention.first != part; });
+    if (static_cast<size_t>(end - begin) < kCrashesToCondemn || verdicts_.contains(part)) continue;
     const std::vector<Crash> crashes = CrashesOf(part, /*unexplained_only=*/true);
-    const std::pair<size_t, size_t> rank{crashes.size(), mention.position};
+    const std::pair<size_t, size_t> rank{crashes.size(), (end - 1)->second};
     if (crashes.size() < kCrashesToCondemn || (next && rank <= best)) continue;
     for (auto last = crashes.begin(); last != crashes.end(); ++last) {
       const auto first = std::find_if(
@@ -297,21 +330,16 @@
                                        [](const auto& entry) { return !entry.second.parts.empty(); });
   const bool evidence_goes = static_cast<size_t>(suspected) > kMaxObservations;
   record(evidence_goes ? base::Duration{0} : kSettleTime);
-  // Observations without suspected parts go first: they only keep other VMs from bringing the cleared parts
-  // back.
-  KeepNewest(&observations_, kMaxObservations, [](const Observation& observation) {
-    return observation.parts.empty() ? observation.crashed_at - kEvidenceAge - kHoldMargin
-                                     : observation.crashed_at;
-  });
+  KeepNewest(&observations_, kMaxObservations, Rank);
   std::erase_if(observations_, [&](const auto& entry) {
     return now - entry.second.crashed_at > kEvidenceAge + kHoldMargin;
   });
   std::erase_if(clearances_,
                 [&](const auto& entry) { return now - entry.second > kClearanceMemory + kHoldMargin; });
-  KeepNewest(&clearances_, kMaxClearances, [](base::TimePoint at) { return at; });
+  KeepNewest(&clearances_, kMaxClearances, TimeOfClearance);
   std::erase_if(records_,
                 [&](const auto& entry) { return now > entry.second.End() + kVerdictMemory + kHoldMargin; });
-  KeepNewest(&records_, kMaxQuarantined, [](const Verdict& verdict) { return verdict.since; });
+  KeepNewest(&records_, kMaxQuarantined, TimeOfVerdict);
   std::erase_if(verdicts_, [&](const auto& entry) {
     return now > entry.second.verdict.End() + kVerdictMemory + kHoldMargin;
   });
--- a/libs/serving/internal/prompt_quarantine.h
+++ b/libs/serving/internal/prompt_quarantine.h
@@ -51,9 +51,9 @@
 /// the verdict.
 ///
 /// VMs exchange reports and come to the same verdicts. Merging is commutative and idempotent: of an
-/// observation the earliest time and the common parts are kept, of a clearance and of a verdict the latest
-/// time. A verdict follows from the observations at first, so that one that was made on a part of them is
-/// taken back when the others arrive. After `kSettleTime` it is recorded and sent itself; then it outlives
+/// observation the earliest time and the common parts are kept, of a clearance and of a recorded verdict the
+/// latest time. A verdict follows from the observations at first, so that one that was made on a part of them
+/// is taken back when the others arrive. After `kSettleTime` it is recorded and sent itself; then it outlives
 /// the observations and reaches VMs that have restarted.
 ///
 /// Not thread-safe; the caller passes in the time.
@@ -150,6 +150,10 @@
     base::TimePoint at{};
   };
 
+  /// The order in which observations are kept when there are too many. Those without suspected parts go
+  /// first: they only keep other VMs from bringing the cleared parts back.
+  static base::TimePoint Rank(const Observation& observation);
+  static base::TimePoint TimeOfVerdict(const Verdict& verdict) { return verdict.since; }
   /// These return whether they changed something.
   bool AddObservation(const ObservationId& id, Observation observation);
   bool AddClearance(uint64_t part, base::TimePoint at);
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -342,6 +342,58 @@
   }
 }
 
+// Guards against entries that never disappear: a VM that had estimated an older age sends an entry after
+// others have erased it.
+TEST(PromptQuarantine, DoesNotSendOutdatedObservationsAgain) {
+  PromptQuarantine first(1, 1);
+  PromptQuarantine second(2, 1);
+  first.RecordCrash({kFaulty}, 1, kStart);
+  second.Merge(first.Report(kAllCrashes, kStart), kStart + seconds(3));  // the datagram was late
+  const base::TimePoint outdated = kStart + seconds(62);
+  EXPECT_FALSE(Refuses(&first, kFaulty, outdated));
+  first.Merge(second.Report(kAllCrashes, outdated), outdated);
+  EXPECT_TRUE(first.Report(kAllCrashes, outdated).crashes.empty());
+}
+
+// Guards against suspicions that come back when there were more clearances than a VM holds, as after a mass
+// failure.
+TEST(PromptQuarantine, KeepsClearedPartsOutOfKnownObservations) {
+  PromptQuarantine first(1, 1);
+  PromptQuarantine second(2, 1);
+  for (uint32_t i = 0; i < 20; ++i) {
+    const Parts parts{100 + i, 200 + i, 300 + i, 400 + i, kFaulty};
+    first.RecordCrash(parts, i % 2, kStart + seconds(i % 2));
+  }
+  const base::TimePoint now = kStart + seconds(4);
+  second.Merge(first.Report(kAllCrashes, now), now);
+  first.RecordAnswer({kFaulty}, now);
+  for (uint64_t part = 100; part < 500; ++part) first.RecordAnswer({part}, now + milliseconds(part));
+  EXPECT_EQ(first.Report(kAllCrashes, now + seconds(1)).clearances.size(), PromptQuarantine::kMaxClearances);
+  first.Merge(second.Report(kAllCrashes, now + seconds(1)), now + seconds(1));
+  second.Merge(first.Report(kAllCrashes, now + seconds(1)), now + seconds(1));
+  for (const PromptQuarantine* quarantine : {&first, &second}) {
+    const QuarantineReport report = quarantine->Report(kAllCrashes, now + seconds(1));
+    EXPECT_EQ(report.crashes.size(), 20U);
+    for (const CrashObservation& crash : report.crashes) EXPECT_TRUE(crash.parts.empty());
+  }
+  first.RecordCrash({kFaulty}, 3, now + seconds(8));
+  EXPECT_FALSE(Refuses(&first, kFaulty, now + seconds(8)));
+}
+
+// Guards against reports that are full of old observations, or of those whose parts are all cleared.
+TEST(PromptQuarantine, ReportsTheNewestSuspicionsFirst) {
+  PromptQuarantine older(9, 1);
+  PromptQuarantine newer(1, 1);
+  RecordAll({{seconds(0), 1, {5}}, {seconds(1), 2, {6}}}, &older);
+  RecordAll({{seconds(2), 3, {7}}, {seconds(3), 4, {8}}, {seconds(4), 5, {9}}}, &newer);
+  const base::TimePoint now = kStart + seconds(10);
+  newer.Merge(older.Report(kAllCrashes, now), now);
+  newer.RecordAnswer({8}, now);
+  std::vector<uint32_t> replicas;
+  for (const CrashObservation& crash : newer.Report(4, now).crashes) replicas.push_back(crash.replica_key);
+  EXPECT_EQ(replicas, (std::vector<uint32_t>{5, 3, 2, 1}));
+}
+
 // Guards against clearing crashes that the reporter saw long after the answer, when a report is merged late.
 TEST(PromptQuarantine, UsesTheAgesInReports) {
   PromptQuarantine first(1, 1);
@@ -450,9 +502,10 @@
   PromptQuarantine quarantine(1, 1);
   RecordAll({{seconds(0), 1, {kRoute, kFaulty}},
              {seconds(1), 2, {kRoute, kFaulty}},
-             {seconds(2), 3, {kRoute, kFaulty}},
-             {seconds(20), 4, {kRoute, 5}}},
+             {seconds(2), 3, {kRoute, kFaulty}}},
             &quarantine);
+  for (int i = 3; i < 20; ++i) EXPECT_TRUE(Refuses(&quarantine, kFaulty, kStart + seconds(i)));
+  RecordAll({{seconds(20), 4, {kRoute, 5}}}, &quarantine);
   EXPECT_EQ(RefusedOf(&quarantine, {kRoute, kFaulty, 5}, kStart + seconds(20)), Parts{kFaulty});
 }
 
@@ -491,7 +544,8 @@
   EXPECT_EQ(held.crashes.size(), PromptQuarantine::kMaxObservations);
   EXPECT_EQ(held.crashes.front().parts.size(), PromptQuarantine::kMaxParts);
   EXPECT_EQ(held.clearances.size(), PromptQuarantine::kMaxClearances);
-  EXPECT_EQ(held.verdicts.size(), PromptQuarantine::kMaxQuarantined);
+  ASSERT_EQ(held.verdicts.size(), PromptQuarantine::kMaxQuarantined);
+  EXPECT_LT(held.verdicts.front().level, 10U);
   EXPECT_EQ(flooded.quarantined_count(), PromptQuarantine::kMaxQuarantined);
 }
 
@@ -506,6 +560,17 @@
   EXPECT_EQ(quarantine.observation_count(), 2U);
 }
 
+// Guards against work for each of the many answers, and clearances that move forward with them.
+TEST(PromptQuarantine, DoesNothingForAnswersWithoutSuspectedParts) {
+  PromptQuarantine quarantine(1, 1);
+  quarantine.RecordCrash({kRoute, 5}, 1, kStart);
+  for (int i = 1; i <= 9; ++i) quarantine.RecordAnswer({kRoute, 6}, kStart + seconds(i));
+  const QuarantineReport report = quarantine.Report(kAllCrashes, kStart + seconds(9));
+  ASSERT_EQ(report.clearances.size(), 1U);
+  EXPECT_EQ(report.clearances.front().part, kRoute);
+  EXPECT_GE(report.clearances.front().age, seconds(8));
+}
+
 struct RetryCase {
   const char* name;
   std::vector<CrashAt> crashes;  // the last one is that of the request with the parts 1 and 66
