--- /dev/null
+++ b/tests/platform/crashing_replica.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "tests/net/loopback.h"
+
+namespace cornelplank::testing {
+
+/// How a CrashingReplica answers, crashes and restarts.
+struct CrashingReplicaSettings {
+  std::string crashing_part;      // id of a prompt part as the header writes it; empty: no part
+  bool head_before_crash = true;  // sends the head of the response before it crashes
+  std::chrono::milliseconds restart_time{2000};     // from a crash until it listens again
+  std::chrono::milliseconds first_event_delay{80};  // from a request to the first event, or to the crash
+  std::chrono::milliseconds event_interval{30};
+  uint64_t events = 10;  // ids 1 to `events`
+};
+
+/// A replica that answers every request with a stream of events and resumes streams after `Last-Event-Id`. It
+/// crashes when it begins to answer a request whose prompt holds a certain part other than as the last one:
+/// its listener and all its connections close at the same moment. Later it listens again at the same address
+/// with a new incarnation. It runs any number of requests at once.
+class CrashingReplica {
+ public:
+  /// A request with the crashing part.
+  struct Arrival {
+    base::TimePoint time{};
+    std::string request_id;
+  };
+
+  CrashingReplica(net::asio::io_context& loop, const base::Clock& clock, const net::Tcp::endpoint& endpoint,
+                  CrashingReplicaSettings settings)
+      : loop_(loop), clock_(clock), endpoint_(endpoint), settings_(std::move(settings)), acceptor_(loop) {
+    Listen();
+  }
+
+  /// Sets the function to call after each restart, as soon as the replica listens.
+  void OnRestart(std::function<void()> action) { on_restart_ = std::move(action); }
+  /// Crashes now, whatever it is serving. Does nothing while it is down.
+  void Crash() {
+    if (!Listening()) return;
+    crash_times_.push_back(clock_.Now());
+    net::Error ignored;  // a connection may have broken already
+    acceptor_.close(ignored);
+    for (const auto& connection : connections_) connection->socket.close(ignored);
+    net::Spawn(loop_, "restart", Restart());
+  }
+
+  const net::Tcp::endpoint& Endpoint() const { return endpoint_; }
+  bool Listening() const { return acceptor_.is_open(); }
+  /// Grows with each start.
+  uint64_t incarnation() const { return incarnation_; }
+  /// When it crashed, by itself or by `Crash`.
+  const std::vector<base::TimePoint>& crash_times() const { return crash_times_; }
+  /// All requests with the crashing part, including the ones that were waiting when it crashed.
+  const std::vector<Arrival>& arrivals() const { return arrivals_; }
+  /// Number of requests that were answered completely.
+  int served() const { return served_; }
+  /// Number of requests of which no event has been sent yet.
+  int CountWithoutEvent() const {
+    int count = 0;
+    for (const auto& connection : connections_) count += connection->awaiting_first_event ? 1 : 0;
+    return count;
+  }
+
+ private:
+  // Time after which unacknowledged bytes end a connection; no test comes near it.
+  static constexpr std::chrono::milliseconds kUserTimeout{2500};
+
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+  struct Connection {
+    explicit Connection(net::asio::io_context& loop) : socket(loop) {}
+    net::Tcp::socket socket;
+    bool awaiting_first_event = false;  // a request has arrived, and no event of its response has been sent
+  };
+
+  void Listen() {
+    acceptor_.open(endpoint_.protocol());
+    acceptor_.set_option(net::Tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint_);
+    acceptor_.listen();
+    ++incarnation_;
+    net::Spawn(loop_, "replica_accept", Accept());
+  }
+
+  net::Task<> Restart() {
+    co_await net::Sleep(loop_, settings_.restart_time);
+    Listen();
+    if (on_restart_) on_restart_();
+  }
+
+  net::Task<> Accept() {
+    while (true) {
+      net::Error error;
+      auto connection = std::make_shared<Connection>(loop_);
+      co_await acceptor_.async_accept(connection->socket, net::Into(error));
+      // A connection that was accepted just before a crash is dropped here, and breaks with the others.
+      if (error || !Listening()) co_return;
+      net::SetTcpOptions(connection->socket, kUserTimeout);
+      connections_.insert(connection);
+      net::Spawn(loop_, "replica_connection", Serve(connection));
+    }
+  }
+
+  net::Task<> Serve(std::shared_ptr<Connection> connection) {
+    boost::beast::flat_buffer buffer;
+    bool keep_open = true;
+    while (keep_open) {
+      net::Error error;
+      Request request;
+      co_await boost::beast::http::async_read(connection->socket, buffer, request, net::Into(error));
+      if (error) break;
+      connection->awaiting_first_event = true;
+      keep_open = co_await Answer(*connection, request);
+      if (!request.keep_alive()) keep_open = false;
+      connection->awaiting_first_event = false;
+    }
+    connections_.erase(connection);
+    net::Error ignored;  // it may have been closed by a crash
+    connection->socket.close(ignored);
+  }
+
+  /// Returns false when the connection has broken.
+  net::Task<bool> Answer(Connection& connection, const Request& request) {
+    const std::string request_id(request["Attempt-Id"]);
+    const auto prompt = request["Prompt-Prefix"];
+    const bool crashes = HoldsCrashingPart({prompt.data(), prompt.size()});
+    if (crashes) arrivals_.push_back({clock_.Now(), request_id});
+    co_await net::Sleep(loop_, settings_.first_event_delay);
+    if (!connection.socket.is_open()) co_return false;
+    if (!crashes || settings_.head_before_crash) {
+      const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + request_id +
+                               "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+      if (!co_await Write(connection, net::asio::buffer(head))) co_return false;
+    }
+    if (crashes) {
+      Crash();
+      co_return false;
+    }
+    const std::string last_event_id(request["Last-Event-Id"]);
+    for (uint64_t id = std::strtoull(last_event_id.c_str(), nullptr, 10) + 1; id <= settings_.events; ++id) {
+      const std::string number = std::to_string(id);
+      const std::string event = "id: " + number + "\ndata: token " + number + "\n\n";
+      if (!co_await Write(connection, boost::beast::http::make_chunk(net::asio::buffer(event)))) {
+        co_return false;
+      }
+      connection.awaiting_first_event = false;
+      if (id < settings_.events) co_await net::Sleep(loop_, settings_.event_interval);
+    }
+    if (!co_await Write(connection, boost::beast::http::make_chunk_last())) co_return false;
+    ++served_;
+    co_return true;
+  }
+
+  template <typename Buffers>
+  net::Task<bool> Write(Connection& connection, const Buffers& buffers) {
+    if (!connection.socket.is_open()) co_return false;
+    net::Error error;
+    co_await net::asio::async_write(connection.socket, buffers, net::Into(error));
+    co_return !error && connection.socket.is_open();
+  }
+
+  /// `prompt`: ID:TOKENS,... of all parts in order.
+  bool HoldsCrashingPart(std::string_view prompt) const {
+    if (settings_.crashing_part.empty()) return false;
+    while (true) {
+      const size_t comma = prompt.find(',');
+      if (comma == std::string_view::npos) return false;  // the last part
+      if (prompt.substr(0, std::min(comma, prompt.find(':'))) == settings_.crashing_part) return true;
+      prompt.remove_prefix(comma + 1);
+    }
+  }
+
+  net::asio::io_context& loop_;
+  const base::Clock& clock_;
+  net::Tcp::endpoint endpoint_;
+  CrashingReplicaSettings settings_;
+  net::Tcp::acceptor acceptor_;
+  std::function<void()> on_restart_;
+  std::set<std::shared_ptr<Connection>> connections_;
+  uint64_t incarnation_ = 0;
+  std::vector<base::TimePoint> crash_times_;
+  std::vector<Arrival> arrivals_;
+  int served_ = 0;
+};
+
+}  // namespace cornelplank::testing
