--- a/tests/platform/crashing_replica.h
+++ b/tests/platform/crashing_replica.h
@@ -157,7 +157,9 @@
         co_return false;
       }
       connection.awaiting_first_event = false;
-      if (id < settings_.events) co_await net::Sleep(loop_, settings_.event_interval);
+      if (id < settings_.events) {
+        co_await net::Sleep(loop_, settings_.event_interval);
+      }
     }
     if (!co_await Write(connection, boost::beast::http::make_chunk_last())) co_return false;
     ++served_;
