--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -61,6 +61,7 @@
   set(state_, "config_version", static_cast<double>(gauges.config_version));
   set(state_, "newest_config_version", static_cast<double>(gauges.newest_config_version));
   if (gauges.config_age) set(state_, "config_age_seconds", Seconds(*gauges.config_age));
+  set(state_, "quarantined_parts", static_cast<double>(gauges.quarantined_parts));
   set(state_, "replicas", static_cast<double>(gauges.replicas));
   set(state_, "vms", static_cast<double>(gauges.vms));
   set(state_, "active_requests", static_cast<double>(gauges.active_requests));
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -21,6 +21,7 @@
   uint64_t config_version = 0;
   uint64_t newest_config_version = 0;        // that another VM states to have in force
   std::optional<base::Duration> config_age;  // since the configuration was confirmed as the newest one
+  size_t quarantined_parts = 0;              // prompt parts that are refused because they crash replicas
   size_t replicas = 0;
   size_t vms = 0;              // live VMs, this one included
   size_t active_requests = 0;  // in progress, including those that other regions forwarded
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -83,11 +83,12 @@
       members_(MakeOwnMember(settings), settings.zone_regions),
       hop_directory_(members_, clock_, settings.hops.port()),
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
+      quarantine_(settings.ip, members_.own().incarnation),
       replica_pool_(loop, clock_, {}),
       peer_pool_(loop, clock_, PeerPoolSettings()),
       metrics_([this] { return ReadGauges(); }),
-      proxy_(
-          {loop, clock_, codec_, registry_, hop_directory_, placer_, replica_pool_, peer_pool_, &metrics_}),
+      proxy_({loop, clock_, codec_, registry_, hop_directory_, placer_, replica_pool_, peer_pool_, &metrics_,
+              &quarantine_}),
       hop_handler_(proxy_),
       directory_(members_, registry_, clock_, settings.clients.port(), [this] { return Ready(); }),
       store_sync_(loop, clock_, {settings.store, settings.hops.port()}, members_, settings.zone_regions,
@@ -141,6 +142,7 @@
     return false;
   }
   heartbeat_loop_->SetSeeds(settings_.seeds);
+  heartbeat_loop_->SetQuarantine(&quarantine_);
   heartbeat_loop_->SetWaitReportSource([this] { return OwnWaitReports(); });
   net::ServerLimits hop_limits;
   hop_limits.idle_timeout = kHopKeepAlive * 2;
@@ -178,6 +180,7 @@
   if (registry_.config() != nullptr) gauges.config_version = registry_.config()->version;
   gauges.newest_config_version = registry_.config_freshness().newest_heard();
   gauges.config_age = registry_.config_freshness().Age(clock_.Now());
+  gauges.quarantined_parts = quarantine_.quarantined_count();
   gauges.replicas = registry_.replicas().size();
   gauges.vms = members_.LiveCount(clock_.Now());
   gauges.active_requests = client_server_->ActiveSessionCount() + hop_server_->ActiveSessionCount();
@@ -202,6 +205,7 @@
     co_await net::Sleep(loop_, kTickInterval);
     registry_.Tick(clock_.Now());
     UpdateConfigState();
+    LogQuarantine();
     if (!leaving_ && Ready() && members_.own().state == fleet::MemberState::kStarting) {
       members_.own().state = fleet::MemberState::kReady;
       heartbeat_loop_->BroadcastState();
@@ -236,6 +240,14 @@
       .Time("age_ms", freshness.Age(now).value_or(base::Duration::zero()));
 }
 
+void EntryVm::LogQuarantine() {
+  if (quarantine_.quarantined_count() == quarantined_parts_) return;
+  quarantined_parts_ = quarantine_.quarantined_count();
+  base::LogEvent("prompt_quarantine")
+      .Number("parts", static_cast<int64_t>(quarantined_parts_))
+      .Number("crashes", static_cast<int64_t>(quarantine_.observation_count()));
+}
+
 net::Task<> EntryVm::HandleReloadSignals() {
   while (true) {
     net::Error error;
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -24,6 +24,7 @@
   std::vector<serving::RemoteRegion> RemoteRegions(const std::string& service) const override;
   std::optional<net::Tcp::endpoint> PickVm(const std::string& region) override;
   void ReportHopFailure(const net::Tcp::endpoint& vm) override;
+  size_t OwnRank(uint64_t key) const override { return members_.OwnRank(key, clock_.Now()); }
   std::vector<std::string> OwnRegionVms() const override;
 
  private:
@@ -57,6 +58,8 @@
   /// States the own configuration and contact with the store to other VMs, and logs when the configuration in
   /// force becomes outdated or current again.
   void UpdateConfigState();
+  /// Logs when the number of prompt parts changes that are refused because they crash replicas.
+  void LogQuarantine();
   net::Task<> HandleStopSignals();
   net::Task<> HandleReloadSignals();
   /// Announces that the VM leaves, accepts connections a little longer and waits for the requests in
@@ -79,6 +82,7 @@
   fleet::MemberTable members_;
   MembershipHopDirectory hop_directory_;
   serving::Placer placer_;
+  serving::PromptQuarantine quarantine_;
   net::ConnectionPool replica_pool_;
   net::ConnectionPool peer_pool_;
   EntryMetrics metrics_;
@@ -95,6 +99,7 @@
   std::unique_ptr<net::HttpServer> metrics_server_;
   net::asio::signal_set stop_signals_;
   net::asio::signal_set reload_signals_;
+  size_t quarantined_parts_ = 0;  // as last logged
   serving::ConfigFreshness::State config_state_ =
       serving::ConfigFreshness::State::kCurrent;  // as last logged
   bool leaving_ = false;
--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -27,10 +27,35 @@
   memoryTokens @3 :UInt32;
 }
 
+# A request whose replica crashed before its answer began.
+struct Crash {
+  reporter @0 :UInt32;     # VM that saw it
+  incarnation @1 :UInt64;  # of the reporter
+  sequence @2 :UInt32;
+  replica @3 :UInt32;
+  parts @4 :List(UInt64);  # suspected parts of its prompt
+  ageMs @5 :UInt32;
+}
+
+# A prompt part with which an answer has begun.
+struct Clearance {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+struct Verdict {
+  part @0 :UInt64;
+  level @1 :UInt32;
+  ageMs @2 :UInt32;
+}
+
 struct Beat {
   sender @0 :Member;
   members @1 :List(Member);
   offers @2 :List(Offer);
   loads @3 :List(Load);
   hasLoads @4 :Bool;
+  crashes @5 :List(Crash);
+  clearances @6 :List(Clearance);
+  verdicts @7 :List(Verdict);
 }
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -19,6 +19,9 @@
 CAPNP_DECLARE_SCHEMA(9834872a088faae7);
 CAPNP_DECLARE_SCHEMA(e68cdf7ea3840a40);
 CAPNP_DECLARE_SCHEMA(e12bfe643c95fbd4);
+CAPNP_DECLARE_SCHEMA(f178f769d3900305);
+CAPNP_DECLARE_SCHEMA(a2103cc643b3efa8);
+CAPNP_DECLARE_SCHEMA(8171ff5f901bbc9d);
 CAPNP_DECLARE_SCHEMA(ea2b3ab719697f97);
 
 }  // namespace schemas
@@ -73,6 +76,51 @@
   };
 };
 
+struct Crash {
+  Crash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f178f769d3900305, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Clearance {
+  Clearance() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2103cc643b3efa8, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Verdict {
+  Verdict() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8171ff5f901bbc9d, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -81,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea2b3ab719697f97, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ea2b3ab719697f97, 1, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -378,6 +426,280 @@
 };
 #endif  // !CAPNP_LITE
 
+class Crash::Reader {
+public:
+  typedef Crash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReporter() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getSequence() const;
+
+  inline  ::uint32_t getReplica() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crash::Builder {
+public:
+  typedef Crash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReporter();
+  inline void setReporter( ::uint32_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline  ::uint32_t getReplica();
+  inline void setReplica( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crash::Pipeline {
+public:
+  typedef Crash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Clearance::Reader {
+public:
+  typedef Clearance Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Clearance::Builder {
+public:
+  typedef Clearance Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Clearance::Pipeline {
+public:
+  typedef Clearance Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Verdict::Reader {
+public:
+  typedef Verdict Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getLevel() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Verdict::Builder {
+public:
+  typedef Verdict Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getLevel();
+  inline void setLevel( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Verdict::Pipeline {
+public:
+  typedef Verdict Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -409,6 +731,15 @@
 
   inline bool getHasLoads() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasClearances() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader getClearances() const;
+
+  inline bool hasVerdicts() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -468,6 +799,27 @@
   inline bool getHasLoads();
   inline void setHasLoads(bool value);
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasClearances();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder getClearances();
+  inline void setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder initClearances(unsigned int size);
+  inline void adoptClearances(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> disownClearances();
+
+  inline bool hasVerdicts();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
+  inline void setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
+  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -707,6 +1059,184 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Crash::Reader::getReporter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getReporter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setReporter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crash::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crash::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Crash::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Crash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Crash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Crash::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Crash::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Clearance::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Clearance::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Clearance::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Clearance::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Clearance::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Clearance::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Verdict::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Verdict::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Verdict::Reader::getLevel() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Verdict::Builder::getLevel() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setLevel( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Verdict::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Verdict::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -862,6 +1392,108 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Beat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasClearances() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasClearances() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getClearances() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initClearances(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptClearances(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> Beat::Builder::disownClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasVerdicts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasVerdicts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initVerdicts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptVerdicts(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> Beat::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -46,6 +46,52 @@
   return member;
 }
 
+void Write(schema::Beat::Builder out, const serving::QuarantineReport& report) {
+  auto crashes = out.initCrashes(report.crashes.size());
+  for (size_t i = 0; i < report.crashes.size(); ++i) {
+    const serving::CrashObservation& crash = report.crashes[i];
+    crashes[i].setReporter(crash.reporter);
+    crashes[i].setIncarnation(crash.incarnation);
+    crashes[i].setSequence(crash.sequence);
+    crashes[i].setReplica(crash.replica_key);
+    crashes[i].setAgeMs(Milliseconds(crash.age));
+    auto parts = crashes[i].initParts(crash.parts.size());
+    for (size_t j = 0; j < crash.parts.size(); ++j) parts.set(j, crash.parts[j]);
+  }
+  auto clearances = out.initClearances(report.clearances.size());
+  for (size_t i = 0; i < report.clearances.size(); ++i) {
+    clearances[i].setPart(report.clearances[i].part);
+    clearances[i].setAgeMs(Milliseconds(report.clearances[i].age));
+  }
+  auto verdicts = out.initVerdicts(report.verdicts.size());
+  for (size_t i = 0; i < report.verdicts.size(); ++i) {
+    verdicts[i].setPart(report.verdicts[i].part);
+    verdicts[i].setLevel(report.verdicts[i].level);
+    verdicts[i].setAgeMs(Milliseconds(report.verdicts[i].age));
+  }
+}
+
+serving::QuarantineReport ReadQuarantine(schema::Beat::Reader in) {
+  serving::QuarantineReport report;
+  for (const auto crash : in.getCrashes()) {
+    serving::CrashObservation& read = report.crashes.emplace_back();
+    read.reporter = crash.getReporter();
+    read.incarnation = crash.getIncarnation();
+    read.sequence = crash.getSequence();
+    read.replica_key = crash.getReplica();
+    for (const uint64_t part : crash.getParts()) read.parts.push_back(part);
+    read.age = std::chrono::milliseconds(crash.getAgeMs());
+  }
+  for (const auto clearance : in.getClearances()) {
+    report.clearances.push_back({clearance.getPart(), std::chrono::milliseconds(clearance.getAgeMs())});
+  }
+  for (const auto verdict : in.getVerdicts()) {
+    report.verdicts.push_back(
+        {verdict.getPart(), verdict.getLevel(), std::chrono::milliseconds(verdict.getAgeMs())});
+  }
+  return report;
+}
+
 Heartbeat Read(schema::Beat::Reader in) {
   Heartbeat heartbeat;
   heartbeat.sender = Read(in.getSender());
@@ -62,6 +108,7 @@
           {load.getReplica(), {load.getRequests(), load.getPrefillTokens(), load.getMemoryTokens()}});
     }
   }
+  heartbeat.quarantine = ReadQuarantine(in);
   return heartbeat;
 }
 
@@ -91,6 +138,7 @@
       loads[i].setMemoryTokens(Clamp(share.work.memory_tokens));
     }
   }
+  Write(out, heartbeat.quarantine);
   kj::VectorOutputStream bytes;
   capnp::writePackedMessage(bytes, message);
   const auto array = bytes.getArray();
--- a/libs/fleet/internal/heartbeat_codec.h
+++ b/libs/fleet/internal/heartbeat_codec.h
@@ -15,6 +15,7 @@
   std::vector<Member> members;                 // a random part of the live VMs that the sender knows
   std::vector<RegionWaitReport> wait_reports;  // of all regions
   std::optional<std::vector<serving::ReplicaWork>> loads;  // the sender's own; only within its region
+  serving::QuarantineReport quarantine;                    // prompt parts that crash replicas, of all VMs
 };
 
 /// Returns the heartbeat as packed Cap'n Proto.
--- a/libs/fleet/internal/heartbeat_loop.cc
+++ b/libs/fleet/internal/heartbeat_loop.cc
@@ -16,6 +16,17 @@
 // contact find each other again.
 constexpr uint64_t kSeedContactRounds = 4;
 
+// Time after an event of the quarantine for which the more frequent heartbeats with loads carry its report
+// too.
+constexpr std::chrono::milliseconds kNewsTime{1500};
+
+bool HasNews(const serving::QuarantineReport& report) {
+  const auto recent = [](const auto& entry) { return entry.age < kNewsTime; };
+  return std::any_of(report.crashes.begin(), report.crashes.end(), recent) ||
+         std::any_of(report.clearances.begin(), report.clearances.end(), recent) ||
+         std::any_of(report.verdicts.begin(), report.verdicts.end(), recent);
+}
+
 }  // namespace
 
 HeartbeatLoop::HeartbeatLoop(asio::io_context& loop, const base::Clock& clock,
@@ -71,6 +82,7 @@
   members_.RecordDatagram(heartbeat.sender.address, now);
   for (const Member& member : heartbeat.members) members_.MergeMember(member, now);
   for (const RegionWaitReport& report : heartbeat.wait_reports) members_.MergeWaitReport(report, now);
+  if (quarantine_ != nullptr) quarantine_->Merge(heartbeat.quarantine, now);
   if (heartbeat.loads) replicas_.ReplacePeerLoads(heartbeat.sender.address, *heartbeat.loads, now);
 }
 
@@ -80,6 +92,11 @@
   ++members_.own().heartbeat_count;
   heartbeat.sender = members_.own();
   if (with_loads) heartbeat.loads = replicas_.OwnLoads();
+  if (quarantine_ != nullptr) {
+    heartbeat.quarantine = quarantine_->Report(settings_.crashes_per_heartbeat, now);
+    // What is older than this has already been sent with heartbeats of members, which go to all regions.
+    if (!with_members && !HasNews(heartbeat.quarantine)) heartbeat.quarantine = {};
+  }
   if (!with_members) return heartbeat;
   for (const auto& [address, entry] : members_.others()) {
     if (members_.IsAlive(entry, now)) heartbeat.members.push_back(entry.member);
--- a/libs/fleet/internal/heartbeat_loop.h
+++ b/libs/fleet/internal/heartbeat_loop.h
@@ -19,7 +19,8 @@
   std::chrono::milliseconds member_interval{
       500};                           // between heartbeats with members to a few VMs of any region
   size_t region_fanout = 4;           // VMs that get each heartbeat with loads; a larger region takes turns
-  size_t members_per_heartbeat = 40;  // keeps a datagram within one Ethernet frame
+  size_t members_per_heartbeat = 40;  // keeps a datagram without crashes within one Ethernet frame
+  size_t crashes_per_heartbeat = 16;  // the newest ones; about 50 bytes each
 };
 
 /// Exchanges heartbeats with the other entry VMs over UDP and merges what arrives into the member table and
@@ -39,6 +40,8 @@
   void SetWaitReportSource(std::function<std::vector<RegionWaitReport>()> source) {
     wait_report_source_ = std::move(source);
   }
+  /// Sets the quarantine whose reports the heartbeats carry.
+  void SetQuarantine(serving::PromptQuarantine* quarantine) { quarantine_ = quarantine; }
   /// Sends a heartbeat to every known VM at once, after a change of this VM's state.
   void BroadcastState();
 
@@ -67,6 +70,7 @@
   uint16_t port_ = 0;
   std::vector<VmAddress> seeds_;
   std::function<std::vector<RegionWaitReport>()> wait_report_source_;
+  serving::PromptQuarantine* quarantine_ = nullptr;
   base::Random random_;
   size_t next_region_vm_ = 0;  // counts up; modulo the number of VMs it is the next one to get loads
 };
--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -164,6 +164,15 @@
   return addresses;
 }
 
+size_t MemberTable::OwnRank(uint64_t key, base::TimePoint now) const {
+  const std::string_view key_bytes(reinterpret_cast<const char*>(&key), sizeof key);
+  const auto weight = [&](VmAddress vm) { return base::RendezvousWeight(key_bytes, std::to_string(vm)); };
+  const uint64_t own_weight = weight(own_.address);
+  return static_cast<size_t>(std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
+    return IsAlive(entry.second, now) && weight(entry.first) > own_weight;
+  }));
+}
+
 size_t MemberTable::LiveCount(base::TimePoint now) const {
   return 1 + static_cast<size_t>(std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
            return IsAlive(entry.second, now);
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -116,6 +116,8 @@
   /// The live VMs that have a configuration of at least `version` in force, those of the own zone first, then
   /// those of the own region.
   std::vector<VmAddress> VmsWithConfig(uint64_t version, base::TimePoint now) const;
+  /// Number of live VMs that come before this one in an order that depends on `key`.
+  size_t OwnRank(uint64_t key, base::TimePoint now) const;
   /// Number of live VMs, including this one.
   size_t LiveCount(base::TimePoint now) const;
   /// The greatest number of live VMs in about the last minute.
--- a/libs/serving/internal/hop_directory.h
+++ b/libs/serving/internal/hop_directory.h
@@ -28,6 +28,8 @@
   virtual std::optional<net::Tcp::endpoint> PickVm(const std::string& region) = 0;
   /// Reports that no connection to `vm` could be established.
   virtual void ReportHopFailure(const net::Tcp::endpoint& vm) = 0;
+  /// Place of this VM in an order of all live VMs that depends on `key` and is the same on every VM.
+  virtual size_t OwnRank(uint64_t /*key*/) const { return 0; }
   /// Ids of the live VMs of the own region, this one included.
   virtual std::vector<std::string> OwnRegionVms() const = 0;
 };
--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -31,6 +31,8 @@
 
   /// Tokens of the prompt parts that other requests may share: all but the last part.
   uint32_t SharedPrefixTokens() const;
+  /// Ids of these parts, in order.
+  std::vector<uint64_t> SharedParts() const;
   /// Hash over the ids of these parts in order; 0 when the prompt has fewer than two parts.
   uint64_t SharedPrefixKey() const;
 };
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -52,6 +52,8 @@
       return "no_time";
     case RefusalReason::kOverloaded:
       return "engines_late";
+    case RefusalReason::kCrashingPrompt:
+      return "crashing_prompt";
     case RefusalReason::kCold:
       return "cold_replicas_only";
   }
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -47,6 +47,7 @@
   kNotAllowed,      // the route's data may not be processed here, and no region where it may is available
   kNoTime,          // the first byte is expected after the request's deadline
   kOverloaded,      // refused by admission control: too many responses miss their target latency
+  kCrashingPrompt,  // a part of its prompt crashes replicas; see PromptQuarantine
   kCold,            // only cold replicas are left, and this VM may send them nothing now
 };
 
--- a/libs/serving/internal/prompt_quarantine.cc
+++ b/libs/serving/internal/prompt_quarantine.cc
@@ -138,7 +138,7 @@
 }
 
 std::optional<PromptQuarantine::Refusal> PromptQuarantine::Check(const std::vector<uint64_t>& shared_parts,
-                                                                 bool trial_allowed, base::TimePoint now) {
+                                                                 size_t trial_rank, base::TimePoint now) {
   if (now >= next_update_ && !(observations_.empty() && records_.empty() && clearances_.empty())) Update(now);
   if (verdicts_.empty()) return std::nullopt;
   std::optional<Refusal> refusal;
@@ -147,10 +147,10 @@
     const auto found = verdicts_.find(part);
     if (found == verdicts_.end()) continue;
     ActiveVerdict& active = found->second;
-    base::TimePoint trial_at = active.verdict.End();
+    base::TimePoint trial_at = active.verdict.End() + kTrialSpacing * static_cast<int64_t>(trial_rank);
     if (active.last_trial) trial_at = std::max(trial_at, *active.last_trial + kTrialTimeout);
     trials.push_back(&active);
-    if (trial_allowed && trial_at <= now) continue;
+    if (trial_at <= now) continue;
     const base::Duration retry_after = std::max<base::Duration>(trial_at - now, kMinRetryAfter);
     if (!refusal || retry_after > refusal->retry_after) refusal = Refusal{part, retry_after};
   }
--- a/libs/serving/internal/prompt_quarantine.h
+++ b/libs/serving/internal/prompt_quarantine.h
@@ -83,6 +83,7 @@
   static constexpr std::chrono::minutes kMaxQuarantine{5};
   /// Time after which a trial without result no longer holds back the next one.
   static constexpr std::chrono::seconds kTrialTimeout{5};
+  static constexpr std::chrono::seconds kTrialSpacing{3};
   /// Time for which a verdict is kept when a trial is due and no request makes it.
   static constexpr std::chrono::minutes kVerdictMemory{5};
   /// Clearances outlive all verdicts that they lift, so that a VM that missed one doesn't bring the verdict
@@ -116,9 +117,11 @@
     uint64_t part = 0;
     base::Duration retry_after{0};  // until the next trial may pass
   };
-  /// Whether a request may be sent: no value if it may. `trial_allowed`: this VM may make trials; the caller
-  /// elects one VM of all. A request that passes although it has a condemned part is the trial.
-  std::optional<Refusal> Check(const std::vector<uint64_t>& shared_parts, bool trial_allowed,
+  /// Whether a request may be sent: no value if it may. A request that passes although it has a condemned
+  /// part is the trial. `trial_rank`: place of this VM in an order of all VMs. A VM may make a trial once the
+  /// quarantine has ended and `kTrialSpacing` has passed for each VM before it, so that mostly one VM makes
+  /// one and the others hear of its result, and a part that is requested at few VMs still gets a trial.
+  std::optional<Refusal> Check(const std::vector<uint64_t>& shared_parts, size_t trial_rank,
                                base::TimePoint now);
   /// Whether to send a request to another replica after the crash of its replica, which has been recorded.
   /// False when one of its parts is condemned or crashes of different replicas at different moments name it.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -49,7 +49,8 @@
       writer_(writer),
       hop_(std::move(hop)),
       received_at_(deps_.clock.Now()),
-      last_event_id_(info.last_event_id) {
+      last_event_id_(info.last_event_id),
+      shared_parts_(info.SharedParts()) {
   base::Duration limit = route_.timeout.count() > 0 ? base::Duration(route_.timeout) : kDefaultTimeout;
   if (request_info_.time_left) {
     limit = std::min<base::Duration>(limit, *request_info_.time_left - kResponseMargin);
@@ -122,6 +123,21 @@
   call_->Cancel();
 }
 
+bool ProxiedRequest::IsQuarantined() {
+  if (deps_.quarantine == nullptr || shared_parts_.empty()) return false;
+  const uint64_t order_key = shared_parts_.back();
+  const auto refusal =
+      deps_.quarantine->Check(shared_parts_, deps_.hops.OwnRank(order_key), deps_.clock.Now());
+  if (!refusal) return false;
+  refusal_reason_ = RefusalReason::kCrashingPrompt;
+  quarantine_left_ = refusal->retry_after;
+  return true;
+}
+
+bool ProxiedRequest::CrashedBeforeAnswer(AttemptOutcome outcome) const {
+  return outcome == AttemptOutcome::kUnknown && !prefill_done_ && call_->fault() == net::CallFault::kLost;
+}
+
 bool ProxiedRequest::TryAdmit() {
   const ServiceConfig* service = config_->FindService(service_);
   if (hop_ || service == nullptr || !service->engine) return true;
@@ -153,8 +169,11 @@
                                                  : NextStep::kRefuse);
       co_return;
     }
-    auto placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
-                                         &refusal_reason_);
+    std::optional<Placement> placement;
+    if (!IsQuarantined()) {
+      placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
+                                      &refusal_reason_);
+    }
     if (placement && placement->expected > TimeLeft() && progress_.sends == 0) {
       expected_first_byte_ = placement->expected;
       refusal_reason_ = RefusalReason::kNoTime;
@@ -174,6 +193,10 @@
     progress_.response_started = writer_.Started();
     auto& budget = proxy_.RetryBudget(service_);
     progress_.retry_budget_left = second_send_reserved_ || budget.CanTake();
+    if (deps_.quarantine != nullptr && CrashedBeforeAnswer(progress_.last_outcome) &&
+        !deps_.quarantine->MayRetryAfterCrash(shared_parts_, deps_.clock.Now())) {
+      progress_.retry_budget_left = false;
+    }
     const NextStep step = DecideNextStep(progress_);
     if (step != NextStep::kRetry) {
       co_await Finish(step);
@@ -275,6 +298,9 @@
     case AttemptOutcome::kClientGone:
       break;
   }
+  if (deps_.quarantine != nullptr && !shared_parts_.empty() && CrashedBeforeAnswer(outcome)) {
+    deps_.quarantine->RecordCrash(shared_parts_, placement.replica->key, deps_.clock.Now());
+  }
   deps_.registry.EndAttempt(*placement.replica, work_, result, deps_.clock.Now());
   replica_.reset();
 }
@@ -283,6 +309,7 @@
   if (refusal_reason_ == RefusalReason::kOverloaded) {
     return AdaptiveAdmission::RetryAfter(proxy_.random_.Unit());
   }
+  if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
   if (refusal_reason_ == RefusalReason::kConfigOutdated) return kOutdatedConfigRetryAfter;
   const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
   return std::min<base::Duration>(wait, kMaxRetryAfter);
@@ -346,6 +373,7 @@
       .Text("fault", net::CallFaultName(call.fault()))
       .Text("detail", call.detail())
       .Number("sends", progress_.sends)
+      .Number("answer_begun", prefill_done_ ? 1 : 0)
       .Time("after_ms", deps_.clock.Now() - received_at_);
 }
 
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -51,6 +51,10 @@
   /// Reports a request as late that ends after its target latency without any event.
   void ReportMissedTarget();
   bool MayRetry() const;
+  /// Whether a part of the prompt is known to crash replicas, so that the request must not be sent now.
+  bool IsQuarantined();
+  /// Whether the attempt that has ended with `outcome` shows that its replica crashed before the first event.
+  bool CrashedBeforeAnswer(AttemptOutcome outcome) const;
 
   /// Makes one attempt: connects, sends the request and relays the response.
   net::Task<AttemptOutcome> RunAttempt(Placement placement);
@@ -106,6 +110,8 @@
   OutstandingWork work_;                     // of the attempt
   std::string served_by_;                    // replica or region of the last attempt
   bool timeliness_pending_ = false;          // admitted, but not yet reported as in time or late
+  std::vector<uint64_t> shared_parts_;       // ids of the prompt parts that other requests may have too
+  base::Duration quarantine_left_{0};        // until a request with the prompt's condemned part may be tried
   RefusalReason refusal_reason_ = RefusalReason::kNone;
   base::Duration expected_first_byte_{0};  // estimate for the last placement, from the time of its choice
 };
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -158,6 +158,7 @@
     first_event_at_ = deps_.clock.Now();
     ReportTimeliness(first_event_at_ - received_at_ <= route_.target_latency);
     if (replica_) deps_.registry.OnPrefillDone(*replica_, work_.prefill_tokens);
+    if (deps_.quarantine != nullptr) deps_.quarantine->RecordAnswer(shared_parts_, first_event_at_);
   }
   if (first_byte_at_ == base::TimePoint{}) first_byte_at_ = deps_.clock.Now();
   if (!co_await StartStream(head)) co_return false;
--- a/libs/serving/internal/request_info.cc
+++ b/libs/serving/internal/request_info.cc
@@ -8,6 +8,12 @@
   return total;
 }
 
+std::vector<uint64_t> RequestInfo::SharedParts() const {
+  std::vector<uint64_t> parts;
+  for (size_t i = 0; i + 1 < prompt_parts.size(); ++i) parts.push_back(prompt_parts[i].id);
+  return parts;
+}
+
 uint64_t RequestInfo::SharedPrefixKey() const {
   uint64_t key = 0;
   for (size_t i = 0; i + 1 < prompt_parts.size(); ++i) {
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -11,6 +11,7 @@
 #include "libs/serving/internal/hop_directory.h"
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/placement.h"
+#include "libs/serving/internal/prompt_quarantine.h"
 #include "libs/serving/internal/replica_registry.h"
 #include "libs/serving/internal/request_observer.h"
 
@@ -38,6 +39,8 @@
   net::ConnectionPool& replica_pool;
   net::ConnectionPool& peer_pool;  // connections to entry VMs of other regions
   RequestObserver* observer = nullptr;
+  PromptQuarantine* quarantine =
+      nullptr;  // null: requests are sent whatever their prompt parts did to replicas
 };
 
 class ProxiedRequest;
