Close a client's connection at once after an incomplete answer

Callers saw silence instead of the end of a broken-off stream: the VM kept the connection open and waited for the next request, up to the idle timeout of 15 s.

Cause: g++ 12.2 evaluates a co_await in the condition of a while loop although the operand of && before it is false, so that the session waited for a request after it had decided to close. A program of seven lines shows the same.

Change: the await stands in the loop's body. No other loop of this form is in libs, platform or apps.

Measured: HttpServerTest.ClosesAtOnceAfterAnIncompleteAnswer fails without the change and passes with it.

--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -60,7 +60,9 @@
 Task<> HttpSession::Run(std::shared_ptr<HttpSession> session) { co_await session->ServeRequests(); }
 
 Task<> HttpSession::ServeRequests() {
-  while (keep_alive_ && co_await AwaitRequest()) {
+  while (keep_alive_) {
+    // Not in the loop's condition: g++ 12 evaluates a co_await there although the operand before it is false.
+    if (!co_await AwaitRequest()) break;
     idle_ = false;
     auto request = co_await ReadRequest();
     if (!request) break;
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -21,6 +21,11 @@
     while (hold_ && !writer.ClientGone()) {
       co_await net::Sleep(loop_, std::chrono::milliseconds(5));
     }
+    if (request.target == "/incomplete") {
+      co_await writer.Begin({200, {}});
+      co_await writer.Write("part");
+      co_return;
+    }
     co_await writer.Send({200, {}}, request.target + "|" + request.body);
   }
 
@@ -138,6 +143,14 @@
   EXPECT_EQ(server->SessionCount(), 0U);
 }
 
+// Guards against clients that wait for the rest of a broken-off answer until the connection is idle for too
+// long.
+TEST_F(HttpServerTest, ClosesAtOnceAfterAnIncompleteAnswer) {
+  auto socket = Client();
+  SendAndReceive(*socket, "GET /incomplete HTTP/1.1\r\nHost: h\r\n\r\n", std::chrono::milliseconds(100));
+  EXPECT_EQ(server->SessionCount(), 0U);
+}
+
 // Guards against idle connections that are never closed, or closed before the idle timeout of 300 ms.
 TEST_F(HttpServerTest, EndsIdleConnections) {
   auto socket = Client();
