Treat a stream that ends inside an event as broken off

Callers could get a stream without its last events as a complete answer: when a replica's stream stated neither a length nor chunks and ended with its connection inside an event, the rest was passed on and the answer closed as complete.

Change: bytes after the last whole event at the end of a stream count as a broken attempt: it is resumed where the route allows it, and otherwise the client's stream breaks off recognisably.

Measured: 2 of 3 cases of StreamEndTest fail without the change, none with it.

--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -117,10 +117,8 @@
       co_return in_order ? AttemptOutcome::kClientGone : AttemptOutcome::kUnknown;
     }
   }
-  if (!splitter_.Remainder().empty()) {
-    if (!co_await StartStream(head)) co_return AttemptOutcome::kClientGone;
-    co_await writer_.Write(splitter_.Remainder());
-  }
+  // A stream without a length ends with its connection, also when it was broken off inside an event.
+  if (!splitter_.Remainder().empty()) co_return AttemptOutcome::kUnknown;
   if (!co_await StartStream(head)) co_return AttemptOutcome::kClientGone;
   if (replica_) {
     const base::Duration reading =
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -44,6 +44,7 @@
     config->routes = {MakeRoute("/safe/", serving::RequestKind::kIdempotent, 2, false),
                       MakeRoute("/once/", serving::RequestKind::kAtMostOnce, 2, false),
                       MakeRoute("/stream/", serving::RequestKind::kStream, 2, true),
+                      MakeRoute("/fixed/", serving::RequestKind::kStream, 2, false),
                       MakeRoute("/long/", serving::RequestKind::kStream, 2, true)};
     config->routes.back().timeout = std::chrono::seconds(5);
     registry.SetConfig(config);
@@ -188,6 +189,37 @@
   EXPECT_NE(response.find("\r\n0\r\n\r\n"), std::string::npos) << response;
 }
 
+struct StreamEndCase {
+  const char* name;
+  std::string path;
+  std::string stream;  // bytes of the first replica after the head, which states no length
+  int resumptions;     // requests that reach the second replica
+  bool complete;       // the client gets a complete answer
+};
+class StreamEndTest : public RequestProxyTest, public ::testing::WithParamInterface<StreamEndCase> {};
+
+// Guards against a stream that was broken off inside an event and is passed on as a complete one.
+TEST_P(StreamEndTest, IsCompleteOnlyAfterAWholeEvent) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nResponse-Signature: one\r\nContent-Type: "
+      "text/event-stream\r\n\r\n";
+  ScriptedServer first(loop, head + GetParam().stream, Ending::kClose);
+  ScriptedServer second(loop, head + "id: 2\ndata: b\n\n", Ending::kClose);
+  AddReplica("first", first.Endpoint(), true);
+  AddReplica("second", second.Endpoint(), false);
+  const std::string response = SendRequest(GetParam().path, std::chrono::milliseconds(400));
+  EXPECT_EQ(response.find("\r\n0\r\n\r\n") != std::string::npos, GetParam().complete) << response;
+  EXPECT_EQ(second.connections(), GetParam().resumptions);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Streams, StreamEndTest,
+    ::testing::Values(StreamEndCase{"WholeEvents", "/stream/a", "id: 1\ndata: a\n\n", 0, true},
+                      StreamEndCase{"InsideAnEvent", "/stream/a", "id: 1\ndata: a\n\nid: 2\nda", 1, true},
+                      StreamEndCase{"InsideAnEventOnce", "/fixed/a", "id: 1\ndata: a\n\nid: 2\nda", 0,
+                                    false}),
+    [](const auto& info) { return info.param.name; });
+
 struct PauseCase {
   const char* name;
   double second_sends;
