Give up answers whose bytes never end

A VM took bytes without end from a faulty replica into memory, or for as long as the request had time: a body without a length or in chunks, an event, an answer to another request, or interim responses. Only heads were limited.

Answers that are passed on event by event have no limit.

Measured: 6 of 8 cases of EndlessAnswerTest fail without the change (the case Chunks with chunks of 4 bytes, now 1 KB, as parsing 4 MB of the small ones takes longer than the test waits), and none with it.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -15,6 +15,8 @@
 // Bodies are passed on in parts, so their length is not limited. Boost 1.74 fails when the limit is set to
 // none, so the greatest number stands for it.
 constexpr uint64_t kUnlimitedBodyBytes = std::numeric_limits<uint64_t>::max();
+// Greatest number of interim (100 Continue) responses before the final one.
+constexpr int kMaxInterimResponses = 8;
 // Size of the buffer for one read of a body, in bytes.
 constexpr size_t kReadBufferBytes = 4096;
 
@@ -134,12 +136,17 @@
   if (head_request_) parser_->skip(true);
   connection_->stream.expires_after(timeout);
   Error error;
-  do {
+  for (int interim = 0;; ++interim) {
     co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_, Into(error));
     if (error || parser_->get().result_int() != 100) break;
-    parser_.emplace();  // discards an interim (100 Continue) response
+    if (interim == kMaxInterimResponses) {
+      error = http::error::header_limit;
+      break;
+    }
+    parser_.emplace();  // discards an interim response
+    parser_->header_limit(kMaxHeadBytes);
     parser_->body_limit(kUnlimitedBodyBytes);
-  } while (true);
+  }
   if (error) {
     const bool lost = error == http::error::end_of_stream || error == http::error::partial_message ||
                       error.category() != make_error_code(http::error::bad_target).category();
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -3,6 +3,12 @@
 namespace cornelplank::serving {
 namespace {
 
+// Greatest size of an answer that is held in memory as a whole, of the bytes of answers to earlier requests
+// that are read and dropped, and of one event. A faulty replica may send bytes without end.
+constexpr size_t kMaxBodyBytes = 4 << 20;
+constexpr size_t kMaxDroppedBytes = 4 << 20;
+constexpr size_t kMaxEventBytes = 256 << 10;
+
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Whether clients may conclude from the status that the request has not run.
@@ -39,6 +45,7 @@
   last_bytes_at_ = sent_at_;
   std::optional<net::ResponseHead> head;
   ResponseInfo info;
+  size_t dropped_bytes = 0;
   while (true) {
     head = co_await call.ReadHead(std::max<base::Duration>(TimeLeft(), kMinAttemptTime));
     if (!head) co_return AttemptOutcome::kUnknown;
@@ -51,6 +58,8 @@
     while (!done) {
       dropped.clear();
       if (!co_await call.ReadSome(&dropped, &done, TimeLeft())) co_return AttemptOutcome::kUnknown;
+      dropped_bytes += dropped.size();
+      if (dropped_bytes > kMaxDroppedBytes) co_return AttemptOutcome::kUnknown;
     }
   }
   if (replica_) replica_->last_progress = deps_.clock.Now();
@@ -73,6 +82,7 @@
   bool done = false;
   while (!done) {
     if (!co_await call.ReadSome(&body, &done, TimeLeft())) co_return AttemptOutcome::kUnknown;
+    if (body.size() > kMaxBodyBytes) co_return AttemptOutcome::kUnknown;
   }
   if (info.encoded) co_return AttemptOutcome::kUnknown;
   net::RemoveHopByHop(&head->headers);
@@ -116,6 +126,7 @@
     if (!co_await RelayEvents(head, &in_order)) {
       co_return in_order ? AttemptOutcome::kClientGone : AttemptOutcome::kUnknown;
     }
+    if (splitter_.Remainder().size() > kMaxEventBytes) co_return AttemptOutcome::kUnknown;
   }
   // A stream without a length ends with its connection, also when it was broken off inside an event.
   if (!splitter_.Remainder().empty()) co_return AttemptOutcome::kUnknown;
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -1,12 +1,14 @@
 #include <gtest/gtest.h>
 
 #include "platform/platform.h"
+#include "tests/net/endless_server.h"
 #include "tests/net/loopback.h"
 
 namespace cornelplank {
 namespace {
 
 namespace asio = net::asio;
+using testing::EndlessServer;
 using testing::RunFor;
 using testing::ScriptedServer;
 using Ending = ScriptedServer::Ending;
@@ -47,6 +49,8 @@
                       MakeRoute("/fixed/", serving::RequestKind::kStream, 2, false),
                       MakeRoute("/long/", serving::RequestKind::kStream, 2, true)};
     config->routes.back().timeout = std::chrono::seconds(5);
+    config->routes.push_back(MakeRoute("/slow/", serving::RequestKind::kAtMostOnce, 1, false));
+    config->routes.back().timeout = std::chrono::seconds(5);
     registry.SetConfig(config);
     proxy.SetSecondSendBurst(5);
     net::Error error;
@@ -220,6 +224,44 @@
                                     false}),
     [](const auto& info) { return info.param.name; });
 
+struct EndlessCase {
+  const char* name;
+  std::string start;  // of the answer
+  std::string part;   // repeated until the proxy closes the connection
+};
+class EndlessAnswerTest : public RequestProxyTest, public ::testing::WithParamInterface<EndlessCase> {};
+
+// Guards against a VM that takes bytes without end from a faulty replica until its memory or the request's
+// time is used up.
+TEST_P(EndlessAnswerTest, IsGivenUp) {
+  constexpr size_t kMaxTaken = 24 << 20;  // the greatest limit, and buffers of both sockets
+  EndlessServer replica(loop, GetParam().start, GetParam().part);
+  AddReplica("replica", replica.Endpoint(), true);
+  const std::string response = SendRequest("/slow/a", std::chrono::milliseconds(1500));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 502")) << response.substr(0, 200);
+  EXPECT_EQ(replica.connections(), 1);
+  EXPECT_EQ(replica.closed(), 1);
+  EXPECT_LE(replica.sent(), kMaxTaken);
+}
+
+const char kOwnHead[] = "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nResponse-Signature: s\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, EndlessAnswerTest,
+    ::testing::Values(
+        EndlessCase{"Head", kOwnHead, "X-More: aaaaaaaaaaaaaaaa\r\n"},
+        EndlessCase{"InterimHeads", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+        EndlessCase{"NoAnswer", "garbage", "garbage"},
+        EndlessCase{"Body", std::string(kOwnHead) + "\r\n", "aaaaaaaaaaaaaaaa"},
+        EndlessCase{"Chunks", std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n",
+                    "400\r\n" + std::string(1024, 'a') + "\r\n"},
+        EndlessCase{"ErrorBody", "HTTP/1.1 500 No\r\nAttempt-Id: 77\r\nResponse-Signature: s\r\n\r\n",
+                    "aaaa"},
+        EndlessCase{"Event", std::string(kOwnHead) + "Content-Type: text/event-stream\r\n\r\n",
+                    "data: aaaaaaaa\n"},
+        EndlessCase{"AnswerToAnotherRequest", "HTTP/1.1 200 OK\r\nAttempt-Id: 76\r\n\r\n", "aaaa"}),
+    [](const auto& info) { return info.param.name; });
+
 struct PauseCase {
   const char* name;
   double second_sends;
