Add a soak test of the entry VM's program

The tests of the program run one VM at a time, so faults that need several VMs, changing configurations and overlapping failures are not seen. cornelplank-soak runs VMs of two regions as real processes with a seeded schedule of signals, store faults, replica faults, evacuations and configuration changes, and checks each request at the replicas and each answer at the clients.

--- /dev/null
+++ b/tests/soak/replica.cc
@@ -0,0 +1,149 @@
+#include "tests/soak/replica.h"
+
+#include <boost/beast/http.hpp>
+
+namespace cornelplank::soak {
+namespace {
+
+namespace asio = net::asio;
+namespace http = boost::beast::http;
+namespace wire = testing::wire;
+
+constexpr int kSlots = 16;
+
+}  // namespace
+
+void Replica::Start(const std::string& id) {
+  id_ = id;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  born_ = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  acceptor_.emplace(loop_, address_);
+  address_ = acceptor_->local_endpoint();  // keeps the port for the next start
+  net::Spawn(loop_, "replica", Accept(++generation_));
+  Publish(false);
+}
+
+void Replica::Publish(bool draining) {
+  store_.Put(wire::ReplicaKey(id_), wire::EncodeReplica(service_, address_, zone_, kSlots, draining, born_));
+}
+
+void Replica::Crash() {
+  ++generation_;
+  acceptor_.reset();
+  for (const std::string& id : working_) ledger_.OnReplicaFailed(id);
+  for (const Socket& socket : sockets_) {
+    net::Error ignored;  // a socket may be disconnected already
+    socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    socket->close(ignored);
+  }
+  sockets_.clear();
+}
+
+net::Task<> Replica::Accept(int generation) {
+  while (generation == generation_) {
+    auto socket = std::make_shared<net::Tcp::socket>(loop_);
+    net::Error error;
+    co_await acceptor_->async_accept(*socket, net::Into(error));
+    if (error || generation != generation_) co_return;
+    sockets_.insert(socket);
+    net::Spawn(loop_, "replica_connection", Serve(socket, generation));
+  }
+}
+
+net::Task<bool> Replica::Write(Socket socket, std::string bytes) {
+  net::Error error;
+  co_await asio::async_write(*socket, asio::buffer(bytes), net::Into(error));
+  co_return !error;
+}
+
+std::string Replica::Head(const std::string& id, int status, const std::string& framing) const {
+  return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + wire::kRequestId + ": " + id + "\r\n" +
+         framing;
+}
+
+net::Task<> Replica::Serve(Socket socket, int generation) {
+  boost::beast::flat_buffer buffer;
+  bool open = true;
+  bool stray_bytes = false;  // the next answer on this connection follows bytes that don't belong to it
+  while (open && generation == generation_) {
+    http::request<http::string_body> request;
+    net::Error error;
+    co_await http::async_read(*socket, buffer, request, net::Into(error));
+    if (error || generation != generation_) break;
+    const std::string id(request[wire::kRequestId]);
+    const auto expected = request[wire::kExpectedReplica];
+    const bool other_replica = !expected.empty() && expected != id_;
+    if (other_replica || random_.Below(60) == 0) {
+      const std::string refusal = std::string(wire::kNotRun) + ": 1\r\nContent-Length: 0\r\n\r\n";
+      open = co_await Write(socket, Head(id, other_replica ? 421 : 503, refusal));
+      continue;
+    }
+    ledger_.OnRun(id, std::string(request.target()), request.body(), service_, region_);
+    if (stray_bytes) ledger_.OnReplicaFailed(id);
+    const auto working = working_.insert(id);
+    if (service_.starts_with("stream")) {
+      const std::string last(request[wire::kLastEvent]);
+      open = co_await AnswerStream(socket, id, last.empty() ? 1 : std::stoull(last) + 1);
+    } else {
+      open = co_await AnswerSimple(socket, id);
+    }
+    working_.erase(working);
+    if (open && random_.Below(150) == 0) {
+      const std::string body = ResponseBody("stray");
+      stray_bytes = true;
+      open = co_await Write(
+          socket, Head("stray", 200,
+                       std::string(wire::kSignature) + ": " + Signature("stray", id_) +
+                           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+    }
+  }
+  if (generation == generation_) sockets_.erase(socket);
+  net::Error ignored;  // the other side may have closed first
+  socket->close(ignored);
+}
+
+net::Task<bool> Replica::AnswerSimple(Socket socket, std::string id) {
+  co_await net::Sleep(loop_, std::chrono::milliseconds(5 + random_.Below(60)));
+  const int status = random_.Below(120) == 0 ? 500 : 200;
+  const bool until_close = random_.Below(25) == 0;
+  const bool truncated = !until_close && random_.Below(150) == 0;
+  const std::string body = status == 200 ? ResponseBody(id) : "error";
+  ledger_.OnReplicaStatus(id, static_cast<unsigned>(status));
+  std::string framing = std::string(wire::kSignature) + ": " + Signature(id, id_) + "\r\n";
+  framing += until_close
+                 ? "Connection: close\r\n\r\n"
+                 : "Content-Length: " + std::to_string(body.size() + (truncated ? 10 : 0)) + "\r\n\r\n";
+  // The body follows in two parts, so that a crash can fall between them.
+  const std::string first = Head(id, status, framing) + body.substr(0, body.size() / 2);
+  if (!co_await Write(socket, first)) co_return false;
+  co_await net::Sleep(loop_, std::chrono::milliseconds(random_.Below(20)));
+  if (truncated) ledger_.OnReplicaFailed(id);
+  const bool written = co_await Write(socket, body.substr(body.size() / 2));
+  co_return written && !truncated && !until_close;
+}
+
+net::Task<bool> Replica::AnswerStream(Socket socket, std::string id, uint64_t first_event) {
+  co_await net::Sleep(loop_, std::chrono::milliseconds(10 + random_.Below(80)));
+  ledger_.OnReplicaStatus(id, 200);
+  const std::string framing = std::string(wire::kSignature) + ": " + Signature(id, id_) +
+                              "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  if (!co_await Write(socket, Head(id, 200, framing))) co_return false;
+  const uint64_t events = EventCount(id);
+  // A stream that breaks off ends inside an event.
+  const uint64_t broken_at = random_.Below(60) == 0 ? 1 + random_.Below(events) : 0;
+  for (uint64_t number = first_event; number <= events; ++number) {
+    std::string text = EventText(id, number);
+    if (number == broken_at) {
+      ledger_.OnReplicaFailed(id);
+      text.resize(text.size() / 2);
+    }
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    const bool written = co_await Write(socket, size + text + "\r\n");
+    if (!written || number == broken_at) co_return false;
+    co_await net::Sleep(loop_, std::chrono::milliseconds(10 + random_.Below(50)));
+  }
+  co_return co_await Write(socket, "0\r\n\r\n");
+}
+
+}  // namespace cornelplank::soak
