Report the age of the configurations that requests are placed by

The check of homes only says whether a placement is older than 5 s, which is beyond the time that VMs take to follow. The greatest age, without and after faults, shows how far from it a run stays.

--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -47,15 +47,15 @@
   order_.pop_front();
 }
 
-bool Ledger::AllowedLately(const std::string& route, const std::string& region) const {
-  const TimePoint since = Now() - kStaleLimit;
+std::optional<Duration> Ledger::AgeOfPermission(const std::string& route, const std::string& region) const {
+  TimePoint replaced = Now();
   for (size_t i = versions_.size(); i-- > 0;) {
     for (const auto& candidate : versions_[i].second.routes) {
-      if (candidate.name == route && candidate.AllowsRegion(region)) return true;
+      if (candidate.name == route && candidate.AllowsRegion(region)) return Now() - replaced;
     }
-    if (versions_[i].first <= since) break;
+    replaced = versions_[i].first;
   }
-  return false;
+  return std::nullopt;
 }
 
 bool Ledger::PresentLately(const std::string& route) const {
@@ -71,14 +71,20 @@
 }
 
 void Ledger::CheckPlacement(const Request& request, const std::string& region) {
-  if (AllowedLately(request.route, region)) return;
   const TimePoint since = Now() - kStaleLimit;
-  if (faults_.StoreDisturbed(since) || faults_.Disturbed(request.vm, region, since)) {
+  const bool faults = faults_.StoreDisturbed(since) || faults_.Disturbed(request.vm, region, since);
+  const auto age = AgeOfPermission(request.route, region);
+  Duration& max_age = faults ? max_age_after_faults_ : max_age_;
+  if (age) max_age = std::max(max_age, *age);
+  if (age && *age <= kStaleLimit) return;
+  if (age && faults) {
     Count("stale_placements_after_faults");
     return;
   }
+  const std::string seconds = age ? std::to_string(std::chrono::duration<double>(*age).count()) : "";
   Fail("placement", request.id,
-       "route " + request.route + " ran in " + region + ", which no configuration of the last 5 s allows; " +
+       "route " + request.route + " ran in " + region +
+           (age ? ", allowed until " + seconds + " s ago; " : ", never allowed; ") +
            faults_.Describe(request.vm));
 }
 
@@ -133,9 +139,9 @@
 
 void Ledger::CheckLoss(const Request& request, const Result& result) {
   if (result.timed_out || request.runs == 0 || request.replica_failed) return;
-  Count("closed_without_answer_after_run");
-  if (!faults_.ShuttingDown(request.vm, request.incarnation)) return;
-  if (faults_.Disturbed(request.vm, request.run_region, request.sent)) return;
+  const bool faults = faults_.Disturbed(request.vm, request.run_region, request.sent);
+  Count(faults ? "closed_after_run_beside_fault" : "closed_after_run");
+  if (faults || !faults_.ShuttingDown(request.vm, request.incarnation)) return;
   Fail("lost_at_shutdown", request.id,
        "route " + request.route + ", " + result.fault + "; " + faults_.Describe(request.vm));
 }
@@ -189,7 +195,10 @@
 
 void Ledger::PrintCounts() const {
   for (const auto& [name, value] : counts_) std::cout << name << "=" << value << " ";
-  std::cout << "failed_checks=" << failures_ << std::endl;
+  using Seconds = std::chrono::duration<double>;
+  std::cout << "failed_checks=" << failures_
+            << "\ngreatest age of a configuration that a request was placed by: " << Seconds(max_age_).count()
+            << " s, after faults " << Seconds(max_age_after_faults_).count() << " s" << std::endl;
 }
 
 }  // namespace cornelplank::soak
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -96,10 +96,11 @@
 
  private:
   Request* Find(const std::string& id);
-  /// Whether a configuration in force within `kStaleLimit` lets the route's requests go to the region.
-  bool AllowedLately(const std::string& route, const std::string& region) const;
   /// Whether all configurations in force within `kStaleLimit` have the route.
   bool PresentLately(const std::string& route) const;
+  /// Time since a configuration that lets the route's requests go to the region was last in force; no value
+  /// if none ever did.
+  std::optional<Duration> AgeOfPermission(const std::string& route, const std::string& region) const;
   void CheckPlacement(const Request& request, const std::string& region);
   void CheckSuccess(const Request& request, const Result& result);
   void CheckLoss(const Request& request, const Result& result);
@@ -111,6 +112,9 @@
   std::deque<std::string> order_;  // ids in the order of their requests
   std::map<std::string, uint64_t> counts_;
   uint64_t failures_ = 0;
+  // Greatest age of a configuration that a request was placed by, without and after faults.
+  Duration max_age_{};
+  Duration max_age_after_faults_{};
 };
 
 }  // namespace cornelplank::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -19,7 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kClientsPerZone = 4;
+constexpr int kClientsPerZone = 8;
 constexpr seconds kReadyLimit{15};
 // After the last event: time to recover, and time for which the share of served requests is then measured.
 constexpr seconds kRecoveryTime{10};
