Make the soak's checks independent of the code under test

The check of homes used RouteConfig::AllowsRegion, which the VMs use too, so a fault there went unseen: with that function returning true always, a run reported nothing. Answers to no request were sent only after an answer, where the VM discards the connection; they now also come where an answer is due.

--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -122,7 +122,8 @@
   Request request;
   request.id = name_ + "-" + std::to_string(++sent_);
   request.route = route.name;
-  request.at_most_once = !route.Repeatable();
+  request.at_most_once = route.kind == serving::RequestKind::kAtMostOnce ||
+                         (route.kind == serving::RequestKind::kStream && !route.resumable);
   request.always_present = !route.name.ends_with("x");
   request.vm = connection->vm;
   request.incarnation = connection->incarnation;
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -21,6 +21,12 @@
   return status == 503 || status == 429 || status == 421 || status == 408;
 }
 
+// Not RouteConfig::AllowsRegion, which is a part of the program under test.
+bool HasHome(const serving::RouteConfig& route, const std::string& region) {
+  const auto& homes = route.home_regions;
+  return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
 }  // namespace
 
 std::string RequestBody(const std::string& id) { return Pattern(id, base::Hash64(id, 1) % 3000); }
@@ -51,7 +57,7 @@
   TimePoint replaced = Now();
   for (size_t i = versions_.size(); i-- > 0;) {
     for (const auto& candidate : versions_[i].second.routes) {
-      if (candidate.name == route && candidate.AllowsRegion(region)) return Now() - replaced;
+      if (candidate.name == route && HasHome(candidate, region)) return Now() - replaced;
     }
     replaced = versions_[i].first;
   }
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -64,7 +64,6 @@
 net::Task<> Replica::Serve(Socket socket, int generation) {
   boost::beast::flat_buffer buffer;
   bool open = true;
-  bool stray_bytes = false;  // the next answer on this connection follows bytes that don't belong to it
   while (open && generation == generation_) {
     http::request<http::string_body> request;
     net::Error error;
@@ -79,7 +78,11 @@
       continue;
     }
     ledger_.OnRun(id, std::string(request.target()), request.body(), service_, region_);
-    if (stray_bytes) ledger_.OnReplicaFailed(id);
+    if (random_.Below(150) == 0) {
+      // An answer to no request that arrives where the next answer is due.
+      ledger_.OnReplicaFailed(id);
+      co_await WriteStray(socket);
+    }
     const auto working = working_.insert(id);
     if (service_.starts_with("stream")) {
       const std::string last(request[wire::kLastEvent]);
@@ -88,20 +91,20 @@
       open = co_await AnswerSimple(socket, id);
     }
     working_.erase(working);
-    if (open && random_.Below(150) == 0) {
-      const std::string body = ResponseBody("stray");
-      stray_bytes = true;
-      open = co_await Write(
-          socket, Head("stray", 200,
-                       std::string(wire::kSignature) + ": " + Signature("stray", id_) +
-                           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
-    }
+    if (open && random_.Below(150) == 0) open = co_await WriteStray(socket);
   }
   if (generation == generation_) sockets_.erase(socket);
   net::Error ignored;  // the other side may have closed first
   socket->close(ignored);
 }
 
+net::Task<bool> Replica::WriteStray(Socket socket) {
+  const std::string body = ResponseBody("stray");
+  const std::string framing = std::string(wire::kSignature) + ": " + Signature("stray", id_) +
+                              "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  co_return co_await Write(socket, Head("stray", 200, framing) + body);
+}
+
 net::Task<bool> Replica::AnswerSimple(Socket socket, std::string id) {
   co_await net::Sleep(loop_, std::chrono::milliseconds(5 + random_.Below(60)));
   const int status = random_.Below(120) == 0 ? 500 : 200;
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -45,6 +45,8 @@
   /// Answer one request. Return false when the connection must be closed.
   net::Task<bool> AnswerSimple(Socket socket, std::string id);
   net::Task<bool> AnswerStream(Socket socket, std::string id, uint64_t first_event);
+  /// Sends an answer that belongs to no request.
+  net::Task<bool> WriteStray(Socket socket);
   static net::Task<bool> Write(Socket socket, std::string bytes);
   std::string Head(const std::string& id, int status, const std::string& framing) const;
 
