Make the soak's schedule depend on the seed only

The schedule, the configurations and the replicas drew from one sequence, so the events depended on how many requests the replicas had served. Each has its own sequence now, and each event its own seed.

--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -64,7 +64,9 @@
     co_await asio::async_write(stream, asio::buffer(question), net::Into(error));
     boost::beast::flat_buffer buffer;
     http::response<http::string_body> response;
-    if (!error) co_await http::async_read(stream, buffer, response, net::Into(error));
+    if (!error) {
+      co_await http::async_read(stream, buffer, response, net::Into(error));
+    }
     const auto addresses = wire::DecodeAddresses(response.body());
     if (error || response.result_int() != 200 || addresses.empty()) continue;
     addresses_ = addresses;
@@ -75,7 +77,9 @@
 }
 
 net::Task<> Client::Open() {
-  if (Now() > addresses_until_) co_await Resolve();
+  if (Now() > addresses_until_) {
+    co_await Resolve();
+  }
   if (addresses_.empty()) co_return;
   const net::Tcp::endpoint endpoint = addresses_[random_.Below(addresses_.size())];
   const VmFleet::Vm* vm = fleet_.FindVm(endpoint.address());
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -91,7 +91,9 @@
       open = co_await AnswerSimple(socket, id);
     }
     working_.erase(working);
-    if (open && random_.Below(150) == 0) open = co_await WriteStray(socket);
+    if (open && random_.Below(150) == 0) {
+      open = co_await WriteStray(socket);
+    }
   }
   if (generation == generation_) sockets_.erase(socket);
   net::Error ignored;  // the other side may have closed first
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -38,7 +38,10 @@
 class Soak {
  public:
   Soak(uint64_t seed, Duration duration, int vms, int replicas)
-      : random_(seed),
+      : schedule_random_(seed),
+        config_random_(seed + 1),
+        replica_random_(seed + 2),
+        event_random_(seed),
         duration_(duration),
         folder_(std::filesystem::temp_directory_path() / ("cornelplank-soak-" + std::to_string(getpid()))),
         store_(loop_, {RunAddress(250), harness::FreePort()}),
@@ -49,8 +52,8 @@
     for (const Zone& zone : Zones()) {
       for (const char* service : {"simple", "stream"}) {
         for (int i = 0; i < replicas; ++i) {
-          replicas_.push_back(std::make_unique<Replica>(loop_, ledger_, store_, random_, service, zone.name,
-                                                        zone.region,
+          replicas_.push_back(std::make_unique<Replica>(loop_, ledger_, store_, replica_random_, service,
+                                                        zone.name, zone.region,
                                                         net::Tcp::endpoint(RunAddress(100 + number++), 0)));
         }
       }
@@ -74,19 +77,23 @@
   /// Starts an event that suits the present state.
   void StartEvent();
   void StartVmEvent();
-  net::Task<> CrashReplica(Replica& replica, Duration pause);
-  net::Task<> DrainReplica(Replica& replica, Duration pause);
+  net::Task<> CrashReplica(Replica& replica, Duration pause, bool same_id);
+  net::Task<> DrainReplica(Replica& replica, Duration pause, bool announced);
   net::Task<> DisturbStore(Mode mode, Duration time);
   net::Task<> EvacuateZone(std::string zone, Duration time);
   net::Task<> Tracked(net::Task<> event);
   void PutConfig();
-  milliseconds Between(int64_t low, int64_t high) {
-    return milliseconds(low + static_cast<int64_t>(random_.Below(static_cast<uint64_t>(high - low))));
+  static milliseconds Between(base::Random& random, int64_t low, int64_t high) {
+    return milliseconds(low + static_cast<int64_t>(random.Below(static_cast<uint64_t>(high - low))));
   }
-  bool Chance(uint64_t percent) { return random_.Below(100) < percent; }
+  static bool Chance(base::Random& random, uint64_t percent) { return random.Below(100) < percent; }
 
   asio::io_context loop_{1};
-  base::Random random_;
+  // Separate sequences, so that the schedule doesn't depend on how many requests the replicas have served.
+  base::Random schedule_random_;
+  base::Random config_random_;
+  base::Random replica_random_;
+  base::Random event_random_;  // seeded anew for each event
   Duration duration_;
   std::string folder_;
   testing::FakeStore store_;
@@ -136,12 +143,13 @@
 
 void Soak::PutConfig() {
   serving::RoutingConfig config;
-  config.version = (version_ += 1 + random_.Below(5));
+  config.version = (version_ += 1 + config_random_.Below(5));
   for (const RouteShape& shape : kRoutes) {
     const std::string name = shape.name;
     std::string& home = homes_.try_emplace(name, shape.home).first->second;
-    if (!home.empty() && Chance(shape.swap_percent)) home = home == "r1" ? "r2" : "r1";
-    if (name.ends_with("x") && Chance(20) && extra_routes_.erase(name) == 0) extra_routes_.insert(name);
+    if (!home.empty() && Chance(config_random_, shape.swap_percent)) home = home == "r1" ? "r2" : "r1";
+    if (name.ends_with("x") && Chance(config_random_, 20) && extra_routes_.erase(name) == 0)
+      extra_routes_.insert(name);
     if (name.ends_with("x") && !extra_routes_.contains(name)) continue;
     serving::RouteConfig route;
     route.name = name;
@@ -171,7 +179,7 @@
 
 net::Task<> Soak::ChangeConfigs() {
   while (!stop_configs_) {
-    co_await net::Sleep(loop_, Between(300, 3000));
+    co_await net::Sleep(loop_, Between(config_random_, 300, 3000));
     if (!stop_configs_) PutConfig();
   }
 }
@@ -184,20 +192,18 @@
   }
 }
 
-net::Task<> Soak::CrashReplica(Replica& replica, Duration pause) {
+net::Task<> Soak::CrashReplica(Replica& replica, Duration pause, bool same_id) {
   leaving_.insert(&replica);
   replica.Crash();
   co_await net::Sleep(loop_, kUnregisterTime);
-  const bool same_id = Chance(30);
   if (!same_id) replica.Unregister();
   co_await net::Sleep(loop_, pause);
   replica.Start(same_id ? replica.id() : "i-" + std::to_string(++replica_starts_));
   leaving_.erase(&replica);
 }
 
-net::Task<> Soak::DrainReplica(Replica& replica, Duration pause) {
+net::Task<> Soak::DrainReplica(Replica& replica, Duration pause, bool announced) {
   leaving_.insert(&replica);
-  const bool announced = Chance(70);
   if (announced) replica.Drain();
   if (!announced) replica.Unregister();
   co_await net::Sleep(loop_,
@@ -234,11 +240,11 @@
 }
 
 void Soak::StartVmEvent() {
-  auto& vm = fleet_.vms()[random_.Below(fleet_.vms().size())];
+  auto& vm = fleet_.vms()[event_random_.Below(fleet_.vms().size())];
   // At least half of the VMs stay up, so that the checks see traffic.
   if (vm.state != VmFleet::State::kUp || fleet_.CountUp() * 2 <= fleet_.vms().size()) return;
-  const Duration pause = Between(0, 3000);
-  switch (random_.Below(8)) {
+  const Duration pause = Between(event_random_, 0, 3000);
+  switch (event_random_.Below(8)) {
     case 0:
     case 1:
     case 2:
@@ -250,43 +256,50 @@
     case 4:
     case 5:
       ledger_.Count("event_freeze");
-      return net::Spawn(loop_, "freeze", Tracked(fleet_.Freeze(vm.index, Between(500, 6000))));
+      return net::Spawn(loop_, "freeze", Tracked(fleet_.Freeze(vm.index, Between(event_random_, 500, 6000))));
     default:
       ledger_.Count("event_sighup");
-      return fleet_.Reload(vm, 20 + static_cast<int>(random_.Below(200)), Chance(70));
+      return fleet_.Reload(vm, 20 + static_cast<int>(event_random_.Below(200)), Chance(event_random_, 70));
   }
 }
 
 void Soak::StartEvent() {
-  Replica& replica = *replicas_[random_.Below(replicas_.size())];
+  Replica& replica = *replicas_[event_random_.Below(replicas_.size())];
   const bool steady = !leaving_.contains(&replica);
-  const std::string zone = Zones()[random_.Below(Zones().size())].name;
-  const uint64_t kind = random_.Below(20);
+  const std::string zone = Zones()[event_random_.Below(Zones().size())].name;
+  const uint64_t kind = event_random_.Below(20);
   if (kind < 11) {
     StartVmEvent();
   } else if (kind < 14 && steady) {
     ledger_.Count("event_replica_crash");
-    net::Spawn(loop_, "crash", Tracked(CrashReplica(replica, Between(0, 3000))));
+    net::Spawn(loop_, "crash",
+               Tracked(CrashReplica(replica, Between(event_random_, 0, 3000), Chance(event_random_, 30))));
   } else if (kind < 17 && steady) {
     ledger_.Count("event_replica_drain");
-    net::Spawn(loop_, "drain", Tracked(DrainReplica(replica, Between(0, 2000))));
+    net::Spawn(loop_, "drain",
+               Tracked(DrainReplica(replica, Between(event_random_, 0, 2000), Chance(event_random_, 70))));
   } else if (kind == 17 && !store_disturbed_) {
     ledger_.Count("event_store");
-    const Mode mode = Chance(50) ? Mode::kHistoryGone : Chance(50) ? Mode::kBusy : Mode::kSilent;
-    net::Spawn(loop_, "store", Tracked(DisturbStore(mode, Between(500, 4000))));
+    const Mode mode = Chance(event_random_, 50)   ? Mode::kHistoryGone
+                      : Chance(event_random_, 50) ? Mode::kBusy
+                                                  : Mode::kSilent;
+    net::Spawn(loop_, "store", Tracked(DisturbStore(mode, Between(event_random_, 500, 4000))));
   } else if (kind == 18 && evacuated_.empty()) {
     ledger_.Count("event_evacuation");
-    net::Spawn(loop_, "evacuation", Tracked(EvacuateZone(zone, Between(2000, 10000))));
+    net::Spawn(loop_, "evacuation", Tracked(EvacuateZone(zone, Between(event_random_, 2000, 10000))));
   }
 }
 
 net::Task<> Soak::RunEvents() {
   const TimePoint end = Now() + duration_ - kRecoveryTime - kMeasuredTime;
   while (Now() < end) {
-    co_await net::Sleep(loop_, Between(100, 1200));
+    co_await net::Sleep(loop_, Between(schedule_random_, 100, 1200));
+    event_random_ = base::Random(schedule_random_.Next());
     StartEvent();
   }
-  while (active_events_ > 0) co_await net::Sleep(loop_, milliseconds(20));
+  while (active_events_ > 0) {
+    co_await net::Sleep(loop_, milliseconds(20));
+  }
   // Restores settings that the last SIGHUP may have left faulty.
   for (auto& vm : fleet_.vms()) fleet_.Reload(vm, 100, true);
 }
@@ -304,7 +317,7 @@
   net::Spawn(loop_, "configs", ChangeConfigs());
   for (const Zone& zone : Zones()) {
     for (int i = 0; i < kClientsPerZone; ++i) {
-      clients_.push_back(std::make_unique<Client>(loop_, ledger_, fleet_, random_.Next(),
+      clients_.push_back(std::make_unique<Client>(loop_, ledger_, fleet_, schedule_random_.Next(),
                                                   "c" + std::to_string(clients_.size()), zone));
       net::Spawn(loop_, "client", clients_.back()->Run(&stop_clients_));
     }
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-VmFleet::VmFleet(net::asio::io_context& loop, int vms, net::asio::ip::address_v4 base, std::string folder,
-                 const net::Tcp::endpoint& store)
+VmFleet::VmFleet(net::asio::io_context& loop, int vms, const net::asio::ip::address_v4& base,
+                 std::string folder, const net::Tcp::endpoint& store)
     : loop_(loop), folder_(std::move(folder)), store_(testing::wire::EndpointText(store)) {
   for (const char* listener : kListeners) ports_[listener] = harness::FreePort();
   for (int i = 0; i < vms; ++i) {
@@ -105,7 +105,9 @@
     ledger_->Fail("grace", vm.process->name(), "still runs at the end of the grace time");
     vm.killed = Now();
     vm.process->Signal(SIGKILL);
-    while (vm.process->running()) co_await net::Sleep(loop_, kPollInterval);
+    while (vm.process->running()) {
+      co_await net::Sleep(loop_, kPollInterval);
+    }
   } else if (*code != 0) {
     ledger_->Fail("exit_code", vm.process->name(), std::to_string(*code) + " " + vm.process->Errors());
   }
@@ -119,7 +121,9 @@
   vm.state = State::kDown;
   vm.killed = Now();
   vm.process->Signal(SIGKILL);
-  while (vm.process->running()) co_await net::Sleep(loop_, kPollInterval);
+  while (vm.process->running()) {
+    co_await net::Sleep(loop_, kPollInterval);
+  }
   co_await net::Sleep(loop_, pause);
   co_await Start(index);
 }
--- a/tests/soak/vm_fleet.h
+++ b/tests/soak/vm_fleet.h
@@ -40,7 +40,7 @@
   };
 
   /// `base`: the address before that of the first VM.
-  VmFleet(net::asio::io_context& loop, int vms, net::asio::ip::address_v4 base, std::string folder,
+  VmFleet(net::asio::io_context& loop, int vms, const net::asio::ip::address_v4& base, std::string folder,
           const net::Tcp::endpoint& store);
 
   void SetLedger(Ledger& ledger) { ledger_ = &ledger; }
