Fail the soak when a calm VM denies a route that it must know

404 for a route that all versions of the last 5 s have was only counted. It fails the run unless the VM or the store was disturbed.

--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -180,10 +180,15 @@
     Count("failed");
     Count("failed_" + std::to_string(result.status));
     if (result.status >= 500) return;
-    if (request->always_present) {
-      Fail("denied", id, std::to_string(result.status) + " on route " + request->route);
+    const TimePoint since = Now() - kStaleLimit;
+    const bool faults =
+        faults_.StoreDisturbed(since) || faults_.Disturbed(request->vm, request->run_region, since);
+    if (faults && !request->always_present) {
+      Count("stale_denials_after_faults");
     } else {
-      Count("stale_denials");
+      Fail("denied", id,
+           std::to_string(result.status) + " on route " + request->route + "; " +
+               faults_.Describe(request->vm));
     }
   }
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -24,7 +24,8 @@
 class FaultView {
  public:
   virtual ~FaultView() = default;
-  /// Whether the VM was frozen or killed, or any VM of the other region `region`, at some time since `since`.
+  /// Whether the VM was frozen or killed, or any VM of `region` if that is another one, at some time since
+  /// `since`.
   virtual bool Disturbed(int vm, const std::string& region, TimePoint since) const = 0;
   /// Whether the store did not serve at some time since `since`.
   virtual bool StoreDisturbed(TimePoint since) const = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -148,8 +148,9 @@
     const std::string name = shape.name;
     std::string& home = homes_.try_emplace(name, shape.home).first->second;
     if (!home.empty() && Chance(config_random_, shape.swap_percent)) home = home == "r1" ? "r2" : "r1";
-    if (name.ends_with("x") && Chance(config_random_, 20) && extra_routes_.erase(name) == 0)
+    if (name.ends_with("x") && Chance(config_random_, 20) && extra_routes_.erase(name) == 0) {
       extra_routes_.insert(name);
+    }
     if (name.ends_with("x") && !extra_routes_.contains(name)) continue;
     serving::RouteConfig route;
     route.name = name;
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -170,7 +170,8 @@
   const Vm& entry = vms_[static_cast<size_t>(vm)];
   if (WasDisturbed(entry, since)) return true;
   // A replica of another region is reached through one of the region's VMs.
-  return region != entry.zone.region && std::any_of(vms_.begin(), vms_.end(), [&](const Vm& other) {
+  return !region.empty() && region != entry.zone.region &&
+         std::any_of(vms_.begin(), vms_.end(), [&](const Vm& other) {
            return other.zone.region == region && WasDisturbed(other, since);
          });
 }
