--- a/tests/platform/entry_process_test.cc
+++ b/tests/platform/entry_process_test.cc
@@ -14,6 +14,7 @@
 namespace asio = net::asio;
 using harness::Process;
 using testing::FakeStore;
+using Mode = FakeStore::Mode;
 using testing::RunFor;
 using testing::ScriptedServer;
 
@@ -184,7 +185,7 @@
   store_->Put("servers/i-1", testing::ReplicaText("svc", replica.Endpoint()));
   Start(Settings());
   ASSERT_TRUE(WaitUntilStatus("200"));
-  store_->SetMode(FakeStore::Mode::kSilent);
+  store_->SetMode(Mode::kSilent);
   RunFor(loop_, std::chrono::seconds(3));
   EXPECT_TRUE(SendRequest("clients", "/a/x").starts_with("HTTP/1.1 200"));
   EXPECT_TRUE(SendRequest("readiness", "/readiness").starts_with("HTTP/1.1 200"));
@@ -202,9 +203,16 @@
   EXPECT_TRUE(WaitUntil([&] { return process_->Output().find("event=client_gone") != std::string::npos; }));
 }
 
+struct SuspensionCase {
+  const char* name;
+  std::chrono::milliseconds time_to_change;  // from the suspension until the home of the route moves
+  Mode mode_after;                           // of the store after the change
+};
+class SuspensionTest : public EntryProcessTest, public ::testing::WithParamInterface<SuspensionCase> {};
+
 // Guards against requests that are served in a former home region by a process that was suspended while the
-// configuration changed.
-TEST_F(EntryProcessTest, ServesNoRequestInAFormerHomeAfterASuspension) {
+// configuration changed, also when an answer from before the change waits in its connection to the store.
+TEST_P(SuspensionTest, ServesNoRequestInAFormerHome) {
   const auto config_with_home = [](int version, const std::string& region) {
     std::string text = testing::ConfigText(version);
     const std::string field = R"("attempts":2)";
@@ -222,8 +230,9 @@
   process_->Signal(SIGSTOP);
   asio::write(socket, asio::buffer(std::string("GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 78\r\n"
                                                "Deadline-Ms: 9000\r\n\r\n")));
-  RunFor(loop_, std::chrono::seconds(1));
+  RunFor(loop_, GetParam().time_to_change);
   store_->Put("op/config", config_with_home(5, "q"));
+  store_->SetMode(GetParam().mode_after);
   RunFor(loop_, std::chrono::seconds(5));
   process_->Signal(SIGCONT);
   const std::string response = ReadResponse(socket, std::chrono::seconds(2));
@@ -231,6 +240,13 @@
   EXPECT_EQ(replica.received().find("Attempt-Id: 78"), std::string::npos);
 }
 
+INSTANTIATE_TEST_SUITE_P(Changes, SuspensionTest,
+                         ::testing::Values(SuspensionCase{"ChangeWaitsInTheConnection",
+                                                          std::chrono::milliseconds(1000), Mode::kServe},
+                                           SuspensionCase{"OlderAnswerWaitsInTheConnection",
+                                                          std::chrono::milliseconds(3000), Mode::kSilent}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against a shutdown that closes connections before their requests are served, and against a process
 // that does not exit.
 TEST_F(EntryProcessTest, ServesOpenConnectionsBeforeItExits) {
