--- a/libs/serving/internal/config_freshness.cc
+++ b/libs/serving/internal/config_freshness.cc
@@ -30,7 +30,6 @@
 void ConfigFreshness::OnApplied(uint64_t version) { applied_ = std::max(applied_, version); }
 
 void ConfigFreshness::OnVersionHeard(uint64_t version, base::TimePoint now) {
-  if (version <= newest_heard_) return;
   // Later versions don't restart the time: the VM has been behind since the first one.
   if (newest_heard_ <= applied_) newer_heard_at_ = now;
   newest_heard_ = version;
--- a/libs/serving/internal/config_freshness.h
+++ b/libs/serving/internal/config_freshness.h
@@ -36,7 +36,7 @@
   void OnReadFailed(base::TimePoint now);
   /// A configuration of this version came into force.
   void OnApplied(uint64_t version);
-  /// Another VM states that it has this version in force.
+  /// The newest version that any other live VM states to have in force now.
   void OnVersionHeard(uint64_t version, base::TimePoint now);
 
   State Assess(base::TimePoint now) const;
