Count the wait for a confirmation as part of the request's time

After a suspension a request may wait 0.5 s for a confirmation of the configuration. Its time was counted from the end of that wait, so that a replica was handed up to 0.5 s more than was left (found in the review: 799 ms of a timeout of 0.8 s). A replica that was connected but not used, because its region had ceased to be allowed, counted as one that refuses connections.

Change: the time counts from the arrival. An attempt that is withheld says nothing about the replica's health.

--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -37,7 +37,7 @@
 ProxiedRequest::ProxiedRequest(RequestProxy& proxy, std::shared_ptr<const RoutingConfig> config,
                                const RouteConfig& route, std::string service, const RequestInfo& info,
                                net::Request& request, net::ResponseWriter& writer,
-                               std::optional<HopParameters> hop)
+                               base::TimePoint received_at, std::optional<HopParameters> hop)
     : proxy_(proxy),
       active_requests_(proxy.active_requests_),
       deps_(proxy.deps_),
@@ -48,7 +48,7 @@
       request_(request),
       writer_(writer),
       hop_(std::move(hop)),
-      received_at_(deps_.clock.Now()),
+      received_at_(received_at),
       last_event_id_(info.last_event_id),
       shared_parts_(info.SharedParts()) {
   base::Duration limit = route_.timeout.count() > 0 ? base::Duration(route_.timeout) : kDefaultTimeout;
@@ -238,6 +238,7 @@
     deps_.registry.BeginAttempt(*replica_, work_, request_info_.SharedPrefixKey(), deps_.clock.Now());
   }
   prefill_done_ = false;
+  withheld_ = false;
   awaiting_bytes_ = false;
   splitter_.Clear();
   call_ = std::make_shared<net::HttpCall>(deps_.loop, hop ? deps_.peer_pool : deps_.replica_pool);
@@ -248,7 +249,8 @@
           endpoint, repeatable ? base::Duration(kMaxIdleRepeatable) : base::Duration(kMaxIdleUnrepeatable))) {
     // The configuration may have changed while the connection was established.
     const std::string region = hop ? placement.region : placement.replica->published.region;
-    if (MakePlacementQuery().AllowsRegion(region)) outcome = co_await SendAndRelay(*call_, placement);
+    withheld_ = !MakePlacementQuery().AllowsRegion(region);
+    if (!withheld_) outcome = co_await SendAndRelay(*call_, placement);
   } else if (!writer_.ClientGone()) {
     if (hop) deps_.hops.ReportHopFailure(endpoint);
     (hop ? deps_.peer_pool : deps_.replica_pool).CloseIdle(endpoint);
@@ -284,7 +286,7 @@
       result = HealthObservation::kErrorResponse;
       break;
     case AttemptOutcome::kNotSent:
-      result = HealthObservation::kNotConnected;
+      if (!withheld_) result = HealthObservation::kNotConnected;
       break;
     case AttemptOutcome::kNotRun:
       result = HealthObservation::kRefused;
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -16,10 +16,10 @@
 class ProxiedRequest {
  public:
   /// `hop`: set when an entry VM of another region forwarded the request. It is then sent to at most one
-  /// replica of this region and not forwarded again.
+  /// replica of this region and not forwarded again. `received_at`: when the request arrived.
   ProxiedRequest(RequestProxy& proxy, std::shared_ptr<const RoutingConfig> config, const RouteConfig& route,
                  std::string service, const RequestInfo& info, net::Request& request,
-                 net::ResponseWriter& writer, std::optional<HopParameters> hop);
+                 net::ResponseWriter& writer, base::TimePoint received_at, std::optional<HopParameters> hop);
 
   ~ProxiedRequest();
   ProxiedRequest(const ProxiedRequest&) = delete;
@@ -99,6 +99,7 @@
   std::optional<uint64_t> last_event_id_;    // of the last event that the client has
   bool ids_consecutive_ = true;              // each event id so far was the one before plus 1
   bool prefill_done_ = false;                // an event of the attempt has arrived
+  bool withheld_ = false;                    // the attempt was connected, but its region is no longer allowed
   bool awaiting_first_event_ = false;        // the attempt has brought neither an event nor a whole response
   bool awaiting_bytes_ = false;              // from the replica; false while bytes are written to the client
   bool second_send_reserved_ = false;        // taken from the budget before the attempt that it is for
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -38,6 +38,7 @@
 
 net::Task<> RequestProxy::Handle(net::Request& request, net::ResponseWriter& writer) {
   ++counters_.requests;
+  const base::TimePoint received_at = deps_.clock.Now();
   co_await AwaitConfirmedConfig();
   std::string problem;
   const auto client = deps_.codec.DecodeRequest(request, &problem);
@@ -63,7 +64,7 @@
   }
   const std::string service = route->PickService(base::Hash64(client->id));
   RetryBudget(service).OnRequest();
-  ProxiedRequest proxied(*this, config, *route, service, *client, request, writer, std::nullopt);
+  ProxiedRequest proxied(*this, config, *route, service, *client, request, writer, received_at, std::nullopt);
   co_await proxied.Run();
 }
 
@@ -76,6 +77,7 @@
 }
 
 net::Task<> RequestProxy::ServeHop(net::Request& request, net::ResponseWriter& writer) {
+  const base::TimePoint received_at = deps_.clock.Now();
   co_await AwaitConfirmedConfig();
   const auto parameters = deps_.codec.DecodeHop(request);
   std::string problem;
@@ -93,7 +95,8 @@
     co_await writer.Send(head, "");
     co_return;
   }
-  ProxiedRequest proxied(*this, config, *route, parameters->service, *client, request, writer, *parameters);
+  ProxiedRequest proxied(*this, config, *route, parameters->service, *client, request, writer, received_at,
+                         *parameters);
   co_await proxied.Run();
 }
 
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -343,6 +343,19 @@
                                            OutdatedConfigCase{"NotBound", {}, {}, false, 1}),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against replicas that are handed more time than the request has left after a wait for a
+// confirmation.
+TEST_F(HomeChangeTest, DeductsTheWaitFromTheTimeLeft) {
+  ScriptedServer replica(loop, MakeResponse("200 OK", "77", "body"), Ending::kKeepOpen);
+  AddReplica("replica", replica.Endpoint(), true);
+  registry.config_freshness().OnConfirmed(clock.Now() - std::chrono::seconds(7));
+  SendRequest("/once/a", std::chrono::milliseconds(900));  // the route's timeout is 0.8 s, the wait 0.5 s
+  const std::string name = "Deadline-Ms: ";
+  const size_t position = replica.received().find(name);
+  ASSERT_NE(position, std::string::npos);
+  EXPECT_LE(std::stoi(replica.received().substr(position + name.size())), 300);
+}
+
 // Guards against a further attempt in a region that has ceased to be a home since the request arrived.
 TEST_F(HomeChangeTest, ResumesNoStreamInAFormerHome) {
   const std::string head =
