Condemn a prompt part by crashes at three separate moments

Retry-After also included the time until the VM's own turn to make a trial, up to 3 s for each VM.

Change: the three crashes have to be 0.4 s apart from each other, not only the first from the last. Retry-After gives the end of the quarantine.

--- a/libs/serving/internal/prompt_quarantine.cc
+++ b/libs/serving/internal/prompt_quarantine.cc
@@ -147,11 +147,14 @@
     const auto found = verdicts_.find(part);
     if (found == verdicts_.end()) continue;
     ActiveVerdict& active = found->second;
-    base::TimePoint trial_at = active.verdict.End() + kTrialSpacing * static_cast<int64_t>(trial_rank);
-    if (active.last_trial) trial_at = std::max(trial_at, *active.last_trial + kTrialTimeout);
+    base::TimePoint next_trial = active.verdict.End();
+    if (active.last_trial) next_trial = std::max(next_trial, *active.last_trial + kTrialTimeout);
     trials.push_back(&active);
-    if (trial_at <= now) continue;
-    const base::Duration retry_after = std::max<base::Duration>(trial_at - now, kMinRetryAfter);
+    if (now >= next_trial && now >= active.verdict.End() + kTrialSpacing * static_cast<int64_t>(trial_rank)) {
+      continue;
+    }
+    // Without the time for this VM's turn: another VM may make the trial and lift the verdict before.
+    const base::Duration retry_after = std::max<base::Duration>(next_trial - now, kMinRetryAfter);
     if (!refusal || retry_after > refusal->retry_after) refusal = Refusal{part, retry_after};
   }
   if (refusal) return refusal;
@@ -165,7 +168,7 @@
     if (verdicts_.contains(part)) return true;
     std::vector<Crash> crashes = CrashesOf(part, /*unexplained_only=*/true);
     std::erase_if(crashes, [&](const Crash& crash) { return now - crash.at > kEvidenceAge; });
-    if (crashes.empty() || crashes.back().at - crashes.front().at < kMinSpread) return false;
+    if (crashes.empty() || crashes.back().at - crashes.front().at < kMinSeparation) return false;
     return std::any_of(crashes.begin(), crashes.end(),
                        [&](const Crash& crash) { return crash.replica_key != crashes.front().replica_key; });
   });
@@ -250,6 +253,17 @@
   return crashes;
 }
 
+size_t PromptQuarantine::CountMoments(const std::vector<Crash>& crashes) {
+  size_t moments = 0;
+  base::TimePoint last{};
+  for (const Crash& crash : crashes) {
+    if (moments > 0 && crash.at - last < kMinSeparation) continue;
+    ++moments;
+    last = crash.at;
+  }
+  return moments;
+}
+
 std::optional<std::pair<uint64_t, PromptQuarantine::Verdict>> PromptQuarantine::NextVerdict() const {
   std::vector<std::pair<uint64_t, size_t>> mentions;  // part and its place in a prompt
   for (const auto& [id, observation] : observations_) {
@@ -271,10 +285,7 @@
           crashes.begin(), last, [&](const Crash& crash) { return last->at - crash.at <= kEvidenceAge; });
       std::set<uint32_t> replicas;
       for (auto crash = first; crash != last + 1; ++crash) replicas.insert(crash->replica_key);
-      if (static_cast<size_t>(last - first) + 1 < kCrashesToCondemn || replicas.size() < kMinReplicas ||
-          last->at - first->at < kMinSpread) {
-        continue;
-      }
+      if (CountMoments({first, last + 1}) < kCrashesToCondemn || replicas.size() < kMinReplicas) continue;
       next.emplace(part, Verdict{last->at, 0});
       best = rank;
       break;
--- a/libs/serving/internal/prompt_quarantine.h
+++ b/libs/serving/internal/prompt_quarantine.h
@@ -63,8 +63,8 @@
   /// a request that is retried after such a crash may well meet a second one.
   static constexpr size_t kCrashesToCondemn = 3;
   static constexpr size_t kMinReplicas = 3;
-  /// Time from the first to the last of these crashes. Replicas that lose power together crash within less.
-  static constexpr std::chrono::milliseconds kMinSpread{400};
+  /// Time between two of these crashes. Replicas that fail together for another reason crash within less.
+  static constexpr std::chrono::milliseconds kMinSeparation{400};
   /// The crashes that condemn a part lie within this time. Older observations are not sent to other VMs.
   static constexpr std::chrono::seconds kEvidenceAge{60};
   /// Observations of one replica within this time are of the same crash. VMs notice a crash at different
@@ -164,6 +164,8 @@
   bool IsCleared(uint64_t part, base::TimePoint crashed_at) const;
   /// The crashes that name the part, in order of time. `unexplained_only`: only those without a known cause.
   std::vector<Crash> CrashesOf(uint64_t part, bool unexplained_only) const;
+  /// Number of crashes, in order of time, of which each is `kMinSeparation` after the one before.
+  static size_t CountMoments(const std::vector<Crash>& crashes);
   /// Takes the verdicts from the records and the observations.
   void Evaluate(base::TimePoint now);
   /// The part to condemn next on the unexplained observations.
