Recognise crashes behind streams without a length and behind hops

Three gaps of the quarantine, found in the review. A forwarded request whose replica crashed in the other region was sent to a second one there, as only the other VM had seen the crash. A trial was used up by a placement that sent nothing, and by the VM that received it as a hop.

Change: a stream that ends with its connection before any event counts as broken off and as a crash. After any attempt without an event the parts' suspicions decide about another one. The VM that has the request from the client checks the quarantine, once between two sends. Answers that are no streams clear the parts of their prompts, too.

Measured: the new case BeforeAnyEvent of StreamEndTest passes; the codec test covers the reports.

--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -45,6 +45,10 @@
   /// a fault, such as no further byte within `timeout`.
   Task<bool> ReadSome(std::string* out, bool* done, base::Duration timeout);
 
+  /// Whether the response states no length, so that the end of the connection ends its body, however that
+  /// came about. Call it after `ReadHead`.
+  bool EndsWithConnection() const { return parser_ && parser_->get().need_eof(); }
+
   /// Returns the connection to the pool if the response allows its reuse, and closes it otherwise. Call it
   /// after a complete response.
   void Finish();
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -124,7 +124,11 @@
 }
 
 bool ProxiedRequest::IsQuarantined() {
-  if (deps_.quarantine == nullptr || shared_parts_.empty()) return false;
+  // The VM that forwarded a request has checked it. Between two sends there is one check, since a check that
+  // lets a request with a condemned part pass makes it the trial.
+  if (deps_.quarantine == nullptr || shared_parts_.empty() || hop_) return false;
+  if (checked_sends_ == progress_.sends) return false;
+  checked_sends_ = progress_.sends;
   const uint64_t order_key = shared_parts_.back();
   const auto refusal =
       deps_.quarantine->Check(shared_parts_, deps_.hops.OwnRank(order_key), deps_.clock.Now());
@@ -135,7 +139,8 @@
 }
 
 bool ProxiedRequest::CrashedBeforeAnswer(AttemptOutcome outcome) const {
-  return outcome == AttemptOutcome::kUnknown && !prefill_done_ && call_->fault() == net::CallFault::kLost;
+  const bool lost = call_->fault() == net::CallFault::kLost || broke_off_;
+  return outcome == AttemptOutcome::kUnknown && !prefill_done_ && lost;
 }
 
 bool ProxiedRequest::TryAdmit() {
@@ -193,7 +198,8 @@
     progress_.response_started = writer_.Started();
     auto& budget = proxy_.RetryBudget(service_);
     progress_.retry_budget_left = second_send_reserved_ || budget.CanTake();
-    if (deps_.quarantine != nullptr && CrashedBeforeAnswer(progress_.last_outcome) &&
+    // After a hop the crash was seen by the other VM, which tells of it in its heartbeats.
+    if (deps_.quarantine != nullptr && progress_.last_outcome == AttemptOutcome::kUnknown && !prefill_done_ &&
         !deps_.quarantine->MayRetryAfterCrash(shared_parts_, deps_.clock.Now())) {
       progress_.retry_budget_left = false;
     }
@@ -239,6 +245,7 @@
   }
   prefill_done_ = false;
   withheld_ = false;
+  broke_off_ = false;
   awaiting_bytes_ = false;
   splitter_.Clear();
   call_ = std::make_shared<net::HttpCall>(deps_.loop, hop ? deps_.peer_pool : deps_.replica_pool);
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -96,21 +96,23 @@
   std::shared_ptr<net::HttpCall> call_;  // of the current attempt
   std::optional<HeldResponse> held_error_;
   SseEventSplitter splitter_;
-  std::optional<uint64_t> last_event_id_;    // of the last event that the client has
-  bool ids_consecutive_ = true;              // each event id so far was the one before plus 1
-  bool prefill_done_ = false;                // an event of the attempt has arrived
-  bool withheld_ = false;                    // the attempt was connected, but its region is no longer allowed
-  bool awaiting_first_event_ = false;        // the attempt has brought neither an event nor a whole response
-  bool awaiting_bytes_ = false;              // from the replica; false while bytes are written to the client
-  bool second_send_reserved_ = false;        // taken from the budget before the attempt that it is for
-  base::TimePoint last_bytes_at_{};          // of the attempt; at first the time at which it was sent
-  base::TimePoint sent_at_{};                // of the attempt
-  base::TimePoint first_event_at_{};         // of the attempt
-  base::TimePoint first_byte_at_{};          // of the response to the client
+  std::optional<uint64_t> last_event_id_;  // of the last event that the client has
+  bool ids_consecutive_ = true;            // each event id so far was the one before plus 1
+  bool prefill_done_ = false;              // an event of the attempt has arrived
+  bool withheld_ = false;                  // the attempt was connected, but its region is no longer allowed
+  bool broke_off_ = false;             // the attempt's stream ended with its connection before it was whole
+  bool awaiting_first_event_ = false;  // the attempt has brought neither an event nor a whole response
+  bool awaiting_bytes_ = false;        // from the replica; false while bytes are written to the client
+  bool second_send_reserved_ = false;  // taken from the budget before the attempt that it is for
+  base::TimePoint last_bytes_at_{};    // of the attempt; at first the time at which it was sent
+  base::TimePoint sent_at_{};          // of the attempt
+  base::TimePoint first_event_at_{};   // of the attempt
+  base::TimePoint first_byte_at_{};    // of the response to the client
   std::shared_ptr<TrackedReplica> replica_;  // of the attempt; null for a hop
   OutstandingWork work_;                     // of the attempt
   std::string served_by_;                    // replica or region of the last attempt
   bool timeliness_pending_ = false;          // admitted, but not yet reported as in time or late
+  std::optional<uint32_t> checked_sends_;    // number of sends at the last check of the quarantine
   std::vector<uint64_t> shared_parts_;       // ids of the prompt parts that other requests may have too
   base::Duration quarantine_left_{0};        // until a request with the prompt's condemned part may be tried
   RefusalReason refusal_reason_ = RefusalReason::kNone;
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -97,6 +97,7 @@
     co_return AttemptOutcome::kErrorResponse;
   }
   if (replica_) deps_.registry.ObserveServiceTime(service_, deps_.clock.Now() - sent_at_);
+  if (deps_.quarantine != nullptr) deps_.quarantine->RecordAnswer(shared_parts_, deps_.clock.Now());
   first_byte_at_ = deps_.clock.Now();
   co_await writer_.Send(*head, body);
   co_return AttemptOutcome::kComplete;
@@ -128,8 +129,12 @@
     }
     if (splitter_.Remainder().size() > kMaxEventBytes) co_return AttemptOutcome::kUnknown;
   }
-  // A stream without a length ends with its connection, also when it was broken off inside an event.
-  if (!splitter_.Remainder().empty()) co_return AttemptOutcome::kUnknown;
+  // A stream without a length ends with its connection, also when it was broken off inside or before an
+  // event.
+  if (!splitter_.Remainder().empty() || (call.EndsWithConnection() && !prefill_done_)) {
+    broke_off_ = true;
+    co_return AttemptOutcome::kUnknown;
+  }
   if (!co_await StartStream(head)) co_return AttemptOutcome::kClientGone;
   if (replica_) {
     const base::Duration reading =
--- a/tests/fleet/member_table_test.cc
+++ b/tests/fleet/member_table_test.cc
@@ -95,6 +95,9 @@
   heartbeat.members = {MemberAt(5), MemberAt(6)};
   heartbeat.wait_reports = {{1, 2, std::chrono::milliseconds(30), std::chrono::milliseconds(400)}};
   heartbeat.loads.emplace().push_back({77, {3, 4000, 5000}});
+  heartbeat.quarantine.crashes = {{7, 99, 3, 55, {1ULL << 60, 2}, std::chrono::milliseconds(250)}};
+  heartbeat.quarantine.clearances = {{4, std::chrono::milliseconds(20)}};
+  heartbeat.quarantine.verdicts = {{5, 2, std::chrono::milliseconds(9000)}};
   const auto decoded = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->sender.address, 0x0a010203U);
@@ -105,6 +108,13 @@
   ASSERT_EQ(decoded->members.size(), 2U);
   EXPECT_EQ(decoded->wait_reports.at(0).age, std::chrono::milliseconds(400));
   EXPECT_EQ(decoded->loads->at(0).work.prefill_tokens, 4000U);
+  const serving::CrashObservation& crash = decoded->quarantine.crashes.at(0);
+  EXPECT_EQ(std::tie(crash.reporter, crash.incarnation, crash.sequence, crash.replica_key),
+            std::make_tuple(7U, 99U, 3U, 55U));
+  EXPECT_EQ(crash.parts, (std::vector<uint64_t>{1ULL << 60, 2}));
+  EXPECT_EQ(crash.age, std::chrono::milliseconds(250));
+  EXPECT_EQ(decoded->quarantine.clearances.at(0).part, 4U);
+  EXPECT_EQ(decoded->quarantine.verdicts.at(0).level, 2U);
 }
 
 // Guards against malformed datagrams that crash the process.
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -219,6 +219,7 @@
 INSTANTIATE_TEST_SUITE_P(
     Streams, StreamEndTest,
     ::testing::Values(StreamEndCase{"WholeEvents", "/stream/a", "id: 1\ndata: a\n\n", 0, true},
+                      StreamEndCase{"BeforeAnyEvent", "/stream/a", "", 1, true},
                       StreamEndCase{"InsideAnEvent", "/stream/a", "id: 1\ndata: a\n\nid: 2\nda", 1, true},
                       StreamEndCase{"InsideAnEventOnce", "/fixed/a", "id: 1\ndata: a\n\nid: 2\nda", 0,
                                     false}),
