--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -110,6 +110,11 @@
   return location == nullptr ? kUnknown : location->region;
 }
 
+Distance MemberTable::DistanceOf(const Member& member) const {
+  if (ZoneOf(member) == ZoneOf(own_)) return Distance::kOwnZone;
+  return RegionOf(member) == RegionOf(own_) ? Distance::kOwnRegion : Distance::kOtherRegion;
+}
+
 std::vector<std::string> MemberTable::Regions() const {
   std::vector<std::string> names;
   for (const auto& [key, name] : regions_) names.push_back(name);
@@ -151,12 +156,10 @@
 }
 
 std::vector<VmAddress> MemberTable::VmsWithConfig(uint64_t version, base::TimePoint now) const {
-  std::vector<std::pair<int, VmAddress>> vms;  // distance and address
+  std::vector<std::pair<Distance, VmAddress>> vms;
   for (const auto& [address, entry] : others_) {
     if (!IsAlive(entry, now) || entry.member.config_version < version) continue;
-    const bool own_zone = ZoneOf(entry.member) == ZoneOf(own_);
-    const bool own_region = RegionOf(entry.member) == RegionOf(own_);
-    vms.emplace_back(own_zone ? 0 : own_region ? 1 : 2, address);
+    vms.emplace_back(DistanceOf(entry.member), address);
   }
   std::sort(vms.begin(), vms.end());
   std::vector<VmAddress> addresses;
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -27,6 +27,9 @@
   kFailing,    // from the store, which does not answer
 };
 
+/// Where a VM is, as seen from this one; nearer first.
+enum class Distance : uint8_t { kOwnZone, kOwnRegion, kOtherRegion };
+
 /// What a VM states about itself in its heartbeats. Other VMs pass it on unchanged.
 struct Member {
   VmAddress address = 0;
@@ -104,6 +107,7 @@
   /// Name of the zone or region; empty when the settings don't list the zone.
   const std::string& ZoneOf(const Member& member) const;
   const std::string& RegionOf(const Member& member) const;
+  Distance DistanceOf(const Member& member) const;
   /// Names of all regions in the settings.
   std::vector<std::string> Regions() const;
 
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -257,7 +257,9 @@
     // The configuration may have changed while the connection was established.
     const std::string region = hop ? placement.region : placement.replica->published.region;
     withheld_ = !MakePlacementQuery().AllowsRegion(region);
-    if (!withheld_) outcome = co_await SendAndRelay(*call_, placement);
+    if (!withheld_) {
+      outcome = co_await SendAndRelay(*call_, placement);
+    }
   } else if (!writer_.ClientGone()) {
     if (hop) deps_.hops.ReportHopFailure(endpoint);
     (hop ? deps_.peer_pool : deps_.replica_pool).CloseIdle(endpoint);
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -478,8 +478,9 @@
       for (const QuarantineReport& report : reports) quarantine.Merge(report, now);
       const Parts refused = RefusedOf(&quarantine, workload.parts, now);
       std::vector<base::Duration> times;
-      for (const uint64_t part : refused)
+      for (const uint64_t part : refused) {
         times.push_back(quarantine.Check({part}, kLastRank, now)->retry_after);
+      }
       if (!expected) {
         expected = refused;
         expected_times = times;
