Serve no request whose client has left before it was read

Cause: the watch for the client's disconnection starts when the loop runs next, and the request is sent to a replica before that when a kept connection is free. On a busy VM the end of the connection is in the socket already. Change: the session looks for it before the request is served, and the proxy before each attempt is sent. Result: HttpServerTest.ServesNoRequestWhoseClientHasLeft failed before (1 request served) and passes.

--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -45,6 +45,9 @@
   /// True once the whole response has been written.
   bool Complete() const { return complete_; }
   bool ClientGone() const { return client_gone_; }
+  /// Looks whether the client has disconnected, which `ClientGone` may report later on a busy loop. Returns
+  /// false if it has.
+  bool CheckClient();
   /// Runs `action` once if the client disconnects before the response is complete.
   void OnClientGone(std::function<void()> action) { on_client_gone_ = std::move(action); }
 
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -140,9 +140,26 @@
   co_await http::async_write(stream_, response, Into(ignored));
 }
 
+bool HttpSession::ClientHasClosed() {
+  char byte;
+  const ssize_t size = recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void HttpSession::CheckClient(ResponseWriter& writer) {
+  // Bytes of a further request hide the end of the connection.
+  if (buffer_.size() == 0 && !writer.Complete() && ClientHasClosed()) MarkClientGone(writer);
+}
+
 Task<> HttpSession::Serve(Request& request) {
   ResponseWriter writer(*this);
   stream_.expires_never();
+  // On a busy VM the client may have given up before its request was read.
+  CheckClient(writer);
+  if (writer.ClientGone()) {
+    base::LogEvent("client_left_unread").Text("target", request.target);
+    co_return;
+  }
   const auto watching = std::make_shared<bool>(true);
   if (buffer_.size() == 0) {
     Spawn(server_.loop_, "watch_client", WatchClient(shared_from_this(), watching, writer));
@@ -164,12 +181,7 @@
                                 ResponseWriter& writer) {
   Error error;
   co_await session->stream_.socket().async_wait(Tcp::socket::wait_read, Into(error));
-  if (!error && !writer.Complete()) {
-    char byte;
-    const ssize_t size = recv(session->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool gone = size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
-    if (gone) session->MarkClientGone(writer);
-  }
+  if (!error && !writer.Complete() && session->ClientHasClosed()) session->MarkClientGone(writer);
   *watching = false;
   session->watch_ended_.Notify();
 }
@@ -198,6 +210,11 @@
   if (writer.close_after_) fields.set(http::field::connection, "close");
 }
 
+bool ResponseWriter::CheckClient() {
+  session_.CheckClient(*this);
+  return !client_gone_;
+}
+
 Task<bool> ResponseWriter::Send(const ResponseHead& head, const std::string& body) {
   if (client_gone_ || started_) co_return false;
   http::response<http::string_body> response;
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -39,6 +39,10 @@
   Task<std::optional<Request>> ReadRequest();
   /// Responds with 400, 413 or 431 to a request that could not be parsed, and does nothing for other errors.
   Task<> Reject(const Error& error);
+  /// Whether the client has closed the connection and all bytes before that have been read.
+  bool ClientHasClosed();
+  /// Marks the client as gone if it has closed the connection.
+  void CheckClient(ResponseWriter& writer);
   /// Has the handler respond, and watches for the client's disconnection meanwhile.
   Task<> Serve(Request& request);
   /// Detects that the client closes its connection while its request is in progress.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -257,7 +257,7 @@
     // The configuration may have changed while the connection was established.
     const std::string region = hop ? placement.region : placement.replica->published.region;
     withheld_ = !MakePlacementQuery().AllowsRegion(region);
-    if (!withheld_) {
+    if (!withheld_ && writer_.CheckClient()) {
       outcome = co_await SendAndRelay(*call_, placement);
     }
   } else if (!writer_.ClientGone()) {
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -136,6 +136,16 @@
   EXPECT_EQ(handler.clients_gone_, 1);
 }
 
+// Guards against requests that are passed on although their clients gave up before the busy server read them.
+TEST_F(HttpServerTest, ServesNoRequestWhoseClientHasLeft) {
+  auto socket = Client();
+  asio::write(*socket, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+  socket->close();
+  RunFor(loop, std::chrono::milliseconds(50));
+  EXPECT_EQ(handler.requests_, 0);
+  EXPECT_EQ(server->SessionCount(), 0U);
+}
+
 // Guards against connections that stay open because a client begins a request and never completes its header.
 TEST_F(HttpServerTest, EndsAConnectionWhoseHeaderNeverEnds) {
   auto socket = Client();
