--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -61,6 +61,7 @@
   set(state_, "config_version", static_cast<double>(gauges.config_version));
   set(state_, "newest_config_version", static_cast<double>(gauges.newest_config_version));
   if (gauges.config_age) set(state_, "config_age_seconds", Seconds(*gauges.config_age));
+  set(state_, "max_denial_config_age_seconds", Seconds(gauges.max_denial_age));
   set(state_, "quarantined_parts", static_cast<double>(gauges.quarantined_parts));
   set(state_, "replicas", static_cast<double>(gauges.replicas));
   set(state_, "vms", static_cast<double>(gauges.vms));
@@ -68,6 +69,7 @@
   set(state_, "ready", gauges.ready ? 1 : 0);
   set(totals_, "second_sends", static_cast<double>(gauges.second_sends));
   set(totals_, "hops", static_cast<double>(gauges.hops));
+  set(totals_, "denied", static_cast<double>(gauges.denied));
   set(totals_, "store_calls", static_cast<double>(gauges.store_calls));
   set(totals_, "dropped_log_lines", static_cast<double>(gauges.dropped_log_lines));
 }
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -21,6 +21,7 @@
   uint64_t config_version = 0;
   uint64_t newest_config_version = 0;        // that another VM states to have in force
   std::optional<base::Duration> config_age;  // since the configuration was confirmed as the newest one
+  base::Duration max_denial_age{0};          // greatest age of a configuration that a request was denied by
   size_t quarantined_parts = 0;              // prompt parts that are refused because they crash replicas
   size_t replicas = 0;
   size_t vms = 0;              // live VMs, this one included
@@ -29,6 +30,7 @@
   // Totals since the start of the process:
   uint64_t second_sends = 0;  // retries after an attempt whose bytes may have reached a replica
   uint64_t hops = 0;          // attempts forwarded to another region
+  uint64_t denied = 0;        // requests that no route matched
   uint64_t store_calls = 0;   // of this VM to the platform's store
   uint64_t dropped_log_lines = 0;
 };
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -187,6 +187,8 @@
   gauges.ready = Ready();
   gauges.second_sends = proxy_.counters().second_sends;
   gauges.hops = proxy_.counters().hops;
+  gauges.denied = proxy_.counters().denied;
+  gauges.max_denial_age = proxy_.counters().max_denial_age;
   gauges.store_calls = store_sync_.StoreCalls();
   gauges.dropped_log_lines = base::DroppedLogLines();
   return gauges;
--- a/libs/serving/internal/config_freshness.cc
+++ b/libs/serving/internal/config_freshness.cc
@@ -48,6 +48,10 @@
   return state == State::kCurrent || state == State::kIsolated;
 }
 
+base::Duration ConfigFreshness::TimeBehind(base::TimePoint now) const {
+  return newest_heard_ > applied_ ? now - newer_heard_at_ : base::Duration::zero();
+}
+
 std::optional<base::Duration> ConfigFreshness::Age(base::TimePoint now) const {
   if (!confirmed_at_) return std::nullopt;
   return now - *confirmed_at_;
--- a/libs/serving/internal/config_freshness.h
+++ b/libs/serving/internal/config_freshness.h
@@ -46,6 +46,8 @@
   /// Time since the last confirmation; no value before the first one.
   std::optional<base::Duration> Age(base::TimePoint now) const;
   uint64_t newest_heard() const { return newest_heard_; }
+  /// Time since another VM was first heard to have a newer version than the one in force; zero when none has.
+  base::Duration TimeBehind(base::TimePoint now) const;
 
  private:
   std::chrono::milliseconds max_age_;
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -1,5 +1,7 @@
 #include "libs/serving/internal/request_proxy.h"
 
+#include <algorithm>
+
 #include "libs/serving/internal/proxied_request.h"
 
 namespace cornelplank::serving {
@@ -36,6 +38,21 @@
   }
 }
 
+void RequestProxy::RecordDenial(const RequestInfo& request, const RoutingConfig& config) {
+  const base::TimePoint now = deps_.clock.Now();
+  const ConfigFreshness& freshness = deps_.registry.config_freshness();
+  const base::Duration age = freshness.Age(now).value_or(base::Duration::zero());
+  ++counters_.denied;
+  counters_.max_denial_age = std::max(counters_.max_denial_age, age);
+  base::LogEvent("no_route")
+      .Text("request", request.id)
+      .Number("config", static_cast<int64_t>(config.version))
+      .Number("newest", static_cast<int64_t>(freshness.newest_heard()))
+      .Text("state", ConfigStateName(freshness.Assess(now)))
+      .Time("age_ms", age)
+      .Time("behind_ms", freshness.TimeBehind(now));
+}
+
 net::Task<> RequestProxy::Handle(net::Request& request, net::ResponseWriter& writer) {
   ++counters_.requests;
   const base::TimePoint received_at = deps_.clock.Now();
@@ -56,9 +73,7 @@
   }
   const RouteConfig* route = config->FindRoute(client->host, client->path);
   if (route == nullptr) {
-    base::LogEvent("no_route")
-        .Text("request", client->id)
-        .Number("config", static_cast<int64_t>(config->version));
+    RecordDenial(*client, *config);
     co_await writer.Send(deps_.codec.MakeLocalResponse(404, client->id, std::nullopt), "");
     co_return;
   }
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -24,8 +24,10 @@
   uint64_t refused = 0;   // local 503
   uint64_t failed = 0;    // local 502 and 504, and responses aborted after they had begun
   uint64_t client_gone = 0;
-  uint64_t second_sends = 0;  // retries after an attempt whose bytes may have reached a replica
-  uint64_t hops = 0;          // attempts forwarded to another region
+  uint64_t second_sends = 0;         // retries after an attempt whose bytes may have reached a replica
+  uint64_t hops = 0;                 // attempts forwarded to another region
+  uint64_t denied = 0;               // local 404: no route matches
+  base::Duration max_denial_age{0};  // greatest age of a configuration that a request was denied by
 };
 
 /// The objects that a RequestProxy uses. All must outlive it.
@@ -72,6 +74,8 @@
   /// Waits a short time for a confirmation of the configuration after the process was suspended, as newer
   /// versions may not have been read yet. Returns at once in all other cases.
   net::Task<> AwaitConfirmedConfig();
+  /// Counts and logs a request that no route of `config` matches.
+  void RecordDenial(const RequestInfo& request, const RoutingConfig& config);
   retry::ExtraAttemptBudget& RetryBudget(const std::string& service);
   AdaptiveAdmission& Admission(const std::string& service, int priority) {
     return admissions_[{service, priority}];
