Deny no request by a configuration that may be outdated

Clients do not retry after a 404. Cause: the proxy denied whatever the state of the configuration was. Only requests bound to regions asked for it. Change: a 404 needs a configuration that was confirmed within the bound less 0.5 s, and no newer version heard of. While one may be on its way the request waits, up to 0.5 s after its arrival. Otherwise it gets 503 with Retry-After, which is true, as it was sent to nobody.

--- a/libs/serving/internal/config_freshness.cc
+++ b/libs/serving/internal/config_freshness.cc
@@ -43,6 +43,10 @@
   return isolated ? State::kIsolated : State::kUnconfirmed;
 }
 
+bool ConfigFreshness::MayDeny(base::TimePoint now) const {
+  return Assess(now) == State::kCurrent && newest_heard_ <= applied_;
+}
+
 bool ConfigFreshness::MayPlaceBoundRequests(base::TimePoint now) const {
   const State state = Assess(now);
   return state == State::kCurrent || state == State::kIsolated;
--- a/libs/serving/internal/config_freshness.h
+++ b/libs/serving/internal/config_freshness.h
@@ -25,8 +25,12 @@
   /// suspended and its connections broke meanwhile.
   static constexpr std::chrono::milliseconds kIsolationTime{1000};
 
-  /// `max_age`: time without a confirmation after which the configuration counts as unconfirmed. Below the
-  /// time within which a new version has to be in force everywhere.
+  /// Time between the greatest age of a configuration and the time within which a new version has to be in
+  /// force everywhere: for the errors of the age and the request's way to this VM.
+  static constexpr std::chrono::milliseconds kBoundMargin{500};
+
+  /// `max_age`: time without a confirmation after which the configuration counts as unconfirmed. At least
+  /// `kBoundMargin` below the time within which a new version has to be in force everywhere.
   explicit ConfigFreshness(std::chrono::milliseconds max_age = std::chrono::milliseconds(3500))
       : max_age_(max_age) {}
 
@@ -40,6 +44,9 @@
   void OnVersionHeard(uint64_t version, base::TimePoint now);
 
   State Assess(base::TimePoint now) const;
+  /// Whether a request may be denied because the configuration in force has no route for it. Clients don't
+  /// retry after a denial, so no newer version may be known or possible.
+  bool MayDeny(base::TimePoint now) const;
   /// Whether requests may be placed whose data is bound to regions. An isolated VM serves them by the
   /// configuration that it has: no newer one can reach it, and its region keeps serving its own clients.
   bool MayPlaceBoundRequests(base::TimePoint now) const;
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -100,6 +100,10 @@
   /// The configuration in force; null before the first `SetConfig`.
   const RoutingConfig* config() const { return config_.get(); }
   std::shared_ptr<const RoutingConfig> SharedConfig() const { return config_; }
+  /// `bound`: time within which a new configuration has to be in force everywhere.
+  explicit ReplicaRegistry(std::chrono::milliseconds bound = std::chrono::milliseconds(4000))
+      : config_freshness_(bound - ConfigFreshness::kBoundMargin) {}
+
   /// Whether the configuration in force may still be the newest one.
   ConfigFreshness& config_freshness() { return config_freshness_; }
   const ConfigFreshness& config_freshness() const { return config_freshness_; }
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -15,6 +15,10 @@
 constexpr std::chrono::milliseconds kConfirmationWait{500};
 constexpr std::chrono::milliseconds kConfirmationPoll{10};
 
+// Retry-After for a request without a route while the configuration may be outdated: a VM that reaches any
+// other catches up within this time, and other VMs have caught up already.
+constexpr std::chrono::milliseconds kOutdatedConfigRetryAfter{500};
+
 // Time between checks for silent replicas: a tenth of the shortest target latencies in use.
 constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
 
@@ -38,6 +42,33 @@
   }
 }
 
+net::Task<> RequestProxy::AwaitFinalDenial(base::TimePoint received_at, const net::ResponseWriter& writer) {
+  using State = ConfigFreshness::State;
+  const ConfigFreshness& freshness = deps_.registry.config_freshness();
+  const uint64_t version = deps_.registry.config()->version;
+  while (!writer.ClientGone() && deps_.registry.config()->version == version) {
+    const base::TimePoint now = deps_.clock.Now();
+    const State state = freshness.Assess(now);
+    const bool settled = freshness.MayDeny(now) || state == State::kOutdated || state == State::kIsolated;
+    if (settled || now - received_at >= kConfirmationWait) break;
+    co_await net::Sleep(deps_.loop, kConfirmationPoll);
+  }
+}
+
+net::Task<> RequestProxy::Deny(const RequestInfo& request, const RoutingConfig& config,
+                               net::ResponseWriter& writer) {
+  RecordDenial(request, config);
+  if (deps_.registry.config_freshness().MayDeny(deps_.clock.Now())) {
+    co_await writer.Send(deps_.codec.MakeLocalResponse(404, request.id, std::nullopt), "");
+    co_return;
+  }
+  ++counters_.refused;
+  base::LogEvent("refused")
+      .Text("request", request.id)
+      .Text("reason", RefusalReasonName(RefusalReason::kConfigOutdated));
+  co_await writer.Send(deps_.codec.MakeLocalResponse(503, request.id, kOutdatedConfigRetryAfter), "");
+}
+
 void RequestProxy::RecordDenial(const RequestInfo& request, const RoutingConfig& config) {
   const base::TimePoint now = deps_.clock.Now();
   const ConfigFreshness& freshness = deps_.registry.config_freshness();
@@ -59,7 +90,7 @@
   co_await AwaitConfirmedConfig();
   std::string problem;
   const auto client = deps_.codec.DecodeRequest(request, &problem);
-  const auto config = deps_.registry.SharedConfig();
+  auto config = deps_.registry.SharedConfig();
   if (!client) {
     base::LogEvent("request_rejected").Text("reason", problem).Number("status", 400);
     co_await writer.Send(deps_.codec.MakeLocalResponse(400, "", std::nullopt), "");
@@ -73,8 +104,12 @@
   }
   const RouteConfig* route = config->FindRoute(client->host, client->path);
   if (route == nullptr) {
-    RecordDenial(*client, *config);
-    co_await writer.Send(deps_.codec.MakeLocalResponse(404, client->id, std::nullopt), "");
+    co_await AwaitFinalDenial(received_at, writer);
+    config = deps_.registry.SharedConfig();
+    route = config->FindRoute(client->host, client->path);
+  }
+  if (route == nullptr) {
+    co_await Deny(*client, *config, writer);
     co_return;
   }
   const std::string service = route->PickService(base::Hash64(client->id));
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -74,6 +74,12 @@
   /// Waits a short time for a confirmation of the configuration after the process was suspended, as newer
   /// versions may not have been read yet. Returns at once in all other cases.
   net::Task<> AwaitConfirmedConfig();
+  /// Waits a short time while a newer configuration, or the confirmation of the one in force, may be on its
+  /// way.
+  net::Task<> AwaitFinalDenial(base::TimePoint received_at, const net::ResponseWriter& writer);
+  /// Responds to a request that no route of `config` matches: with 404, or with 503 when a newer version may
+  /// have a route for it.
+  net::Task<> Deny(const RequestInfo& request, const RoutingConfig& config, net::ResponseWriter& writer);
   /// Counts and logs a request that no route of `config` matches.
   void RecordDenial(const RequestInfo& request, const RoutingConfig& config);
   retry::ExtraAttemptBudget& RetryBudget(const std::string& service);
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -344,6 +344,55 @@
                                            OutdatedConfigCase{"NotBound", {}, {}, false, 1}),
                          [](const auto& info) { return info.param.name; });
 
+struct DenialCase {
+  const char* name;
+  std::chrono::milliseconds confirmed_before;       // of the request
+  bool read_failed;                                 // reads have failed for some seconds
+  std::chrono::milliseconds newer_heard_before{0};  // another VM has a newer version; 0: none has
+  bool route_arrives = false;                       // the newer version, with the route, is read 50 ms later
+  const char* expected_status;
+};
+class DenialTest : public HomeChangeTest, public ::testing::WithParamInterface<DenialCase> {};
+
+// Guards against a 404 by an outdated configuration for a route that the newest version has.
+TEST_P(DenialTest, NeedsAConfirmedConfiguration) {
+  ScriptedServer replica(loop, MakeResponse("200 OK", "77", "body"), Ending::kKeepOpen);
+  AddReplica("replica", replica.Endpoint(), true);
+  serving::ConfigFreshness& freshness = registry.config_freshness();
+  freshness.OnConfirmed(clock.Now() - GetParam().confirmed_before);
+  if (GetParam().read_failed) freshness.OnReadFailed(clock.Now() - std::chrono::seconds(4));
+  if (GetParam().newer_heard_before.count() > 0) {
+    freshness.OnVersionHeard(registry.config()->version + 1, clock.Now() - GetParam().newer_heard_before);
+  }
+  asio::steady_timer read(loop, std::chrono::milliseconds(50));
+  if (GetParam().route_arrives) {
+    read.async_wait([&](const net::Error&) {
+      auto config = std::make_shared<serving::RoutingConfig>(*registry.config());
+      ++config->version;
+      config->routes.push_back(MakeRoute("/added/", serving::RequestKind::kAtMostOnce, 1, false));
+      registry.SetConfig(config);
+      freshness.OnConfirmed(clock.Now());
+    });
+  }
+  const std::string response = SendRequest("/added/a", std::chrono::milliseconds(900));
+  EXPECT_TRUE(response.starts_with(std::string("HTTP/1.1 ") + GetParam().expected_status)) << response;
+  const bool refused = std::string(GetParam().expected_status) == "503";
+  EXPECT_EQ(response.find("Retry-After: ") != std::string::npos, refused) << response;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    States, DenialTest,
+    ::testing::Values(
+        DenialCase{"Confirmed", std::chrono::milliseconds(1000), false, {}, false, "404"},
+        DenialCase{"NewerVersionOnItsWay", std::chrono::milliseconds(100), false,
+                   std::chrono::milliseconds(20), true, "200"},
+        DenialCase{"NewerVersionMissed", std::chrono::milliseconds(100), false,
+                   std::chrono::milliseconds(1500), false, "503"},
+        DenialCase{"NotConfirmed", std::chrono::milliseconds(7000), false, {}, false, "503"},
+        DenialCase{"ConfirmedMeanwhile", std::chrono::milliseconds(7000), false, {}, true, "200"},
+        DenialCase{"StoreUnreachable", std::chrono::milliseconds(7000), true, {}, false, "503"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against replicas that are handed more time than the request has left after a wait for a
 // confirmation.
 TEST_F(HomeChangeTest, DeductsTheWaitFromTheTimeLeft) {
