Read the store directly before the age of a prefix reaches its bound

Seen: a VM that reaches the store stays at an outdated configuration for longer than 4 s. Cause: after failed calls to the store, the VM follows other VMs for up to 12 s. When these count as alive but do not answer, it tries one after the other, 0.8 s and a pause each; the exclusion of the first has ended before the last one is tried. No part of the search knows the bound. Two more faults of the same class: a VM stated the age of its last contact with the store for both prefixes together, so that a good watch vouched for a silent one; and a mirror took an older value for a newer one after a change of the source, and served it on. Change: each reader keeps the time up to which its prefix is confirmed. Mirrors state the age of their own prefix, and keep the newer value by the store's revision; listeners see only what was applied.

--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -7,6 +7,9 @@
 constexpr int64_t kMaxDescriptors = 1'000'000;
 constexpr double kMaxSecondSendBurst = 100'000;
 constexpr std::chrono::milliseconds kMaxGrace{600'000};
+// A watch at the store takes 1.5 s, its mirrors as long again in the worst case, and a direct read 0.5 s.
+constexpr std::chrono::milliseconds kMinChangeBound{3800};
+constexpr std::chrono::milliseconds kMaxChangeBound{600'000};
 
 /// Adds a fault and returns an empty endpoint when the key is missing or is not IP:PORT.
 net::Tcp::endpoint RequiredEndpoint(base::Settings& settings, const char* section, const char* key) {
@@ -82,6 +85,10 @@
   out.store = RequiredEndpoint(settings, "store", "address");
   out.second_send_burst =
       settings.Number("limits", "second_sends", out.second_send_burst, 0, kMaxSecondSendBurst);
+  out.change_bound = settings.Time("limits", "change_bound", out.change_bound, kMaxChangeBound);
+  if (out.change_bound < kMinChangeBound) {
+    settings.AddFault("limits", "change_bound", "is below " + std::to_string(kMinChangeBound.count()) + "ms");
+  }
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
   *faults = settings.Finish();
   if (!faults->empty()) return std::nullopt;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -13,15 +13,16 @@
 class FakeStore final : public net::RequestHandler {
  public:
   /// kBusy: answers 503. kSilent: never answers. kHistoryGone: answers the next watch with 410, then serves.
-  enum class Mode { kServe, kBusy, kSilent, kHistoryGone };
+  /// kOperatorSilent: answers calls for replicas only.
+  enum class Mode { kServe, kBusy, kSilent, kHistoryGone, kOperatorSilent };
 
   explicit FakeStore(net::asio::io_context& loop, const net::Tcp::endpoint& endpoint = Loopback())
       : loop_(loop),
         operator_mirror_(loop),
         replica_mirror_(loop),
-        mirror_server_(
-            {{"op/", &operator_mirror_}, {"servers/", &replica_mirror_}},
-            [] { return base::Duration::zero(); }, *this) {
+        mirror_server_({{"op/", {&operator_mirror_, [] { return base::Duration::zero(); }}},
+                        {"servers/", {&replica_mirror_, [] { return base::Duration::zero(); }}}},
+                       *this) {
     net::Error error;
     server_ = net::HttpServer::Listen(loop, endpoint, *this, &error);
     if (!server_) throw std::runtime_error(error.message());
@@ -45,8 +46,9 @@
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
     ++calls_;
     const Mode mode = mode_;
-    if (mode == Mode::kSilent) {
-      while (mode_ == Mode::kSilent) {
+    const bool operator_call = request.target.find("path_prefix=op/") != std::string::npos;
+    if (mode == Mode::kSilent || (mode == Mode::kOperatorSilent && operator_call)) {
+      while (mode_ == mode) {
         co_await net::Sleep(loop_, std::chrono::milliseconds(20));
       }
       co_return;
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -307,6 +307,100 @@
                                            TurnedAwayCase{"SilentForAWholeZone", Mode::kSilent, 9, "y"}),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against a VM that reaches the store but stays at an outdated configuration, because it tries VMs one
+// after the other that count as alive and don't answer.
+TEST_F(StoreSyncTest, ReadsTheStoreInTimeWhileOtherVmsAreSilent) {
+  constexpr std::chrono::milliseconds kBound{4000};
+  constexpr uint32_t kSilentVms = 12;
+  std::vector<std::unique_ptr<net::Tcp::acceptor>>
+      silent;  // connections are established, and nothing answers
+  for (uint32_t i = 1; i <= kSilentVms; ++i) {
+    silent.push_back(std::make_unique<net::Tcp::acceptor>(
+        loop, net::Tcp::endpoint(net::asio::ip::address_v4(kFirstVmAddress + i), mirror_port)));
+  }
+  const auto vm = MakeVm();
+  uint32_t heartbeats = 0;
+  const auto run = [&](std::chrono::milliseconds time, fleet::StoreContact contact) {
+    const base::TimePoint end = clock.Now() + time;
+    while (clock.Now() < end) {
+      ++heartbeats;
+      for (uint32_t i = 1; i <= kSilentVms; ++i) {
+        fleet::Member member = MemberAt(kFirstVmAddress + i, i % 2 == 0 ? "z" : "y");
+        member.heartbeat_count = heartbeats;
+        member.config_version = 7;
+        member.store_contact = contact;
+        vm->members.MergeMember(member, clock.Now());
+      }
+      RunFor(loop, std::chrono::milliseconds(100));
+    }
+  };
+  run(std::chrono::milliseconds(1000), fleet::StoreContact::kFailing);
+  ASSERT_TRUE(vm->sync.Loaded());
+  store.SetMode(Mode::kBusy);
+  run(std::chrono::milliseconds(5000), fleet::StoreContact::kFailing);
+  store.SetMode(Mode::kServe);
+  store.Put("op/config", ConfigText(8));
+  run(kBound, fleet::StoreContact::kInContact);
+  EXPECT_EQ(vm->versions.back(), 8U);
+}
+
+// Guards against items that pass for current because another watch at the store is answered.
+TEST_F(StoreSyncTest, StatesTheAgeOfEachPrefixAlone) {
+  const auto vm = MakeVm();
+  RunFor(loop, kSyncTime);
+  store.SetMode(Mode::kOperatorSilent);
+  RunFor(loop, std::chrono::milliseconds(4000));
+  platform::StoreClient client(loop, clock);
+  const auto age = [&](const char* prefix) {
+    platform::StorePage page;
+    EXPECT_TRUE(testing::RunTask(
+        loop, [](auto& caller, net::Tcp::endpoint server, const char* path, auto* out) -> net::Task<> {
+          *out = co_await caller.List(server, path, "", platform::StoreClient::kPeerListTimeout);
+        }(client, {net::asio::ip::address_v4(kFirstVmAddress), mirror_port}, prefix, &page)));
+    return page.store_age;
+  };
+  EXPECT_GT(age("op/"), platform::StoreSourceSelector::kMaxContactAge);
+  EXPECT_LE(age("servers/"), platform::StoreSourceSelector::kMaxContactAge);
+}
+
+struct MirrorOrderCase {
+  const char* name;
+  std::vector<platform::StoreChange> known;
+  platform::StoreChange later;
+  bool by_listing;
+  std::optional<std::string> expected;  // value of op/config afterwards
+};
+class MirrorOrderTest : public ::testing::TestWithParam<MirrorOrderCase> {};
+
+// Guards against a mirror that hands an older value on after it has read a newer one elsewhere.
+TEST_P(MirrorOrderTest, KeepsTheNewerValue) {
+  net::asio::io_context loop(1);
+  platform::PrefixMirror mirror(loop);
+  mirror.Replace(GetParam().known);
+  if (GetParam().by_listing) {
+    mirror.Replace({GetParam().later});
+  } else {
+    mirror.Apply({GetParam().later});
+  }
+  std::optional<std::string> value;
+  for (const auto& item : mirror.List().changes) value = item.value;
+  EXPECT_EQ(value, GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Changes, MirrorOrderTest,
+    ::testing::Values(
+        MirrorOrderCase{"OlderListing", {{"op/config", "new", 9}}, {"op/config", "old", 5}, true, "new"},
+        MirrorOrderCase{"OlderChange", {{"op/config", "new", 9}}, {"op/config", "old", 5}, false, "new"},
+        MirrorOrderCase{"NewerListing", {{"op/config", "old", 5}}, {"op/config", "new", 9}, true, "new"},
+        MirrorOrderCase{"NewerChange", {{"op/config", "old", 5}}, {"op/config", "new", 9}, false, "new"},
+        MirrorOrderCase{
+            "OlderRemoval", {{"op/config", "new", 9}}, {"op/config", std::nullopt, 5}, false, "new"},
+        MirrorOrderCase{
+            "NewerRemoval", {{"op/config", "old", 5}}, {"op/config", std::nullopt, 9}, false, std::nullopt},
+        MirrorOrderCase{"UnknownRevision", {{"op/config", "old", 0}}, {"op/config", "new", 0}, false, "new"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a zone that gets no more changes when the VM that reads the store for it stops.
 TEST_F(StoreSyncTest, AnotherVmReadsTheStoreWhenTheReaderStops) {
   std::vector<std::unique_ptr<VmUnderTest>> vms;
