Measure in the soak how long each configuration takes to every VM

Cause: the soak checked what requests showed. A VM that gets few requests on a changed route could be late unnoticed, and no figure was printed. Change: the soak compares the logs of the VMs with the times of publication.

--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -175,6 +175,7 @@
     config.services[name] = service;
   }
   ledger_.AddConfig(config);
+  fleet_.config_lag().OnPublished(config.version);
   store_.Put(wire::kConfigKey, wire::EncodeConfig(config));
 }
 
@@ -354,10 +355,15 @@
   // The longest events last as long as their own waits: a drain, a restart or an evacuation.
   loop_.run_for(duration_ + seconds(60));
   if (!finished_) ledger_.Fail("duration", "-", "the run did not end in time");
+  const TimePoint end = Now();
   for (auto& vm : fleet_.vms()) vm.process.reset();
+  for (auto& vm : fleet_.vms()) fleet_.config_lag().Check(vm.index, folder_, end, ledger_);
   ledger_.PrintCounts();
   std::cout << "largest delay of the event loop: "
-            << std::chrono::duration_cast<milliseconds>(max_lag_).count() << " ms" << std::endl;
+            << std::chrono::duration_cast<milliseconds>(max_lag_).count()
+            << " ms\nlongest time until a version was in force at a VM without trouble of its own: "
+            << std::chrono::duration_cast<milliseconds>(fleet_.config_lag().max_lag()).count() << " ms"
+            << std::endl;
   if (ledger_.failures() > 0) {
     std::cout << "the VMs' logs are in " << folder_ << std::endl;
   } else {
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -72,6 +72,8 @@
 
 net::Task<> VmFleet::Start(int index) {
   Vm& vm = vms_[static_cast<size_t>(index)];
+  // A VM that leaves does not have to follow changes any more.
+  const TimePoint down_since = vm.terminated != TimePoint{} ? vm.terminated : std::min(vm.killed, Now());
   WriteSettings(vm, kDefaultSecondSends, true);
   const std::string name = "vm-" + std::to_string(index) + "." + std::to_string(++vm.incarnation);
   // Asio's sockets have no close-on-exec flag. A child process that inherits them would keep connections and
@@ -84,6 +86,7 @@
   while (vm.process && vm.process->running() && Now() - vm.started < kStartLimit) {
     if (vm.process->Output().find("event=started") != std::string::npos) {
       vm.state = State::kUp;
+      config_lag_.OnVmTrouble(vm.index, down_since);
       co_return;
     }
     co_await net::Sleep(loop_, kPollInterval);
@@ -131,10 +134,12 @@
 net::Task<> VmFleet::Freeze(int index, Duration time) {
   Vm& vm = vms_[static_cast<size_t>(index)];
   vm.state = State::kFrozen;
+  const TimePoint begin = Now();
   vm.process->Signal(SIGSTOP);
   co_await net::Sleep(loop_, time);
   vm.process->Signal(SIGCONT);
   vm.frozen_until = Now();
+  config_lag_.OnVmTrouble(vm.index, begin);
   vm.state = State::kUp;
 }
 
@@ -158,6 +163,7 @@
 }
 
 void VmFleet::SetStoreServing(bool serving) {
+  if (serving && !store_serving_) config_lag_.OnStoreTrouble(store_back_);
   store_serving_ = serving;
   store_back_ = Now();
 }
--- a/tests/soak/vm_fleet.h
+++ b/tests/soak/vm_fleet.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/soak/config_lag.h"
 #include "tests/soak/ledger.h"
 #include "tests/system/harness/process.h"
 
@@ -44,6 +45,7 @@
           const net::Tcp::endpoint& store);
 
   void SetLedger(Ledger& ledger) { ledger_ = &ledger; }
+  ConfigLag& config_lag() { return config_lag_; }
   std::vector<Vm>& vms() { return vms_; }
   net::Tcp::endpoint EndpointOf(const Vm& vm, const std::string& listener) const {
     return {vm.address, ports_.at(listener)};
@@ -81,6 +83,7 @@
   std::map<std::string, uint16_t> ports_;
   std::vector<Vm> vms_;
   Ledger* ledger_ = nullptr;
+  ConfigLag config_lag_;
   bool store_serving_ = true;
   TimePoint store_back_;  // when the store began to serve again
 };
