--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -80,6 +80,7 @@
     : loop_(loop),
       settings_path_(std::move(settings_path)),
       settings_(settings),
+      registry_(settings.change_bound),
       members_(MakeOwnMember(settings), settings.zone_regions),
       hop_directory_(members_, clock_, settings.hops.port()),
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
@@ -91,8 +92,9 @@
               &quarantine_}),
       hop_handler_(proxy_),
       directory_(members_, registry_, clock_, settings.clients.port(), [this] { return Ready(); }),
-      store_sync_(loop, clock_, {settings.store, settings.hops.port()}, members_, settings.zone_regions,
-                  registry_, [this](const serving::RoutingConfig& config) { ApplyConfig(config); }),
+      store_sync_(loop, clock_, {settings.store, settings.hops.port(), settings.change_bound}, members_,
+                  settings.zone_regions, registry_,
+                  [this](const serving::RoutingConfig& config) { ApplyConfig(config); }),
       peer_handler_(store_sync_.MakeMirrorServer(hop_handler_)),
       stop_signals_(loop, SIGTERM, SIGINT),
       reload_signals_(loop, SIGHUP) {}
@@ -187,6 +189,8 @@
   gauges.ready = Ready();
   gauges.second_sends = proxy_.counters().second_sends;
   gauges.hops = proxy_.counters().hops;
+  gauges.denied = proxy_.counters().denied;
+  gauges.max_denial_age = proxy_.counters().max_denial_age;
   gauges.store_calls = store_sync_.StoreCalls();
   gauges.dropped_log_lines = base::DroppedLogLines();
   return gauges;
--- a/libs/serving/internal/config_freshness.cc
+++ b/libs/serving/internal/config_freshness.cc
@@ -43,11 +43,19 @@
   return isolated ? State::kIsolated : State::kUnconfirmed;
 }
 
+bool ConfigFreshness::MayDeny(base::TimePoint now) const {
+  return Assess(now) == State::kCurrent && newest_heard_ <= applied_;
+}
+
 bool ConfigFreshness::MayPlaceBoundRequests(base::TimePoint now) const {
   const State state = Assess(now);
   return state == State::kCurrent || state == State::kIsolated;
 }
 
+base::Duration ConfigFreshness::TimeBehind(base::TimePoint now) const {
+  return newest_heard_ > applied_ ? now - newer_heard_at_ : base::Duration::zero();
+}
+
 std::optional<base::Duration> ConfigFreshness::Age(base::TimePoint now) const {
   if (!confirmed_at_) return std::nullopt;
   return now - *confirmed_at_;
