Read and log the limit of requests that replicas state

Cause: nothing in the code knew of the limit, so no log told when a VM could have known it. Change: the codec decodes it, each replica's record keeps the last statement, the line replica_limit and the gauge limited_replicas show it. ReplicaLimit divides the rate; nothing asks it yet. Result: no change of behaviour.

--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -61,6 +61,8 @@
   bool encoded = false;        // the body has a content encoding, although none was asked for
   std::optional<ReportedLoad> load;
   std::optional<std::chrono::milliseconds> cold_remaining;  // until the replica has its full speed
+  // Requests a second that the replica takes from all VMs together; none when it states no limit.
+  std::optional<double> rate_limit;
 };
 
 /// What an entry VM adds to a request when it forwards it to an entry VM of another region (a hop).
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -57,6 +57,7 @@
     const auto previous = entry;
     entry = std::make_shared<TrackedReplica>();
     entry->key = ReplicaKey(published.id);
+    entry->tracked_since = now;
     by_key_[entry->key] = entry;
     if (restarted) {
       entry->last_cold_send = previous->last_cold_send;
@@ -156,6 +157,53 @@
   replica.cold_until = std::max(replica.cold_until, now + remaining);
 }
 
+void ReplicaRegistry::OnLimitStated(TrackedReplica& replica, std::optional<double> per_second,
+                                    base::TimePoint at, const char* source, base::TimePoint now) {
+  if (!replica.limit.OnStated(per_second, at)) return;
+  limits_changed_at_ = now;
+  base::LogEvent("replica_limit")
+      .Text("replica", replica.published.id)
+      .Text("per_second", per_second ? std::to_string(*per_second) : "none")
+      .Text("source", source)
+      .Time("age_ms", now - at);
+}
+
+void ReplicaRegistry::RecordLimit(TrackedReplica& replica, std::optional<double> per_second,
+                                  base::TimePoint now) {
+  if (!per_second && !replica.limit.stated_at()) return;
+  OnLimitStated(replica, per_second, now, "response", now);
+}
+
+void ReplicaRegistry::MergeLimits(const std::vector<LimitStatement>& statements, base::TimePoint now) {
+  for (const LimitStatement& statement : statements) {
+    const auto entry = by_key_.find(statement.replica_key);
+    const auto replica = entry == by_key_.end() ? nullptr : entry->second.lock();
+    const base::TimePoint at = now - statement.age;
+    if (!replica || at <= replica->tracked_since) continue;
+    OnLimitStated(*replica, statement.per_second, at, "vm", now);
+  }
+}
+
+std::vector<LimitStatement> ReplicaRegistry::LimitStatements(size_t most, base::TimePoint now) const {
+  std::vector<LimitStatement> statements;
+  for (const auto& [id, replica] : replicas_) {
+    const auto stated_at = replica->limit.stated_at();
+    if (!stated_at || now - *stated_at > ReplicaLimit::kMaxAge) continue;
+    statements.push_back({replica->key, replica->limit.PerSecond(now), now - *stated_at});
+  }
+  const size_t kept = std::min(most, statements.size());
+  std::partial_sort(statements.begin(), statements.begin() + static_cast<ptrdiff_t>(kept), statements.end(),
+                    [](const auto& left, const auto& right) { return left.age < right.age; });
+  statements.resize(kept);
+  return statements;
+}
+
+size_t ReplicaRegistry::LimitedCount(base::TimePoint now) const {
+  return static_cast<size_t>(std::count_if(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+    return entry.second->limit.PerSecond(now).has_value();
+  }));
+}
+
 void ReplicaRegistry::ObserveServiceTime(const std::string& service, base::Duration time) {
   auto& average = service_times_.try_emplace(service, time).first->second;
   average += std::chrono::duration_cast<base::Duration>((time - average) * kServiceTimeWeight);
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -12,6 +12,7 @@
 #include "libs/net/net.h"
 #include "libs/serving/internal/config_freshness.h"
 #include "libs/serving/internal/message_codec.h"
+#include "libs/serving/internal/replica_limit.h"
 #include "libs/serving/internal/routing_config.h"
 
 namespace cornelplank::serving {
@@ -59,6 +60,8 @@
   base::TimePoint last_cold_send{};  // when this VM last sent it a request while it was cold
   base::TimePoint last_progress{};   // when bytes of any of its responses last arrived
   base::TimePoint ejected_until{};
+  ReplicaLimit limit;
+  base::TimePoint tracked_since{};  // when this record began; statements from before are about another run
   base::Duration last_ejection{0};  // doubles with each ejection; 0 after a success
   double failure_rate = 0;          // moving average over this VM's attempts, 0 to 1
   /// When this VM last sent it a request with a shared prompt prefix, by key of the prefix.
@@ -141,6 +144,16 @@
                   base::TimePoint now);
   /// Extends the time for which the replica counts as cold to `remaining` from now; never shortens it.
   void MarkCold(TrackedReplica& replica, std::chrono::milliseconds remaining, base::TimePoint now);
+  /// Records the limit that a response of the replica states, or that it states none.
+  void RecordLimit(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint now);
+  /// Merges the limits that another VM of the region has heard of.
+  void MergeLimits(const std::vector<LimitStatement>& statements, base::TimePoint now);
+  /// What replicas have stated about their limits, the latest statements first, at most `most`.
+  std::vector<LimitStatement> LimitStatements(size_t most, base::TimePoint now) const;
+  /// When a limit was last changed; the epoch when none ever was.
+  base::TimePoint limits_changed_at() const { return limits_changed_at_; }
+  /// Number of replicas with a limit.
+  size_t LimitedCount(base::TimePoint now) const;
   /// Adds one measurement to the moving average of the time for which a request occupies a slot.
   void ObserveServiceTime(const std::string& service, base::Duration time);
   /// This average; a default before the first measurement.
@@ -152,8 +165,12 @@
   void ReplacePeerLoads(uint32_t vm, const std::vector<ReplicaWork>& loads, base::TimePoint now);
 
  private:
+  void OnLimitStated(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint at,
+                     const char* source, base::TimePoint now);
+
   std::shared_ptr<const RoutingConfig> config_;
   ConfigFreshness config_freshness_;
+  base::TimePoint limits_changed_at_{};
   std::map<std::string, std::shared_ptr<TrackedReplica>, std::less<>> replicas_;  // by id
   std::unordered_map<uint32_t, std::weak_ptr<TrackedReplica>> by_key_;
   std::set<std::string> evacuated_;                                   // names of zones
--- a/tests/platform/crashing_replica.h
+++ b/tests/platform/crashing_replica.h
@@ -24,6 +24,7 @@
   std::chrono::milliseconds first_event_delay{80};  // from a request to the first event, or to the crash
   std::chrono::milliseconds event_interval{30};
   uint64_t events = 10;  // ids 1 to `events`
+  std::string limit;     // requests a second that it states in its responses; empty: it states none
 };
 
 /// A replica that answers every request with a stream of events and resumes streams after `Last-Event-Id`. It
@@ -64,6 +65,10 @@
   const std::vector<base::TimePoint>& crash_times() const { return crash_times_; }
   /// All requests with the crashing part, including the ones that were waiting when it crashed.
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
+  /// When each request arrived.
+  const std::vector<base::TimePoint>& arrival_times() const { return arrival_times_; }
+  /// States this limit from now on; empty: none.
+  void SetLimit(std::string limit) { settings_.limit = std::move(limit); }
   /// Number of requests that were answered completely.
   int served() const { return served_; }
   /// Number of requests of which no event has been sent yet.
@@ -136,11 +141,13 @@
     const std::string request_id(request["Attempt-Id"]);
     const auto prompt = request["Prompt-Prefix"];
     const bool crashes = HoldsCrashingPart({prompt.data(), prompt.size()});
+    arrival_times_.push_back(clock_.Now());
     if (crashes) arrivals_.push_back({clock_.Now(), request_id});
     co_await net::Sleep(loop_, settings_.first_event_delay);
     if (!connection.socket.is_open()) co_return false;
     if (!crashes || settings_.head_before_crash) {
       const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + request_id +
+                               (settings_.limit.empty() ? "" : "\r\nServer-Limit: " + settings_.limit) +
                                "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n";
       if (!co_await Write(connection, net::asio::buffer(head))) co_return false;
@@ -195,6 +202,7 @@
   uint64_t incarnation_ = 0;
   std::vector<base::TimePoint> crash_times_;
   std::vector<Arrival> arrivals_;
+  std::vector<base::TimePoint> arrival_times_;
   int served_ = 0;
 };
 
