Keep replicas within the limit that they state, over all VMs

Cause: no code knew the limit, and no state was shared by which VMs could divide it. Statements travel in the heartbeats within the region. Placement skips a replica that may get nothing now, prefers the others, and owns no prefixes there. When nothing is left, the request is refused at once with the time until a request may be sent.

--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -49,6 +49,14 @@
   ageMs @2 :UInt32;
 }
 
+# What a replica stated about the rate of requests that it takes.
+struct Limit {
+  replica @0 :UInt32;
+  limited @1 :Bool;
+  milliPerSecond @2 :UInt64;
+  ageMs @3 :UInt32;
+}
+
 struct Beat {
   sender @0 :Member;
   members @1 :List(Member);
@@ -58,4 +66,5 @@
   crashes @5 :List(Crash);
   clearances @6 :List(Clearance);
   verdicts @7 :List(Verdict);
+  limits @8 :List(Limit);
 }
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(f178f769d3900305);
 CAPNP_DECLARE_SCHEMA(a2103cc643b3efa8);
 CAPNP_DECLARE_SCHEMA(8171ff5f901bbc9d);
+CAPNP_DECLARE_SCHEMA(d8df2857f8871b6e);
 CAPNP_DECLARE_SCHEMA(ea2b3ab719697f97);
 
 }  // namespace schemas
@@ -121,6 +122,21 @@
   };
 };
 
+struct Limit {
+  Limit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d8df2857f8871b6e, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -129,7 +145,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea2b3ab719697f97, 1, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(ea2b3ab719697f97, 1, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -700,6 +716,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Limit::Reader {
+public:
+  typedef Limit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica() const;
+
+  inline bool getLimited() const;
+
+  inline  ::uint64_t getMilliPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Limit::Builder {
+public:
+  typedef Limit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica();
+  inline void setReplica( ::uint32_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline  ::uint64_t getMilliPerSecond();
+  inline void setMilliPerSecond( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Limit::Pipeline {
+public:
+  typedef Limit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -740,6 +847,9 @@
   inline bool hasVerdicts() const;
   inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -820,6 +930,13 @@
   inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1237,6 +1354,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Limit::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Limit::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Limit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Limit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Limit::Reader::getMilliPerSecond() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Limit::Builder::getMilliPerSecond() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setMilliPerSecond( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Limit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Limit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Beat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1494,6 +1667,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -12,6 +12,9 @@
 namespace cornelplank::fleet {
 namespace {
 
+// Greatest limit of a replica that is passed on, in requests a second; a greater one limits nothing.
+constexpr double kMaxLimitPerSecond = 1e9;
+
 uint32_t Clamp(uint64_t value) {
   return static_cast<uint32_t>(std::min<uint64_t>(value, std::numeric_limits<uint32_t>::max()));
 }
@@ -92,6 +95,28 @@
   return report;
 }
 
+void Write(schema::Beat::Builder out, const std::vector<serving::LimitStatement>& statements) {
+  auto limits = out.initLimits(static_cast<uint32_t>(statements.size()));
+  for (uint32_t i = 0; i < statements.size(); ++i) {
+    limits[i].setReplica(statements[i].replica_key);
+    limits[i].setLimited(statements[i].per_second.has_value());
+    limits[i].setMilliPerSecond(
+        static_cast<uint64_t>(std::min(kMaxLimitPerSecond, statements[i].per_second.value_or(0)) * 1000));
+    limits[i].setAgeMs(Milliseconds(statements[i].age));
+  }
+}
+
+std::vector<serving::LimitStatement> ReadLimits(schema::Beat::Reader in) {
+  std::vector<serving::LimitStatement> statements;
+  for (const auto limit : in.getLimits()) {
+    serving::LimitStatement& read = statements.emplace_back();
+    read.replica_key = limit.getReplica();
+    if (limit.getLimited()) read.per_second = static_cast<double>(limit.getMilliPerSecond()) / 1000;
+    read.age = std::chrono::milliseconds(limit.getAgeMs());
+  }
+  return statements;
+}
+
 Heartbeat Read(schema::Beat::Reader in) {
   Heartbeat heartbeat;
   heartbeat.sender = Read(in.getSender());
@@ -109,6 +134,7 @@
     }
   }
   heartbeat.quarantine = ReadQuarantine(in);
+  heartbeat.limits = ReadLimits(in);
   return heartbeat;
 }
 
@@ -139,6 +165,7 @@
     }
   }
   Write(out, heartbeat.quarantine);
+  Write(out, heartbeat.limits);
   kj::VectorOutputStream bytes;
   capnp::writePackedMessage(bytes, message);
   const auto array = bytes.getArray();
--- a/libs/fleet/internal/heartbeat_codec.h
+++ b/libs/fleet/internal/heartbeat_codec.h
@@ -16,6 +16,7 @@
   std::vector<RegionWaitReport> wait_reports;  // of all regions
   std::optional<std::vector<serving::ReplicaWork>> loads;  // the sender's own; only within its region
   serving::QuarantineReport quarantine;                    // prompt parts that crash replicas, of all VMs
+  std::vector<serving::LimitStatement> limits;             // of replicas of the own region
 };
 
 /// Returns the heartbeat as packed Cap'n Proto.
--- a/libs/fleet/internal/heartbeat_loop.cc
+++ b/libs/fleet/internal/heartbeat_loop.cc
@@ -16,8 +16,8 @@
 // contact find each other again.
 constexpr uint64_t kSeedContactRounds = 4;
 
-// Time after an event of the quarantine for which the more frequent heartbeats with loads carry its report
-// too.
+// Time after an event of the quarantine, or a changed limit, for which all of the more frequent heartbeats
+// with loads carry it.
 constexpr std::chrono::milliseconds kNewsTime{1500};
 
 bool HasNews(const serving::QuarantineReport& report) {
@@ -83,6 +83,7 @@
   for (const Member& member : heartbeat.members) members_.MergeMember(member, now);
   for (const RegionWaitReport& report : heartbeat.wait_reports) members_.MergeWaitReport(report, now);
   if (quarantine_ != nullptr) quarantine_->Merge(heartbeat.quarantine, now);
+  replicas_.MergeLimits(heartbeat.limits, now);
   if (heartbeat.loads) replicas_.ReplacePeerLoads(heartbeat.sender.address, *heartbeat.loads, now);
 }
 
@@ -92,6 +93,11 @@
   ++members_.own().heartbeat_count;
   heartbeat.sender = members_.own();
   if (with_loads) heartbeat.loads = replicas_.OwnLoads();
+  const bool limits_changed = now - replicas_.limits_changed_at() < kNewsTime;
+  if (with_loads && (limits_changed || now - limits_sent_at_ >= settings_.limit_interval)) {
+    heartbeat.limits = replicas_.LimitStatements(settings_.limits_per_heartbeat, now);
+    limits_sent_at_ = now;
+  }
   if (quarantine_ != nullptr) {
     heartbeat.quarantine = quarantine_->Report(settings_.crashes_per_heartbeat, now);
     // What is older than this has already been sent with heartbeats of members, which go to all regions.
--- a/libs/fleet/internal/heartbeat_loop.h
+++ b/libs/fleet/internal/heartbeat_loop.h
@@ -21,6 +21,9 @@
   size_t region_fanout = 4;           // VMs that get each heartbeat with loads; a larger region takes turns
   size_t members_per_heartbeat = 40;  // keeps a datagram without crashes within one Ethernet frame
   size_t crashes_per_heartbeat = 16;  // the newest ones; about 50 bytes each
+  size_t limits_per_heartbeat = 24;   // limits of replicas, the newest ones; about 12 bytes each
+  // Between heartbeats with limits to VMs of the own region, while no limit changes.
+  std::chrono::milliseconds limit_interval{1000};
 };
 
 /// Exchanges heartbeats with the other entry VMs over UDP and merges what arrives into the member table and
@@ -72,6 +75,7 @@
   std::function<std::vector<RegionWaitReport>()> wait_report_source_;
   serving::PromptQuarantine* quarantine_ = nullptr;
   base::Random random_;
+  base::TimePoint limits_sent_at_{};
   size_t next_region_vm_ = 0;  // counts up; modulo the number of VMs it is the next one to get loads
 };
 
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -54,6 +54,8 @@
       return "engines_late";
     case RefusalReason::kCrashingPrompt:
       return "crashing_prompt";
+    case RefusalReason::kLimited:
+      return "replicas_limited";
     case RefusalReason::kCold:
       return "cold_replicas_only";
   }
@@ -98,6 +100,7 @@
     if (!registry.IsUsable(*replica) || Contains(query.excluded_replicas, id)) continue;
     usable.push_back(replica);
     if (replica->IsCold(now) || replica->IsEjected(now) || replica->unlisted_since) continue;
+    if (replica->limit.PerSecond(now)) continue;  // could take only a part of the prefix's requests
     const uint64_t weight = base::RendezvousWeight(
         {reinterpret_cast<const char*>(&query.prefix_key), sizeof query.prefix_key}, id);
     if (!owner || weight > owner_weight) {
@@ -116,6 +119,18 @@
         continue;
       }
     }
+    const auto rate = replica->limit.PerSecond(now);
+    if (rate) {
+      if (replica->limit.ShareDue(now)) {
+        if (vms.empty()) vms = hops.OwnRegionVms();
+        replica->limit.SetShare(ReplicaLimit::ShareOf(replica->published.id, own_id_, vms, *rate), now);
+      }
+      const auto wait = replica->limit.TimeToSend(priority, now);
+      if (!wait || wait->count() > 0) {
+        *reason = RefusalReason::kLimited;
+        continue;
+      }
+    }
     const OutstandingWork work = replica->TotalWork(now);
     const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
     Placement placement{replica, {}, {}, {}, EstimateWait(work, slots, service, registry), replica == owner};
@@ -130,6 +145,7 @@
     const double failures = std::max(0.0, replica->failure_rate - kOrdinaryFailureRate);
     score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
     score += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
+    if (rate) score += settings_.limited_cost;
     if (replica->IsEjected(now)) score += kEjectedPenalty;
     if (replica->unlisted_since) score += kUnlistedPenalty;
     if (replica->IsCold(now)) score += kColdPenalty;
@@ -172,6 +188,19 @@
   return best;
 }
 
+std::optional<base::Duration> Placer::TimeToLimitedReplica(const std::string& service, int priority,
+                                                           const ReplicaRegistry& registry,
+                                                           base::TimePoint now) const {
+  std::optional<base::Duration> shortest;
+  for (const auto& [id, replica] : registry.replicas()) {
+    if (replica->published.service != service || replica->published.region != own_region_) continue;
+    if (!registry.IsUsable(*replica) || !replica->limit.PerSecond(now)) continue;
+    const auto wait = replica->limit.TimeToSend(priority, now);
+    if (wait) shortest = std::min(shortest.value_or(*wait), *wait);
+  }
+  return shortest;
+}
+
 std::optional<base::Duration> Placer::EstimateRegionWait(const std::string& service_name,
                                                          const ReplicaRegistry& registry,
                                                          base::TimePoint now) const {
@@ -182,6 +211,7 @@
   for (const auto& [id, replica] : registry.replicas()) {
     if (replica->published.service != service_name || replica->published.region != own_region_) continue;
     if (!registry.IsUsable(*replica) || replica->IsCold(now) || replica->IsEjected(now)) continue;
+    if (replica->limit.PerSecond(now)) continue;  // what it takes is left to the requests of this region
     const OutstandingWork work = replica->TotalWork(now);
     const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
     waits.push_back(EstimateWait(work, slots, *service, registry) +
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -48,6 +48,7 @@
   kNoTime,          // the first byte is expected after the request's deadline
   kOverloaded,      // refused by admission control: too many responses miss their target latency
   kCrashingPrompt,  // a part of its prompt crashes replicas; see PromptQuarantine
+  kLimited,         // only replicas are left that have stated a limit, and this VM may send them nothing now
   kCold,            // only cold replicas are left, and this VM may send them nothing now
 };
 
@@ -79,6 +80,8 @@
   std::chrono::milliseconds reserved_slot_cost{200};
   // Penalty for forwarding a request to another region, for the bytes between regions.
   std::chrono::milliseconds hop_cost{60};
+  // Penalty for a replica that has stated a limit: the other replicas take the load first.
+  std::chrono::milliseconds limited_cost{50};
   // Upper bound of a random addition to each cost. Without it, VMs that see the same loads would all choose
   // the same replica until they learn of each other's choices.
   std::chrono::milliseconds jitter{20};
@@ -99,6 +102,11 @@
   std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaRegistry& registry,
                                   const HopDirectory& hops, base::TimePoint now, RefusalReason* reason);
 
+  /// Time until this VM may send a request of `priority` to one of the replicas of the service that have
+  /// stated a limit. Returns no value when it may send to none of them.
+  std::optional<base::Duration> TimeToLimitedReplica(const std::string& service, int priority,
+                                                     const ReplicaRegistry& registry,
+                                                     base::TimePoint now) const;
   /// Time that an engine needs to process this many prompt tokens.
   base::Duration EstimatePrefillTime(double tokens) const;
 
@@ -117,8 +125,8 @@
   /// Penalty for one more request of `priority` where it takes slots that are reserved for more urgent ones.
   base::Duration ReservedSlotCost(const OutstandingWork& work, uint32_t slots, const ServiceConfig& service,
                                   int priority) const;
-  /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a cold replica had to be
-  /// skipped.
+  /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a cold replica, or one
+  /// with a limit, had to be skipped.
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
                                        const ReplicaRegistry& registry, const HopDirectory& hops,
                                        base::TimePoint now, RefusalReason* reason);
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -28,6 +28,7 @@
 // Bounds of Retry-After for refused requests, except those that admission control refuses.
 constexpr std::chrono::milliseconds kMinRetryAfter{200};
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
+constexpr std::chrono::milliseconds kLimitRetrySpread{1000};
 // Retry-After when the configuration may be outdated: a VM that reaches any other catches up within this
 // time.
 constexpr std::chrono::milliseconds kOutdatedConfigRetryAfter{500};
@@ -242,6 +243,7 @@
     replica_ = placement.replica;
     work_ = EstimateWork(placement);
     deps_.registry.BeginAttempt(*replica_, work_, request_info_.SharedPrefixKey(), deps_.clock.Now());
+    replica_->limit.OnSend(route_.priority, deps_.clock.Now());
   }
   prefill_done_ = false;
   withheld_ = false;
@@ -322,6 +324,16 @@
   }
   if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
   if (refusal_reason_ == RefusalReason::kConfigOutdated) return kOutdatedConfigRetryAfter;
+  if (refusal_reason_ == RefusalReason::kLimited) {
+    // Another VM may have a part of the limit when this one has none. The spread keeps clients from returning
+    // at the same time.
+    const auto wait =
+        deps_.placer.TimeToLimitedReplica(service_, route_.priority, deps_.registry, deps_.clock.Now());
+    const base::Duration spread =
+        std::chrono::duration_cast<base::Duration>(kLimitRetrySpread * proxy_.random_.Unit());
+    return std::clamp<base::Duration>(wait.value_or(base::Duration::zero()) + spread, kMinRetryAfter,
+                                      kMaxRetryAfter);
+  }
   const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
   return std::min<base::Duration>(wait, kMaxRetryAfter);
 }
--- a/tests/fleet/member_table_test.cc
+++ b/tests/fleet/member_table_test.cc
@@ -98,6 +98,7 @@
   heartbeat.quarantine.crashes = {{7, 99, 3, 55, {1ULL << 60, 2}, std::chrono::milliseconds(250)}};
   heartbeat.quarantine.clearances = {{4, std::chrono::milliseconds(20)}};
   heartbeat.quarantine.verdicts = {{5, 2, std::chrono::milliseconds(9000)}};
+  heartbeat.limits = {{11, 2.5, std::chrono::milliseconds(40)}, {12, std::nullopt, std::chrono::seconds(3)}};
   const auto decoded = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->sender.address, 0x0a010203U);
@@ -115,6 +116,11 @@
   EXPECT_EQ(crash.age, std::chrono::milliseconds(250));
   EXPECT_EQ(decoded->quarantine.clearances.at(0).part, 4U);
   EXPECT_EQ(decoded->quarantine.verdicts.at(0).level, 2U);
+  ASSERT_EQ(decoded->limits.size(), 2U);
+  EXPECT_EQ(decoded->limits[0].replica_key, 11U);
+  EXPECT_EQ(decoded->limits[0].per_second, 2.5);
+  EXPECT_EQ(decoded->limits[0].age, std::chrono::milliseconds(40));
+  EXPECT_EQ(decoded->limits[1].per_second, std::nullopt);
 }
 
 // Guards against malformed datagrams that crash the process.
