Take no response without an id on a kept connection for that of the request

Reported by other operators: a replica writes an earlier refusal once more on a kept connection, and the client is told that its request has not run, although it runs, or it runs at a second replica. Cause: the id of a response tells such repetitions, but a response without one counted as that of the request, also on a connection that had carried others. Change: on a kept connection a response without an id leaves the outcome unknown. On a new connection it still counts.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -80,6 +80,7 @@
     co_return false;
   }
   connection_ = std::move(connection);
+  reused_ = connection_->reused;
   co_return true;
 }
 
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -49,6 +49,9 @@
   /// came about. Call it after `ReadHead`.
   bool EndsWithConnection() const { return parser_ && parser_->get().need_eof(); }
 
+  /// Whether the connection has carried another request before. Call it after `Connect`.
+  bool Reused() const { return reused_; }
+
   /// Returns the connection to the pool if the response allows its reuse, and closes it otherwise. Call it
   /// after a complete response.
   void Finish();
@@ -78,6 +81,7 @@
   CallFault fault_ = CallFault::kNone;
   std::string detail_;
   bool head_request_ = false;
+  bool reused_ = false;
   bool sent_ = false;
   bool writing_ = false;   // the request has not been written completely
   bool reusable_ = false;  // the response allows another request on the connection
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -62,6 +62,13 @@
       if (dropped_bytes > kMaxDroppedBytes) co_return AttemptOutcome::kUnknown;
     }
   }
+  if (info.request_id.empty() && call.Reused()) {
+    // A repetition of an earlier response would look the same.
+    base::LogEvent("response_without_id")
+        .Text("request", request_info_.id)
+        .Number("status", static_cast<int64_t>(head->status));
+    co_return AttemptOutcome::kUnknown;
+  }
   if (replica_) replica_->last_progress = deps_.clock.Now();
   if (replica_ && info.cold_remaining) {
     deps_.registry.MarkCold(*replica_, *info.cold_remaining, deps_.clock.Now());
--- /dev/null
+++ b/tests/platform/proxy_path.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/platform.h"
+#include "tests/net/loopback.h"
+
+namespace cornelplank::testing {
+
+/// A replica that answers the requests that reach it, on any connection, with the given bytes in their order;
+/// after the last ones it sends nothing more.
+class SequenceServer {
+ public:
+  struct Answer {
+    std::string bytes;
+    bool close = false;  // ends the connection after the bytes
+    std::string later;   // sent 30 ms after the bytes, whether or not another request has arrived
+  };
+
+  SequenceServer(asio::io_context& loop, std::vector<Answer> answers)
+      : loop_(loop), acceptor_(loop, Loopback()), answers_(answers.begin(), answers.end()) {
+    net::Spawn(loop, "sequence", Accept());
+  }
+
+  net::Tcp::endpoint Endpoint() const { return Loopback(acceptor_.local_endpoint().port()); }
+  int requests() const { return requests_; }
+  int connections() const { return connections_; }
+
+ private:
+  net::Task<> Accept() {
+    while (true) {
+      net::Error error;
+      auto socket = std::make_shared<net::Tcp::socket>(loop_);
+      co_await acceptor_.async_accept(*socket, net::Into(error));
+      if (error) co_return;
+      ++connections_;
+      net::Spawn(loop_, "sequence_connection", Serve(socket));
+    }
+  }
+
+  net::Task<> Serve(std::shared_ptr<net::Tcp::socket> socket) {
+    constexpr std::chrono::milliseconds kLaterDelay{30};
+    const std::string body = "hi";  // of each request
+    std::string buffer;
+    while (true) {
+      net::Error error;
+      const size_t size = co_await asio::async_read_until(*socket, asio::dynamic_buffer(buffer),
+                                                          "\r\n\r\n" + body, net::Into(error));
+      if (error) co_return;
+      buffer.erase(0, size);
+      ++requests_;
+      if (answers_.empty()) continue;
+      const Answer answer = answers_.front();
+      answers_.pop_front();
+      co_await asio::async_write(*socket, asio::buffer(answer.bytes), net::Into(error));
+      if (!answer.later.empty()) {
+        co_await net::Sleep(loop_, kLaterDelay);
+        co_await asio::async_write(*socket, asio::buffer(answer.later), net::Into(error));
+      }
+      if (!answer.close) continue;
+      socket->shutdown(net::Tcp::socket::shutdown_send, error);
+      co_return;
+    }
+  }
+
+  asio::io_context& loop_;
+  net::Tcp::acceptor acceptor_;
+  std::deque<Answer> answers_;
+  int requests_ = 0;
+  int connections_ = 0;
+};
+
+/// The proxy of one VM with the server through which it is reached.
+struct ProxyVm {
+  ProxyVm(asio::io_context& loop, const base::Clock& clock, const std::string& region,
+          serving::HopDirectory& hops, bool serves_hops)
+      : placer(region, region, {}, 5),
+        replica_connections(loop, clock, {}),
+        peer_connections(loop, clock, {}),
+        proxy({loop, clock, codec, registry, hops, placer, replica_connections, peer_connections}),
+        hop_handler(proxy) {
+    net::Error error;
+    net::RequestHandler& handler = serves_hops ? static_cast<net::RequestHandler&>(hop_handler) : proxy;
+    server = net::HttpServer::Listen(loop, Loopback(), handler, &error);
+    if (!server) throw std::runtime_error(error.message());
+    proxy.SetSecondSendBurst(100);
+  }
+
+  platform::PlatformCodec codec;
+  serving::ReplicaRegistry registry;
+  serving::Placer placer;
+  net::ConnectionPool replica_connections;
+  net::ConnectionPool peer_connections;
+  serving::RequestProxy proxy;
+  serving::HopHandler hop_handler;
+  std::unique_ptr<net::HttpServer> server;
+};
+
+/// A client, an entry VM and two replicas, of which the first is tried first. The replicas are in the VM's
+/// own region, or each in another region behind a VM of its own.
+struct ProxyPath : ::testing::Test {
+  /// Connects the replicas with the entry VM. Call it once.
+  void Connect(const net::Tcp::endpoint& first, const net::Tcp::endpoint& second, bool over_hops) {
+    entry = std::make_unique<ProxyVm>(loop, clock, "own", hops, false);
+    entry->registry.SetConfig(Config());
+    if (!over_hops) {
+      AddReplica(*entry, "own", "first", first, true);
+      AddReplica(*entry, "own", "second", second, false);
+      return;
+    }
+    for (const auto& [region, replica] : {std::pair("near", first), std::pair("far", second)}) {
+      auto& vm = remote.emplace_back(std::make_unique<ProxyVm>(loop, clock, region, hops, true));
+      vm->registry.SetConfig(Config());
+      AddReplica(*vm, region, region, replica, true);
+      hops.regions.push_back({region, std::chrono::seconds(remote.size()), {}});
+      hops.vms[region] = Loopback(vm->server->Port());
+    }
+  }
+
+  /// Sends a request on a connection of its own, runs the loop for `time` and returns the bytes received.
+  std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time) {
+    net::Tcp::socket socket(loop);
+    socket.connect(Loopback(entry->server->Port()));
+    const std::string request = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
+                                "\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+    asio::write(socket, asio::buffer(request));
+    RunFor(loop, time);
+    std::string response(65536, '\0');
+    net::Error error;
+    socket.non_blocking(true);
+    response.resize(socket.read_some(asio::buffer(response), error));
+    return response;
+  }
+
+  struct Hops final : serving::HopDirectory {
+    std::vector<serving::RemoteRegion> RemoteRegions(const std::string&) const override { return regions; }
+    std::optional<net::Tcp::endpoint> PickVm(const std::string& region) override {
+      const auto vm = vms.find(region);
+      if (vm == vms.end()) return std::nullopt;
+      return vm->second;
+    }
+    void ReportHopFailure(const net::Tcp::endpoint&) override {}
+    std::vector<std::string> OwnRegionVms() const override { return {"own"}; }
+    std::vector<serving::RemoteRegion> regions;
+    std::map<std::string, net::Tcp::endpoint> vms;
+  };
+
+  asio::io_context loop{1};
+  base::SystemClock clock;
+  Hops hops;
+  std::unique_ptr<ProxyVm> entry;
+  std::vector<std::unique_ptr<ProxyVm>> remote;
+
+ private:
+  /// Routes /once/ (at most once), /safe/ (idempotent) and /stream/ (resumable).
+  static std::shared_ptr<const serving::RoutingConfig> Config() {
+    auto config = std::make_shared<serving::RoutingConfig>();
+    config->version = 1;
+    config->services["svc"] = serving::ServiceConfig{"svc", "/health", 10, {}, 0, std::nullopt};
+    for (const auto& [prefix, kind] : {std::pair("/once/", serving::RequestKind::kAtMostOnce),
+                                       std::pair("/safe/", serving::RequestKind::kIdempotent),
+                                       std::pair("/stream/", serving::RequestKind::kStream)}) {
+      serving::RouteConfig route;
+      route.name = prefix;
+      route.host = "h.example";
+      route.path_prefix = prefix;
+      route.kind = kind;
+      route.timeout = std::chrono::milliseconds(2000);
+      route.target_latency = std::chrono::milliseconds(500);
+      route.attempts = 2;
+      route.resumable = kind == serving::RequestKind::kStream;
+      route.services = {{"svc", 1}};
+      config->routes.push_back(route);
+    }
+    return config;
+  }
+
+  void AddReplica(ProxyVm& vm, const std::string& region, const std::string& id,
+                  const net::Tcp::endpoint& address, bool preferred) {
+    serving::PublishedReplica replica;
+    replica.id = id;
+    replica.service = "svc";
+    replica.address = address;
+    replica.zone = region;
+    replica.region = region;
+    replica.slots = 4;
+    vm.registry.Upsert(replica, clock.Now());
+    // Outstanding requests ensure that the proxy tries the preferred replica first.
+    if (!preferred) vm.registry.BeginAttempt(*vm.registry.Find(id), {2000, 0, 0}, 0, clock.Now());
+  }
+};
+
+}  // namespace cornelplank::testing
