Count a stream that is continued by a response without events as broken off

Cause: a whole 200 of the replica that was to resume the stream ended the attempt as complete. Nothing of it was sent and the client's connection was closed, but the request was counted and logged as answered, and no other replica was asked. Change: its outcome is unknown, so that the request may be sent again, and is broken off otherwise.

--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -86,6 +86,8 @@
   if (success && IsEventStream(*head)) {
     co_return co_await RelayStream(call, std::move(*head));
   }
+  // The rest of a stream can't come from a response that is no stream.
+  if (success && writer_.Started()) co_return AttemptOutcome::kUnknown;
   std::string body;
   bool done = false;
   while (!done) {
