Refuse forwarded requests for a service that their route has left

Cause: the VM that receives a forwarded request took the service from the sender, whose configuration may be outdated, and looked only whether it has a route. The same class of fault as a denial by an outdated configuration. Change: when its own configuration may deny (it is confirmed, and no newer one is heard of), the receiver refuses the request as not run unless its route offers the service. A receiver that may be behind itself trusts the sender. Result: MovedRouteTest.IsNotRunByTheFormerService/SenderIsBehind failed before (the former service ran it) and passes.

--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -134,12 +134,17 @@
   const auto client = deps_.codec.DecodeRequest(request, &problem);
   const auto config = deps_.registry.SharedConfig();
   const RouteConfig* route = client && config ? config->FindRoute(client->host, client->path) : nullptr;
-  if (!parameters || route == nullptr) {
+  // The VM that forwarded the request may have chosen the service by an older configuration, or by a newer
+  // one.
+  const bool service_replaced = parameters && route != nullptr && !route->Offers(parameters->service) &&
+                                deps_.registry.config_freshness().MayDeny(deps_.clock.Now());
+  if (!parameters || route == nullptr || service_replaced) {
     base::LogEvent("hop_refused")
         .Text("request", client ? client->id : "")
-        .Text("reason", !parameters ? "no_hop_terms"
-                        : !client   ? problem
-                                    : "no_route");
+        .Text("reason", !parameters        ? "no_hop_terms"
+                        : !client          ? problem
+                        : service_replaced ? "service_replaced"
+                                           : "no_route");
     auto head = deps_.codec.MakeLocalResponse(503, client ? client->id : "", kNoConfigRetryAfter);
     deps_.codec.MarkNotRun(&head);
     co_await writer.Send(head, "");
--- a/libs/serving/internal/routing_config.cc
+++ b/libs/serving/internal/routing_config.cc
@@ -9,6 +9,12 @@
          std::find(home_regions.begin(), home_regions.end(), region) != home_regions.end();
 }
 
+bool RouteConfig::Offers(std::string_view service) const {
+  return std::any_of(services.begin(), services.end(), [&](const WeightedService& entry) {
+    return entry.service == service && entry.weight > 0;
+  });
+}
+
 const std::string& RouteConfig::PickService(uint64_t hash) const {
   static const std::string kNone;
   double total = 0;
--- a/libs/serving/internal/routing_config.h
+++ b/libs/serving/internal/routing_config.h
@@ -44,6 +44,8 @@
     return kind == RequestKind::kIdempotent || (kind == RequestKind::kStream && resumable);
   }
   bool AllowsRegion(std::string_view region) const;
+  /// Whether requests may be sent to the service.
+  bool Offers(std::string_view service) const;
   /// Picks the service for a request by a hash of it, in proportion to the weights. Returns an empty name
   /// when the weights sum to 0.
   const std::string& PickService(uint64_t hash) const;
--- a/tests/platform/faulty_replica_test.cc
+++ b/tests/platform/faulty_replica_test.cc
@@ -164,5 +164,34 @@
       return std::string(std::get<0>(info.param).name) + (std::get<1>(info.param) ? "OverAHop" : "");
     });
 
+struct MovedRouteCase {
+  const char* name;
+  bool newer_version_heard;  // by the VM that the request is forwarded to
+  const char* expected_status;
+  int expected_sends;
+};
+class MovedRouteTest : public ProxyPath, public ::testing::WithParamInterface<MovedRouteCase> {};
+
+// Guards against requests that an outdated VM forwards and that the former service of their route runs.
+TEST_P(MovedRouteTest, IsNotRunByTheFormerService) {
+  SequenceServer first(loop, {{Response("200 OK", "1", "first", kSigned), false, ""}});
+  SequenceServer second(loop, {{Response("200 OK", "1", "second", kSigned), false, ""}});
+  Connect(first.Endpoint(), second.Endpoint(), true);
+  for (const auto& vm : remote) {
+    MoveRoutes(*vm, "other");
+    vm->registry.config_freshness().OnConfirmed(clock.Now());
+    if (!GetParam().newer_version_heard) continue;
+    vm->registry.config_freshness().OnVersionHeard(vm->registry.config()->version + 1, clock.Now());
+  }
+  const std::string response = Send("/once/a", "1", kAnswerTime);
+  EXPECT_TRUE(response.starts_with(std::string("HTTP/1.1 ") + GetParam().expected_status)) << response;
+  EXPECT_EQ(first.requests() + second.requests(), GetParam().expected_sends);
+}
+
+INSTANTIATE_TEST_SUITE_P(Versions, MovedRouteTest,
+                         ::testing::Values(MovedRouteCase{"SenderIsBehind", false, "503", 0},
+                                           MovedRouteCase{"SenderMayBeAhead", true, "200", 1}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace cornelplank
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -123,6 +123,14 @@
     }
   }
 
+  /// Puts a configuration in force at a VM in which the routes go to `service`.
+  static void MoveRoutes(ProxyVm& vm, const std::string& service) {
+    auto config = std::make_shared<serving::RoutingConfig>(*vm.registry.config());
+    ++config->version;
+    for (serving::RouteConfig& route : config->routes) route.services = {{service, 1}};
+    vm.registry.SetConfig(config);
+  }
+
   /// Sends a request on a connection of its own, runs the loop for `time` and returns the bytes received.
   std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time) {
     net::Tcp::socket socket(loop);
