--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -7,7 +7,8 @@
 constexpr int64_t kMaxDescriptors = 1'000'000;
 constexpr double kMaxSecondSendBurst = 100'000;
 constexpr std::chrono::milliseconds kMaxGrace{600'000};
-// A watch at the store takes 1.5 s, its mirrors as long again in the worst case, and a direct read 0.5 s.
+// Direct reads start DirectReadPolicy::kReadMargin before the end of the bound. With a lower bound they would
+// start while the ordinary reads still confirm the items, which takes up to 2.7 s.
 constexpr std::chrono::milliseconds kMinChangeBound{3800};
 constexpr std::chrono::milliseconds kMaxChangeBound{600'000};
 
--- a/libs/serving/internal/config_freshness.h
+++ b/libs/serving/internal/config_freshness.h
@@ -28,6 +28,9 @@
   /// Time between the greatest age of a configuration and the time within which a new version has to be in
   /// force everywhere: for the errors of the age and the request's way to this VM.
   static constexpr std::chrono::milliseconds kBoundMargin{500};
+  /// Retry-After for requests that are refused because the configuration may be outdated: a VM that reaches
+  /// any other catches up within this time, and other VMs have caught up already.
+  static constexpr std::chrono::milliseconds kRetryAfter{500};
 
   /// `max_age`: time without a confirmation after which the configuration counts as unconfirmed. At least
   /// `kBoundMargin` below the time within which a new version has to be in force everywhere.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -28,10 +28,8 @@
 // Bounds of Retry-After for refused requests, except those that admission control refuses.
 constexpr std::chrono::milliseconds kMinRetryAfter{200};
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
+// Greatest random addition to Retry-After for requests that limits of replicas leave no room for.
 constexpr std::chrono::milliseconds kLimitRetrySpread{1000};
-// Retry-After when the configuration may be outdated: a VM that reaches any other catches up within this
-// time.
-constexpr std::chrono::milliseconds kOutdatedConfigRetryAfter{500};
 
 }  // namespace
 
@@ -323,7 +321,7 @@
     return AdaptiveAdmission::RetryAfter(proxy_.random_.Unit());
   }
   if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
-  if (refusal_reason_ == RefusalReason::kConfigOutdated) return kOutdatedConfigRetryAfter;
+  if (refusal_reason_ == RefusalReason::kConfigOutdated) return ConfigFreshness::kRetryAfter;
   if (refusal_reason_ == RefusalReason::kLimited) {
     // Another VM may have a part of the limit when this one has none. The spread keeps clients from returning
     // at the same time.
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -77,7 +77,10 @@
     --progress_.sends;
     co_return AttemptOutcome::kWrongReplica;
   }
-  if (replica_) deps_.registry.RecordLimit(*replica_, info.rate_limit, deps_.clock.Now());
+  // Only a response that the replica has signed shows by a missing statement that the limit has ended.
+  if (replica_ && (info.rate_limit || info.has_signature)) {
+    deps_.registry.RecordLimit(*replica_, info.rate_limit, deps_.clock.Now());
+  }
   if (info.not_run) co_return AttemptOutcome::kNotRun;
   const bool success = IsSuccess(head->status);
   if (success && (!info.has_signature || info.encoded || info.request_id.empty())) {
--- a/libs/serving/internal/replica_limit.h
+++ b/libs/serving/internal/replica_limit.h
@@ -31,8 +31,10 @@
   /// Least rate that is assumed, so that the replica's next statement is heard. The platform tolerates 5
   /// requests in 4 s beyond the limit.
   static constexpr double kMinRate = 0.2;
-  /// A limit that no VM has heard of for this long is dropped.
+  /// A limit that no response has confirmed for this long is dropped.
   static constexpr std::chrono::seconds kMaxAge{60};
+  /// How long a share is used before it is determined again.
+  static constexpr std::chrono::milliseconds kShareTime{250};
   /// Part of a request by which the bucket has to be fuller for each step of priority, so that more urgent
   /// requests are sent first.
   static constexpr double kReservePerPriority = 0.2;
@@ -53,8 +55,6 @@
   /// When the replica last stated whether it has a limit; none when it never has.
   std::optional<base::TimePoint> stated_at() const { return stated_at_; }
 
-  /// How long a share is used before it is determined again.
-  static constexpr std::chrono::milliseconds kShareTime{250};
   /// Whether `SetShare` is due.
   bool ShareDue(base::TimePoint now) const { return now - shared_at_ > kShareTime; }
   /// Sets the rate of this VM, from `ShareOf`. A VM that begins to send has to wait for its first request.
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -15,10 +15,6 @@
 constexpr std::chrono::milliseconds kConfirmationWait{500};
 constexpr std::chrono::milliseconds kConfirmationPoll{10};
 
-// Retry-After for a request without a route while the configuration may be outdated: a VM that reaches any
-// other catches up within this time, and other VMs have caught up already.
-constexpr std::chrono::milliseconds kOutdatedConfigRetryAfter{500};
-
 // Time between checks for silent replicas: a tenth of the shortest target latencies in use.
 constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
 
@@ -57,31 +53,26 @@
 
 net::Task<> RequestProxy::Deny(const RequestInfo& request, const RoutingConfig& config,
                                net::ResponseWriter& writer) {
-  RecordDenial(request, config);
-  if (deps_.registry.config_freshness().MayDeny(deps_.clock.Now())) {
-    co_await writer.Send(deps_.codec.MakeLocalResponse(404, request.id, std::nullopt), "");
-    co_return;
-  }
-  ++counters_.refused;
-  base::LogEvent("refused")
-      .Text("request", request.id)
-      .Text("reason", RefusalReasonName(RefusalReason::kConfigOutdated));
-  co_await writer.Send(deps_.codec.MakeLocalResponse(503, request.id, kOutdatedConfigRetryAfter), "");
-}
-
-void RequestProxy::RecordDenial(const RequestInfo& request, const RoutingConfig& config) {
   const base::TimePoint now = deps_.clock.Now();
   const ConfigFreshness& freshness = deps_.registry.config_freshness();
   const base::Duration age = freshness.Age(now).value_or(base::Duration::zero());
-  ++counters_.denied;
-  counters_.max_denial_age = std::max(counters_.max_denial_age, age);
+  const bool final = freshness.MayDeny(now);
   base::LogEvent("no_route")
       .Text("request", request.id)
+      .Number("status", final ? 404 : 503)
       .Number("config", static_cast<int64_t>(config.version))
       .Number("newest", static_cast<int64_t>(freshness.newest_heard()))
       .Text("state", ConfigStateName(freshness.Assess(now)))
       .Time("age_ms", age)
       .Time("behind_ms", freshness.TimeBehind(now));
+  if (final) {
+    ++counters_.denied;
+    counters_.max_denial_age = std::max(counters_.max_denial_age, age);
+    co_await writer.Send(deps_.codec.MakeLocalResponse(404, request.id, std::nullopt), "");
+  } else {
+    ++counters_.refused;
+    co_await writer.Send(deps_.codec.MakeLocalResponse(503, request.id, ConfigFreshness::kRetryAfter), "");
+  }
 }
 
 net::Task<> RequestProxy::Handle(net::Request& request, net::ResponseWriter& writer) {
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -80,8 +80,6 @@
   /// Responds to a request that no route of `config` matches: with 404, or with 503 when a newer version may
   /// have a route for it.
   net::Task<> Deny(const RequestInfo& request, const RoutingConfig& config, net::ResponseWriter& writer);
-  /// Counts and logs a request that no route of `config` matches.
-  void RecordDenial(const RequestInfo& request, const RoutingConfig& config);
   retry::ExtraAttemptBudget& RetryBudget(const std::string& service);
   AdaptiveAdmission& Admission(const std::string& service, int priority) {
     return admissions_[{service, priority}];
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -67,12 +67,7 @@
                              std::chrono::milliseconds time) {
     asio::write(socket, asio::buffer(bytes));
     RunFor(loop, time);
-    std::string received(65536, '\0');
-    net::Error error;
-    socket.non_blocking(true);
-    const size_t size = socket.read_some(asio::buffer(received), error);
-    received.resize(size);
-    return received;
+    return testing::ReadAvailable(socket);
   }
 
   asio::io_context loop{1};
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -95,6 +95,15 @@
   return done;
 }
 
+/// The bytes that have arrived on the socket.
+inline std::string ReadAvailable(net::Tcp::socket& socket) {
+  std::string bytes(65536, '\0');
+  net::Error ignored;  // nothing has arrived, or the peer has closed
+  socket.non_blocking(true);
+  bytes.resize(socket.read_some(asio::buffer(bytes), ignored));
+  return bytes;
+}
+
 /// Runs the loop for `time`.
 inline void RunFor(asio::io_context& loop, std::chrono::milliseconds time) {
   loop.restart();
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -139,11 +139,7 @@
                                 "\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
     asio::write(socket, asio::buffer(request));
     RunFor(loop, time);
-    std::string response(65536, '\0');
-    net::Error error;
-    socket.non_blocking(true);
-    response.resize(socket.read_some(asio::buffer(response), error));
-    return response;
+    return ReadAvailable(socket);
   }
 
   struct Hops final : serving::HopDirectory {
--- a/tests/platform/request_proxy_test.cc
+++ b/tests/platform/request_proxy_test.cc
@@ -81,11 +81,7 @@
                                 "Hold: stolen\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
     asio::write(socket, asio::buffer(request));
     RunFor(loop, time);
-    std::string response(65536, '\0');
-    net::Error error;
-    socket.non_blocking(true);
-    response.resize(socket.read_some(asio::buffer(response), error));
-    return response;
+    return testing::ReadAvailable(socket);
   }
 
   /// The bytes of a replica's complete response to the request `id`, with `more` as further header lines.
