--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -123,6 +123,14 @@
     }
   }
 
+  /// Puts a configuration in force at a VM in which the routes go to `service`.
+  static void MoveRoutes(ProxyVm& vm, const std::string& service) {
+    auto config = std::make_shared<serving::RoutingConfig>(*vm.registry.config());
+    ++config->version;
+    for (serving::RouteConfig& route : config->routes) route.services = {{service, 1}};
+    vm.registry.SetConfig(config);
+  }
+
   /// Sends a request on a connection of its own, runs the loop for `time` and returns the bytes received.
   std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time) {
     net::Tcp::socket socket(loop);
@@ -131,11 +139,7 @@
                                 "\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
     asio::write(socket, asio::buffer(request));
     RunFor(loop, time);
-    std::string response(65536, '\0');
-    net::Error error;
-    socket.non_blocking(true);
-    response.resize(socket.read_some(asio::buffer(response), error));
-    return response;
+    return ReadAvailable(socket);
   }
 
   struct Hops final : serving::HopDirectory {
