Take no response whose head is cut for a 200 with an empty body

Reported by other operators: a replica stops in the middle of its response's head and closes, and clients get a 200 with an empty body. Change: a transfer is complete only if its whole head was received.

--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -189,9 +189,13 @@
   const CURLMsg* message = curl_multi_info_read(multi_, &left);
   const CURLcode code = message == nullptr ? CURLE_RECV_ERROR : message->data.result;
   finished_ = true;
-  complete_ = code == CURLE_OK;
+  // libcurl reports success when the server closes inside the head.
+  complete_ = code == CURLE_OK && head_received_;
   ExchangeEvent event{complete_ ? ExchangeEvent::Kind::kEnd : ExchangeEvent::Kind::kFailed};
-  if (!complete_) event.reason = ToReason(code);
+  if (!complete_) {
+    event.reason =
+        code == CURLE_OK ? HttpReason{HttpErrorCode::kBroken, "the head is incomplete"} : ToReason(code);
+  }
   events_.push_back(std::move(event));
 }
 
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -1,4 +1,7 @@
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <thread>
 
@@ -108,6 +111,62 @@
                                          EndCase{"/broken", false, HttpErrorCode::kBroken},
                                          EndCase{"/silent", false, HttpErrorCode::kStalled}));
 
+/// Accepts one connection, reads from it, sends the given bytes and closes it.
+class OneAnswerServer {
+ public:
+  explicit OneAnswerServer(std::string answer) : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (bind(listener_, generic, size) != 0 || listen(listener_, 1) != 0) return;
+    getsockname(listener_, generic, &size);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this, answer = std::move(answer)] {
+      const int connection = accept(listener_, nullptr, nullptr);
+      char request[4096];
+      if (recv(connection, request, sizeof request, 0) > 0) {
+        send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+      close(connection);
+    });
+  }
+  ~OneAnswerServer() {
+    if (thread_.joinable()) thread_.join();
+    close(listener_);
+  }
+  uint16_t port() const { return port_; }
+
+ private:
+  int listener_;
+  uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+class CutHeadTest : public testing::TestWithParam<const char*> {};
+
+// Guards against a server that closes inside the head of its response and is taken for a 200 with an empty
+// body.
+TEST_P(CutHeadTest, IsNoResponse) {
+  const OneAnswerServer server(GetParam());
+  ASSERT_NE(server.port(), 0);
+  HttpReason reason;
+  ExchangeState state;
+  const auto client = Client::Create();
+  const auto response =
+      client->Send({.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/"}, &reason, &state);
+  EXPECT_FALSE(response) << response->status << " " << response->body;
+  EXPECT_EQ(reason.code, HttpErrorCode::kBroken);
+  EXPECT_TRUE(state.request_sent);
+  EXPECT_FALSE(state.head_received);
+}
+INSTANTIATE_TEST_SUITE_P(Table, CutHeadTest,
+                         testing::Values("", "HTTP/1.1 2", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Le",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r"));
+
 // Guards against a refused connection that is reported as if bytes of the request had been sent.
 TEST_F(ExchangeTest, ReportsThatNothingWasSentWhenTheConnectionIsRefused) {
   const std::string url = Url("/echo");
