Report no request as not run after an attempt that may have run

Reported by other operators: clients are told 'not run' for requests that a replica runs. In cornelplank-gateway a replica's repeated refusal can't do that, as its connections to replicas carry one request each. But the same class of fault acts there: when a first engine breaks off and a second one refuses, the outcome of the refusal was taken for that of the request. Change: the request remembers that an attempt may have run, and then no refusal counts as not run.

--- a/libs/gateway/internal/completion_run.cc
+++ b/libs/gateway/internal/completion_run.cc
@@ -234,6 +234,7 @@
   const AttemptPlace place = active->attempt->place();
   const retry::AttemptId id = active->id;
   shared_->metrics.CountAttemptFailure(failure.code);
+  if (failure.outcome != base::Outcome::kNotRun) may_have_run_ = true;
   const bool open = tracker_.OnFailure(id) == retry::Disposition::kAccept;
   RemoveAttempt(id);
   place.is_zone ? excluded_.AddZone(place.zone) : excluded_.AddReplica(place.key);
@@ -316,9 +317,10 @@
 }
 
 bool CompletionRun::Fail(Failure failure) {
-  // Once an attempt has delivered a part, the refusal of a later attempt doesn't mean that the request did
-  // not run.
-  if (first_token_seen_) failure.outcome = base::Outcome::kUnknown;
+  // The refusal of a later attempt doesn't mean that the earlier ones did not run.
+  if ((first_token_seen_ || may_have_run_) && failure.outcome == base::Outcome::kNotRun) {
+    failure.outcome = base::Outcome::kUnknown;
+  }
   failure_ = std::move(failure);
   failed_ = true;
   assembler_.Fail();
--- a/libs/gateway/internal/completion_run.h
+++ b/libs/gateway/internal/completion_run.h
@@ -85,6 +85,7 @@
   std::string output_;
   Failure failure_;
   bool first_token_seen_ = false;
+  bool may_have_run_ = false;  // an attempt failed that an upstream may have run
   bool ended_ = false;
   bool failed_ = false;
 };
--- a/tests/gateway/completion_test.cc
+++ b/tests/gateway/completion_test.cc
@@ -113,6 +113,28 @@
   EXPECT_EQ(json::parse(response->body)["outcome"], "not-run");
 }
 
+// Guards against `not-run` for a request that a first engine may have run, when a second one refuses it.
+TEST(CompletionTest, ALaterRefusalDoesNotMakeAnUnknownOutcomeNotRun) {
+  std::atomic<int> calls{0};
+  const auto handler = [&calls](const http::Request& request) {
+    if (calls++ == 0) return ScriptedStream(request, {.count = 0, .done = false});
+    http::Response refusal;
+    refusal.status = 503;
+    refusal.body = R"({"code":"full","outcome":"not-run"})";
+    return refusal;
+  };
+  FakeUpstream first(handler);
+  FakeUpstream second(handler);
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", first.address());
+  fleet.AddEngine("a", "e2", second.address());
+  const size_t vm = fleet.StartVm("a");
+  const auto response = fleet.Send(fleet.Completion(vm, true));
+  ASSERT_TRUE(response);
+  EXPECT_GE(calls, 2);
+  EXPECT_EQ(json::parse(response->body)["outcome"], "unknown");
+}
+
 // Guards against an engine that goes on generating tokens after the client has closed the connection.
 TEST(CompletionTest, CancelsTheEngineWhenTheClientLeaves) {
   FakeUpstream engine(Stream({.count = 1000, .gap = milliseconds{20}}));
