Follow the platform's bounds also where they are below 3.8 s

Found by reading: a VM refused its settings and did not start when the bound of a configuration (config_apply_ms) was below 3.8 s, as direct reads of the store would have started while the ordinary ones still confirm the items. Evacuations and replicas were read with the bound of the configuration, also where theirs is shorter. Change: the waits of watches and the margin of direct reads follow from the bound, unchanged from 4 s on.

--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -1,5 +1,7 @@
 #include "apps/entry/entry_settings.h"
 
+#include "platform/platform.h"
+
 namespace cornelplank::entry {
 namespace {
 
@@ -7,9 +9,6 @@
 constexpr int64_t kMaxDescriptors = 1'000'000;
 constexpr double kMaxSecondSendBurst = 100'000;
 constexpr std::chrono::milliseconds kMaxGrace{600'000};
-// Direct reads start DirectReadPolicy::kReadMargin before the end of the bound. With a lower bound they would
-// start while the ordinary reads still confirm the items, which takes up to 2.7 s.
-constexpr std::chrono::milliseconds kMinChangeBound{3800};
 constexpr std::chrono::milliseconds kMaxChangeBound{600'000};
 
 /// Adds a fault and returns an empty endpoint when the key is missing or is not IP:PORT.
@@ -53,6 +52,13 @@
   }
 }
 
+/// Reads a time within which changes at the store have to be known.
+void ReadBound(base::Settings& settings, const char* key, std::chrono::milliseconds* bound) {
+  *bound = settings.Time("limits", key, *bound, kMaxChangeBound);
+  const auto least = platform::ReadTimes::kMinBound;
+  if (*bound < least) settings.AddFault("limits", key, "is below " + std::to_string(least.count()) + "ms");
+}
+
 }  // namespace
 
 std::optional<EntrySettings> LoadEntrySettings(const std::string& path,
@@ -86,10 +92,9 @@
   out.store = RequiredEndpoint(settings, "store", "address");
   out.second_send_burst =
       settings.Number("limits", "second_sends", out.second_send_burst, 0, kMaxSecondSendBurst);
-  out.change_bound = settings.Time("limits", "change_bound", out.change_bound, kMaxChangeBound);
-  if (out.change_bound < kMinChangeBound) {
-    settings.AddFault("limits", "change_bound", "is below " + std::to_string(kMinChangeBound.count()) + "ms");
-  }
+  ReadBound(settings, "change_bound", &out.change_bound);
+  ReadBound(settings, "evacuation_bound", &out.evacuation_bound);
+  ReadBound(settings, "drain_bound", &out.drain_bound);
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
   *faults = settings.Finish();
   if (!faults->empty()) return std::nullopt;
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -33,8 +33,10 @@
 
   // Second sends (retries) of each service that all VMs together may make in a burst.
   double second_send_burst = 10;
-  // Time within which a change at the store has to be known to every VM that reaches the store.
-  std::chrono::milliseconds change_bound{4000};
+  // Times within which a change at the store has to be known to every VM that reaches the store:
+  std::chrono::milliseconds change_bound{4000};      // a new configuration
+  std::chrono::milliseconds evacuation_bound{4000};  // an evacuated zone
+  std::chrono::milliseconds drain_bound{4000};       // a replica that leaves
   std::chrono::milliseconds grace{8000};  // from SIGTERM to the end of the process
 };
 
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -47,6 +47,15 @@
   return own;
 }
 
+platform::StoreEndpoints MakeStoreEndpoints(const EntrySettings& settings) {
+  platform::StoreEndpoints servers;
+  servers.store = settings.store;
+  servers.mirror_port = settings.hops.port();
+  servers.operator_bound = std::min(settings.change_bound, settings.evacuation_bound);
+  servers.replica_bound = settings.drain_bound;
+  return servers;
+}
+
 net::PoolSettings PeerPoolSettings() {
   net::PoolSettings pool;
   pool.connect_timeout = kHopConnectTimeout;
@@ -92,8 +101,7 @@
               &quarantine_}),
       hop_handler_(proxy_),
       directory_(members_, registry_, clock_, settings.clients.port(), [this] { return Ready(); }),
-      store_sync_(loop, clock_, {settings.store, settings.hops.port(), settings.change_bound}, members_,
-                  settings.zone_regions, registry_,
+      store_sync_(loop, clock_, MakeStoreEndpoints(settings), members_, settings.zone_regions, registry_,
                   [this](const serving::RoutingConfig& config) { ApplyConfig(config); }),
       peer_handler_(store_sync_.MakeMirrorServer(hop_handler_)),
       stop_signals_(loop, SIGTERM, SIGINT),
--- a/tests/platform/direct_read_policy_test.cc
+++ b/tests/platform/direct_read_policy_test.cc
@@ -49,5 +49,36 @@
   EXPECT_TRUE(policy.ShouldRead(start, start + std::chrono::seconds(10)));
 }
 
+struct BoundCase {
+  const char* name;
+  milliseconds bound;
+  bool ordinary_reads_suffice;
+};
+class ReadTimesTest : public ::testing::TestWithParam<BoundCase> {};
+
+// Guards against VMs that refuse a deployment with a low bound, and against direct reads beside sources that
+// work.
+TEST_P(ReadTimesTest, LeavesTimeForADirectRead) {
+  const milliseconds bound = GetParam().bound;
+  const ReadTimes times = ReadTimes::ForBound(bound);
+  // The age that a VM may find when it reads from another one, with the way of both answers.
+  const milliseconds ordinary_age = times.store_watch_wait + times.peer_watch_wait + milliseconds(200);
+  const base::TimePoint now{std::chrono::hours(1)};
+  DirectReadPolicy policy(bound, now - std::chrono::seconds(60));
+  EXPECT_EQ(policy.ShouldRead(now - ordinary_age, now), !GetParam().ordinary_reads_suffice);
+  EXPECT_TRUE(policy.ShouldRead(now - (bound - times.direct_read_margin), now));
+  EXPECT_LE(times.direct_read_margin, bound / 3);
+  EXPECT_GE(times.peer_watch_wait, milliseconds(200));
+}
+
+INSTANTIATE_TEST_SUITE_P(Bounds, ReadTimesTest,
+                         ::testing::Values(BoundCase{"Least", ReadTimes::kMinBound, false},
+                                           BoundCase{"TwoSeconds", milliseconds(2000), false},
+                                           BoundCase{"ThreeSeconds", milliseconds(3000), true},
+                                           BoundCase{"Default", milliseconds(4000), true},
+                                           BoundCase{"LargeSites", milliseconds(5000), true},
+                                           BoundCase{"DesignSize", milliseconds(14000), true}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace cornelplank::platform
