--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -28,9 +28,10 @@
 /// own.
 struct VmUnderTest {
   VmUnderTest(net::asio::io_context& loop, const base::Clock& clock, const net::Tcp::endpoint& store,
-              uint32_t address, uint16_t mirror_port, const std::string& zone = "z")
+              uint32_t address, uint16_t mirror_port, const std::string& zone = "z",
+              std::chrono::milliseconds bound = std::chrono::milliseconds(4000))
       : members(MemberAt(address, zone), {{"z", "r"}, {"y", "q"}}),
-        sync(loop, clock, {store, mirror_port}, members, {{"z", "r"}}, registry,
+        sync(loop, clock, {store, mirror_port, bound, bound}, members, {{"z", "r"}}, registry,
              [this](const serving::RoutingConfig& config) { versions.push_back(config.version); }),
         not_found(),
         mirror_server(sync.MakeMirrorServer(not_found)) {
@@ -71,6 +72,17 @@
     return std::make_unique<VmUnderTest>(loop, clock, store.Endpoint(), kFirstVmAddress + index, mirror_port);
   }
 
+  /// The age of the items under `prefix` that the first VM states to others.
+  base::Duration StatedAge(const char* prefix) {
+    platform::StoreClient client(loop, clock);
+    platform::StorePage page;
+    EXPECT_TRUE(testing::RunTask(
+        loop, [](auto& caller, net::Tcp::endpoint server, const char* path, auto* out) -> net::Task<> {
+          *out = co_await caller.List(server, path, "", platform::StoreClient::kPeerListTimeout);
+        }(client, {net::asio::ip::address_v4(kFirstVmAddress), mirror_port}, prefix, &page)));
+    return page.store_age;
+  }
+
   net::asio::io_context loop{1};
   base::SystemClock clock;
   FakeStore store{loop};
@@ -350,17 +362,21 @@
   RunFor(loop, kSyncTime);
   store.SetMode(Mode::kOperatorSilent);
   RunFor(loop, std::chrono::milliseconds(4000));
-  platform::StoreClient client(loop, clock);
-  const auto age = [&](const char* prefix) {
-    platform::StorePage page;
-    EXPECT_TRUE(testing::RunTask(
-        loop, [](auto& caller, net::Tcp::endpoint server, const char* path, auto* out) -> net::Task<> {
-          *out = co_await caller.List(server, path, "", platform::StoreClient::kPeerListTimeout);
-        }(client, {net::asio::ip::address_v4(kFirstVmAddress), mirror_port}, prefix, &page)));
-    return page.store_age;
-  };
-  EXPECT_GT(age("op/"), platform::StoreSourceSelector::kMaxContactAge);
-  EXPECT_LE(age("servers/"), platform::StoreSourceSelector::kMaxContactAge);
+  EXPECT_GT(StatedAge("op/"), platform::StoreSourceSelector::kMaxContactAge);
+  EXPECT_LE(StatedAge("servers/"), platform::StoreSourceSelector::kMaxContactAge);
+}
+
+// Guards against a VM that was suspended and then states items to be current by an answer from before.
+TEST_F(StoreSyncTest, StatesTheAgeOfAnAnswerThatItReadLate) {
+  base::ManualClock own_clock(clock.Now());
+  constexpr std::chrono::seconds kLongBound{60};  // no direct reads
+  const VmUnderTest vm(loop, own_clock, store.Endpoint(), kFirstVmAddress, mirror_port, "z", kLongBound);
+  RunFor(loop, kSyncTime);
+  const int calls = store.calls();
+  own_clock.Advance(std::chrono::seconds(6));
+  while (store.calls() == calls) RunFor(loop, std::chrono::milliseconds(5));  // until a watch has ended
+  EXPECT_GT(StatedAge("op/"), platform::StoreSourceSelector::kMaxContactAge);
+  EXPECT_GT(StatedAge("servers/"), platform::StoreSourceSelector::kMaxContactAge);
 }
 
 struct MirrorOrderCase {
