--- a/tests/platform/faulty_replica_test.cc
+++ b/tests/platform/faulty_replica_test.cc
@@ -132,8 +132,9 @@
   const auto& [param, over_hops] = GetParam();
   constexpr size_t kStep = 7;  // every so many bytes; each case has another remainder of its length
   std::vector<Answer> cuts;
-  for (size_t size = 0; size < param.head.size(); size += kStep)
+  for (size_t size = 0; size < param.head.size(); size += kStep) {
     cuts.push_back({param.head.substr(0, size), true, ""});
+  }
   cuts.push_back({param.head.substr(0, param.head.size() - 1), true, ""});
   cuts.push_back({param.head.substr(0, param.head.size() - 2), true, ""});
   SequenceServer first(loop, cuts);
