State limits and repeat refusals in the soak

The soak had no replicas that state a limit of requests, and its answers to no request were no refusals. Now all replicas of a service and region state a limit for some seconds, and what VMs without trouble send them is checked against what the platform tolerates; replicas write a refusal of an earlier request once more on kept connections, with its id or without one.

--- a/tests/platform/wire.h
+++ b/tests/platform/wire.h
@@ -15,6 +15,7 @@
 inline constexpr char kSignature[] = "Response-Signature";
 inline constexpr char kNotRun[] = "Not-Executed";
 inline constexpr char kExpectedReplica[] = "Expected-Instance";
+inline constexpr char kRateLimit[] = "Server-Limit";
 inline constexpr char kLastEvent[] = "Last-Event-Id";
 inline constexpr char kConfigKey[] = "op/config";
 
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -118,6 +118,17 @@
   CheckPlacement(*request, region);
 }
 
+void Ledger::OnArrival(const std::string& id, const std::string& replica, const std::string& region) {
+  const Request* request = Find(id);
+  const TimePoint since = Now() - RateCheck::kLearningTime;
+  // Counted are only the VMs that must know the limit. Forwarded requests come from an unknown VM.
+  if (request == nullptr || faults_.RegionOf(request->vm) != region ||
+      faults_.Disturbed(request->vm, "", since) || faults_.Restarted(request->vm, since)) {
+    return;
+  }
+  if (const auto problem = rates_.OnArrival(replica, Now())) Fail("limit", id, *problem);
+}
+
 void Ledger::OnReplicaStatus(const std::string& id, unsigned status) {
   if (Request* request = Find(id)) request->statuses.insert(std::to_string(status));
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -8,6 +8,7 @@
 
 #include "tests/platform/fake_store.h"
 #include "tests/platform/wire.h"
+#include "tests/soak/rate_check.h"
 
 namespace cornelplank::soak {
 
@@ -31,6 +32,9 @@
   virtual bool StoreDisturbed(TimePoint since) const = 0;
   /// Whether the incarnation of the VM has got SIGTERM and was not killed.
   virtual bool ShuttingDown(int vm, int incarnation) const = 0;
+  /// Whether the VM's process has been starting, stopping or down at some time since `since`.
+  virtual bool Restarted(int vm, TimePoint since) const = 0;
+  virtual std::string RegionOf(int vm) const = 0;
   /// The region of a VM and how long its process runs, for messages.
   virtual std::string Describe(int vm) const = 0;
 };
@@ -82,6 +86,10 @@
   /// A replica begins to work on a request.
   void OnRun(const std::string& id, const std::string& target, const std::string& body,
              const std::string& service, const std::string& region);
+  /// A request reaches a replica, which may refuse it.
+  void OnArrival(const std::string& id, const std::string& replica, const std::string& region);
+  /// Limits of replicas and what reaches them.
+  RateCheck& rates() { return rates_; }
   /// A replica answers the request with a signed status.
   void OnReplicaStatus(const std::string& id, unsigned status);
   void OnReplicaFailed(const std::string& id);
@@ -111,6 +119,7 @@
   std::deque<std::pair<TimePoint, serving::RoutingConfig>> versions_;
   std::unordered_map<std::string, Request> requests_;
   std::deque<std::string> order_;  // ids in the order of their requests
+  RateCheck rates_;
   std::map<std::string, uint64_t> counts_;
   uint64_t failures_ = 0;
   // Greatest age of a configuration that a request was placed by, without and after faults.
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -27,8 +27,14 @@
   store_.Put(wire::ReplicaKey(id_), wire::EncodeReplica(service_, address_, zone_, kSlots, draining, born_));
 }
 
+void Replica::SetLimit(std::optional<double> per_second) {
+  limit_ = per_second;
+  ledger_.rates().OnEnded(id_);
+}
+
 void Replica::Crash() {
   ++generation_;
+  if (limit_) SetLimit(std::nullopt);
   acceptor_.reset();
   for (const std::string& id : working_) ledger_.OnReplicaFailed(id);
   for (const Socket& socket : sockets_) {
@@ -56,32 +62,40 @@
   co_return !error;
 }
 
-std::string Replica::Head(const std::string& id, int status, const std::string& framing) const {
-  return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + wire::kRequestId + ": " + id + "\r\n" +
-         framing;
+std::string Replica::Head(const std::string& id, int status, const std::string& framing) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+  if (!id.empty()) head += std::string(wire::kRequestId) + ": " + id + "\r\n";
+  if (limit_) {
+    head += std::string(wire::kRateLimit) + ": " + std::to_string(*limit_) + "\r\n";
+    ledger_.rates().OnStated(id_, *limit_, Now());
+  }
+  return head + framing;
 }
 
 net::Task<> Replica::Serve(Socket socket, int generation) {
   boost::beast::flat_buffer buffer;
   bool open = true;
+  bool kept = false;  // the connection has carried another request
   while (open && generation == generation_) {
     http::request<http::string_body> request;
     net::Error error;
     co_await http::async_read(*socket, buffer, request, net::Into(error));
     if (error || generation != generation_) break;
     const std::string id(request[wire::kRequestId]);
+    ledger_.OnArrival(id, id_, region_);
     const auto expected = request[wire::kExpectedReplica];
     const bool other_replica = !expected.empty() && expected != id_;
     if (other_replica || random_.Below(60) == 0) {
       const std::string refusal = std::string(wire::kNotRun) + ": 1\r\nContent-Length: 0\r\n\r\n";
       open = co_await Write(socket, Head(id, other_replica ? 421 : 503, refusal));
+      kept = true;
       continue;
     }
     ledger_.OnRun(id, std::string(request.target()), request.body(), service_, region_);
     if (random_.Below(150) == 0) {
       // An answer to no request that arrives where the next answer is due.
       ledger_.OnReplicaFailed(id);
-      co_await WriteStray(socket);
+      co_await WriteStray(socket, kept);
     }
     const auto working = working_.insert(id);
     if (service_.starts_with("stream")) {
@@ -92,15 +106,20 @@
     }
     working_.erase(working);
     if (open && random_.Below(150) == 0) {
-      open = co_await WriteStray(socket);
+      open = co_await WriteStray(socket, true);
     }
+    kept = true;
   }
   if (generation == generation_) sockets_.erase(socket);
   net::Error ignored;  // the other side may have closed first
   socket->close(ignored);
 }
 
-net::Task<bool> Replica::WriteStray(Socket socket) {
+net::Task<bool> Replica::WriteStray(Socket socket, bool kept) {
+  if (random_.Below(2) == 0) {
+    const std::string refusal = std::string(wire::kNotRun) + ": 1\r\nContent-Length: 0\r\n\r\n";
+    co_return co_await Write(socket, Head(kept && random_.Below(2) == 0 ? "" : "stray", 503, refusal));
+  }
   const std::string body = ResponseBody("stray");
   const std::string framing = std::string(wire::kSignature) + ": " + Signature("stray", id_) +
                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -33,6 +33,14 @@
   void Drain() { Publish(true); }
   void Unregister() { store_.Remove(testing::wire::ReplicaKey(id_)); }
 
+  /// States a limit of so many requests a second in all responses, until the next start; none: no longer.
+  void SetLimit(std::optional<double> per_second);
+
+  /// Whether requests of the same service and region go to either of the replicas.
+  bool SharesLoadWith(const Replica& other) const {
+    return service_ == other.service_ && region_ == other.region_;
+  }
+
   const std::string& id() const { return id_; }
   bool running() const { return acceptor_.has_value(); }
 
@@ -45,10 +53,11 @@
   /// Answer one request. Return false when the connection must be closed.
   net::Task<bool> AnswerSimple(Socket socket, std::string id);
   net::Task<bool> AnswerStream(Socket socket, std::string id, uint64_t first_event);
-  /// Sends an answer that belongs to no request.
-  net::Task<bool> WriteStray(Socket socket);
+  /// Sends an answer that belongs to no request: one with the id of another request, or the refusal of an
+  /// earlier request without an id, which only a `kept` connection can have carried.
+  net::Task<bool> WriteStray(Socket socket, bool kept);
   static net::Task<bool> Write(Socket socket, std::string bytes);
-  std::string Head(const std::string& id, int status, const std::string& framing) const;
+  std::string Head(const std::string& id, int status, const std::string& framing);
 
   net::asio::io_context& loop_;
   Ledger& ledger_;
@@ -60,7 +69,8 @@
   net::Tcp::endpoint address_;
   std::string id_;
   uint64_t born_ = 0;
-  int generation_ = 0;  // grows with each start and crash
+  std::optional<double> limit_;  // requests a second
+  int generation_ = 0;           // grows with each start and crash
   std::optional<net::Tcp::acceptor> acceptor_;
   std::set<Socket> sockets_;
   std::multiset<std::string> working_;  // ids of the requests in progress
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -79,6 +79,8 @@
   void StartVmEvent();
   net::Task<> CrashReplica(Replica& replica, Duration pause, bool same_id);
   net::Task<> DrainReplica(Replica& replica, Duration pause, bool announced);
+  /// All replicas that share the load with `like` state a limit of requests a second.
+  net::Task<> LimitReplicas(const Replica& like, double per_second, Duration time);
   net::Task<> DisturbStore(Mode mode, Duration time);
   net::Task<> EvacuateZone(std::string zone, Duration time);
   net::Task<> Tracked(net::Task<> event);
@@ -217,6 +219,20 @@
   leaving_.erase(&replica);
 }
 
+net::Task<> Soak::LimitReplicas(const Replica& like, double per_second, Duration time) {
+  // All of them, as the VMs avoid limited replicas while there are others.
+  std::vector<std::pair<Replica*, std::string>> limited;
+  for (const auto& replica : replicas_) {
+    if (!replica->running() || !replica->SharesLoadWith(like)) continue;
+    replica->SetLimit(per_second);
+    limited.emplace_back(replica.get(), replica->id());
+  }
+  co_await net::Sleep(loop_, time);
+  for (const auto& [replica, id] : limited) {
+    if (replica->id() == id) replica->SetLimit(std::nullopt);
+  }
+}
+
 net::Task<> Soak::DisturbStore(Mode mode, Duration time) {
   store_disturbed_ = true;
   if (mode != Mode::kHistoryGone) fleet_.SetStoreServing(false);
@@ -289,6 +305,11 @@
   } else if (kind == 18 && evacuated_.empty()) {
     ledger_.Count("event_evacuation");
     net::Spawn(loop_, "evacuation", Tracked(EvacuateZone(zone, Between(event_random_, 2000, 10000))));
+  } else if (kind == 19) {
+    ledger_.Count("event_limit");
+    const double per_second = static_cast<double>(5 + event_random_.Below(80)) / 10;
+    net::Spawn(loop_, "limit",
+               Tracked(LimitReplicas(replica, per_second, Between(event_random_, 8000, 20000))));
   }
 }
 
@@ -362,8 +383,9 @@
   std::cout << "largest delay of the event loop: "
             << std::chrono::duration_cast<milliseconds>(max_lag_).count()
             << " ms\nlongest time until a version was in force at a VM without trouble of its own: "
-            << std::chrono::duration_cast<milliseconds>(fleet_.config_lag().max_lag()).count() << " ms"
-            << std::endl;
+            << std::chrono::duration_cast<milliseconds>(fleet_.config_lag().max_lag()).count()
+            << " ms\nmost requests that a replica with a limit got in 4 s: " << ledger_.rates().max_part()
+            << " of what is tolerated" << std::endl;
   if (ledger_.failures() > 0) {
     std::cout << "the VMs' logs are in " << folder_ << std::endl;
   } else {
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -189,6 +189,11 @@
   return entry.incarnation == incarnation && entry.terminated != TimePoint{};
 }
 
+bool VmFleet::Restarted(int vm, TimePoint since) const {
+  const Vm& entry = vms_[static_cast<size_t>(vm)];
+  return entry.started >= since || entry.terminated != TimePoint{} || entry.state != State::kUp;
+}
+
 std::string VmFleet::Describe(int vm) const {
   const Vm& entry = vms_[static_cast<size_t>(vm)];
   std::string text = "vm-" + std::to_string(vm) + "." + std::to_string(entry.incarnation) + " in " +
--- a/tests/soak/vm_fleet.h
+++ b/tests/soak/vm_fleet.h
@@ -70,6 +70,8 @@
   bool Disturbed(int vm, const std::string& region, TimePoint since) const override;
   bool StoreDisturbed(TimePoint since) const override;
   bool ShuttingDown(int vm, int incarnation) const override;
+  bool Restarted(int vm, TimePoint since) const override;
+  std::string RegionOf(int vm) const override { return vms_[static_cast<size_t>(vm)].zone.region; }
   std::string Describe(int vm) const override;
 
  private:
