--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -366,6 +366,32 @@
   EXPECT_LE(StatedAge("servers/"), platform::StoreSourceSelector::kMaxContactAge);
 }
 
+// Guards against a large configuration that fills the link of a VM which others read from.
+TEST_F(StoreSyncTest, ServesALargeConfigurationCompressed) {
+  std::string config = ConfigText(8);
+  std::string routes;
+  for (int i = 0; i < 2000; ++i) {
+    routes += R"({"name":"r)" + std::to_string(i) + R"(","host":"h.example","path_prefix":"/r)" +
+              std::to_string(i * 7919) + R"(/","kind":"safe","timeout_ms":2000,"target_latency_ms":600,)" +
+              R"("priority":1,"service":"svc","attempts":2},)";
+  }
+  config.insert(config.find("{\"name\""), routes);
+  store.Put("op/config", config);
+  const auto vm = MakeVm();
+  RunFor(loop, kSyncTime);
+  ASSERT_EQ(vm->registry.config()->routes.size(), 2001U);
+  net::Tcp::socket socket(loop);
+  socket.connect({net::asio::ip::address_v4(kFirstVmAddress), mirror_port});
+  net::asio::write(
+      socket, net::asio::buffer(std::string("GET /kv-range?path_prefix=op/ HTTP/1.1\r\nHost: vm\r\n\r\n")));
+  RunFor(loop, kSyncTime);
+  const std::string answer = testing::ReadAvailable(socket);
+  ASSERT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer.substr(0, 200);
+  const size_t length = answer.find("Content-Length: ");
+  ASSERT_NE(length, std::string::npos);
+  EXPECT_LT(std::stoul(answer.substr(length + 16)) * 3, config.size());
+}
+
 // Guards against a VM that was suspended and then states items to be current by an answer from before.
 TEST_F(StoreSyncTest, StatesTheAgeOfAnAnswerThatItReadLate) {
   base::ManualClock own_clock(clock.Now());
