Keep a limit of requests until its replica states that it has ended

It can go unconfirmed as VMs prefer other replicas, and only a response of the replica tells that its limit has ended. Change: the limit holds until a response ends it. When the replica has not stated it for 5 s it is placed like others again, within the limit, and owns prefixes, so that a response follows; then the preference for others applies again.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -192,7 +192,7 @@
   gauges.config_age = registry_.config_freshness().Age(clock_.Now());
   gauges.quarantined_parts = quarantine_.quarantined_count();
   gauges.replicas = registry_.replicas().size();
-  gauges.limited_replicas = registry_.LimitedCount(clock_.Now());
+  gauges.limited_replicas = registry_.LimitedCount();
   gauges.vms = members_.LiveCount(clock_.Now());
   gauges.active_requests = client_server_->ActiveSessionCount() + hop_server_->ActiveSessionCount();
   gauges.ready = Ready();
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -100,7 +100,7 @@
     if (!registry.IsUsable(*replica) || Contains(query.excluded_replicas, id)) continue;
     usable.push_back(replica);
     if (replica->IsCold(now) || replica->IsEjected(now) || replica->unlisted_since) continue;
-    if (replica->limit.PerSecond(now)) continue;  // could take only a part of the prefix's requests
+    if (replica->limit.Confirmed(now)) continue;  // could take only a part of the prefix's requests
     const uint64_t weight = base::RendezvousWeight(
         {reinterpret_cast<const char*>(&query.prefix_key), sizeof query.prefix_key}, id);
     if (!owner || weight > owner_weight) {
@@ -119,7 +119,7 @@
         continue;
       }
     }
-    const auto rate = replica->limit.PerSecond(now);
+    const auto rate = replica->limit.PerSecond();
     if (rate) {
       if (replica->limit.ShareDue(now)) {
         if (vms.empty()) vms = hops.OwnRegionVms();
@@ -145,7 +145,7 @@
     const double failures = std::max(0.0, replica->failure_rate - kOrdinaryFailureRate);
     score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
     score += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
-    if (rate) score += settings_.limited_cost;
+    if (replica->limit.Confirmed(now)) score += settings_.limited_cost;
     if (replica->IsEjected(now)) score += kEjectedPenalty;
     if (replica->unlisted_since) score += kUnlistedPenalty;
     if (replica->IsCold(now)) score += kColdPenalty;
@@ -194,7 +194,7 @@
   std::optional<base::Duration> shortest;
   for (const auto& [id, replica] : registry.replicas()) {
     if (replica->published.service != service || replica->published.region != own_region_) continue;
-    if (!registry.IsUsable(*replica) || !replica->limit.PerSecond(now)) continue;
+    if (!registry.IsUsable(*replica) || !replica->limit.PerSecond()) continue;
     const auto wait = replica->limit.TimeToSend(priority, now);
     if (wait) shortest = std::min(shortest.value_or(*wait), *wait);
   }
@@ -211,7 +211,7 @@
   for (const auto& [id, replica] : registry.replicas()) {
     if (replica->published.service != service_name || replica->published.region != own_region_) continue;
     if (!registry.IsUsable(*replica) || replica->IsCold(now) || replica->IsEjected(now)) continue;
-    if (replica->limit.PerSecond(now)) continue;  // what it takes is left to the requests of this region
+    if (replica->limit.PerSecond()) continue;  // what it takes is left to the requests of this region
     const OutstandingWork work = replica->TotalWork(now);
     const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
     waits.push_back(EstimateWait(work, slots, *service, registry) +
--- a/libs/serving/internal/replica_limit.cc
+++ b/libs/serving/internal/replica_limit.cc
@@ -33,11 +33,6 @@
   return true;
 }
 
-std::optional<double> ReplicaLimit::PerSecond(base::TimePoint now) const {
-  if (!per_second_ || now - *stated_at_ > kMaxAge) return std::nullopt;
-  return per_second_;
-}
-
 double ReplicaLimit::Tokens(base::TimePoint now) const {
   const double seconds = std::chrono::duration<double>(now - filled_at_).count();
   return std::min(kBucketSize, tokens_ + share_ * std::max(0.0, seconds));
--- a/libs/serving/internal/replica_limit.h
+++ b/libs/serving/internal/replica_limit.h
@@ -31,8 +31,11 @@
   /// Least rate that is assumed, so that the replica's next statement is heard. The platform tolerates 5
   /// requests in 4 s beyond the limit.
   static constexpr double kMinRate = 0.2;
-  /// A limit that no response has confirmed for this long is dropped.
-  static constexpr std::chrono::seconds kMaxAge{60};
+  /// A replica that has not stated its limit for this long is sent requests as if it had none, within its
+  /// limit: only its responses tell when the limit ends.
+  static constexpr std::chrono::seconds kConfirmationTime{5};
+  /// For how long VMs pass a statement on.
+  static constexpr std::chrono::seconds kStatementTime{60};
   /// How long a share is used before it is determined again.
   static constexpr std::chrono::milliseconds kShareTime{250};
   /// Part of a request by which the bucket has to be fuller for each step of priority, so that more urgent
@@ -50,8 +53,12 @@
   /// Records a statement that was received at `at`, unless a later one is known. Returns whether the limit
   /// has changed.
   bool OnStated(std::optional<double> per_second, base::TimePoint at);
-  /// The limit in force; none when there is none.
-  std::optional<double> PerSecond(base::TimePoint now) const;
+  /// The limit in force, until the replica states that it has ended; none when there is none.
+  std::optional<double> PerSecond() const { return per_second_; }
+  /// Whether there is a limit that the replica has stated lately.
+  bool Confirmed(base::TimePoint now) const {
+    return per_second_.has_value() && now - *stated_at_ <= kConfirmationTime;
+  }
   /// When the replica last stated whether it has a limit; none when it never has.
   std::optional<base::TimePoint> stated_at() const { return stated_at_; }
 
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -188,8 +188,8 @@
   std::vector<LimitStatement> statements;
   for (const auto& [id, replica] : replicas_) {
     const auto stated_at = replica->limit.stated_at();
-    if (!stated_at || now - *stated_at > ReplicaLimit::kMaxAge) continue;
-    statements.push_back({replica->key, replica->limit.PerSecond(now), now - *stated_at});
+    if (!stated_at || now - *stated_at > ReplicaLimit::kStatementTime) continue;
+    statements.push_back({replica->key, replica->limit.PerSecond(), now - *stated_at});
   }
   const size_t kept = std::min(most, statements.size());
   std::partial_sort(statements.begin(), statements.begin() + static_cast<ptrdiff_t>(kept), statements.end(),
@@ -198,9 +198,9 @@
   return statements;
 }
 
-size_t ReplicaRegistry::LimitedCount(base::TimePoint now) const {
+size_t ReplicaRegistry::LimitedCount() const {
   return static_cast<size_t>(std::count_if(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
-    return entry.second->limit.PerSecond(now).has_value();
+    return entry.second->limit.PerSecond().has_value();
   }));
 }
 
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -153,7 +153,7 @@
   /// When a limit was last changed; the epoch when none ever was.
   base::TimePoint limits_changed_at() const { return limits_changed_at_; }
   /// Number of replicas with a limit.
-  size_t LimitedCount(base::TimePoint now) const;
+  size_t LimitedCount() const;
   /// Adds one measurement to the moving average of the time for which a request occupies a slot.
   void ObserveServiceTime(const std::string& service, base::Duration time);
   /// This average; a default before the first measurement.
