Count no stream as lost at a shutdown that reached its route's timeout

The check now leaves out exactly the requests that have lasted the timeout, and counts them by themselves.

--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -156,6 +156,7 @@
 
 void Ledger::CheckLoss(const Request& request, const Result& result) {
   if (result.timed_out || request.runs == 0 || request.replica_failed) return;
+  if (Now() - request.sent >= kRouteTimeout) return Count("closed_at_route_timeout");
   const bool faults = faults_.Disturbed(request.vm, request.run_region, request.sent);
   Count(faults ? "closed_after_run_beside_fault" : "closed_after_run");
   if (faults || !faults_.ShuttingDown(request.vm, request.incarnation)) return;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -19,6 +19,9 @@
 /// and the store count as disturbed for the same span after a fault.
 constexpr std::chrono::seconds kStaleLimit{5};
 
+/// The timeout of all routes.
+constexpr std::chrono::seconds kRouteTimeout{3};
+
 inline TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 /// What the checks need to know about the VMs and the store.
