--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -37,12 +37,14 @@
 /// One run: the store, the replicas, the VMs, the clients and the schedule of events.
 class Soak {
  public:
-  Soak(uint64_t seed, Duration duration, int vms, int replicas)
+  /// `routes`: number of routes without requests in each configuration.
+  Soak(uint64_t seed, Duration duration, int vms, int replicas, int routes)
       : schedule_random_(seed),
         config_random_(seed + 1),
         replica_random_(seed + 2),
         event_random_(seed),
         duration_(duration),
+        unused_routes_(routes),
         folder_(std::filesystem::temp_directory_path() / ("cornelplank-soak-" + std::to_string(getpid()))),
         store_(loop_, {RunAddress(250), harness::FreePort()}),
         fleet_(loop_, vms, RunAddress(0), MakeFolder(), StoreAddress()),
@@ -97,6 +99,7 @@
   base::Random replica_random_;
   base::Random event_random_;  // seeded anew for each event
   Duration duration_;
+  int unused_routes_;
   std::string folder_;
   testing::FakeStore store_;
   VmFleet fleet_;
@@ -177,6 +180,13 @@
     config.services[name] = service;
   }
   ledger_.AddConfig(config);
+  serving::RouteConfig unused = config.routes.front();
+  unused.host = "unused.example";
+  for (int i = 0; i < unused_routes_; ++i) {
+    unused.name = "unused-" + std::to_string(i);
+    unused.path_prefix = "/" + std::to_string(config_random_.Next()) + "/";
+    config.routes.push_back(unused);
+  }
   fleet_.config_lag().OnPublished(config.version);
   store_.Put(wire::kConfigKey, wire::EncodeConfig(config));
 }
@@ -412,7 +422,9 @@
                                                    "seed of the schedule")(
       "duration", po::value<std::string>()->default_value("60s"), "length of the run, at least 20s")(
       "vms", po::value<int>()->default_value(6), "number of VMs, 3 to 90")(
-      "replicas", po::value<int>()->default_value(2), "replicas of each service in each zone, 1 to 20");
+      "replicas", po::value<int>()->default_value(2), "replicas of each service in each zone, 1 to 20")(
+      "routes", po::value<int>()->default_value(0),
+      "routes without requests in each configuration, 0 to 3000");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -428,14 +440,16 @@
   const auto duration = cornelplank::soak::ParseSeconds(values["duration"].as<std::string>());
   const int vms = values["vms"].as<int>();
   const int replicas = values["replicas"].as<int>();
-  if (!duration || duration->count() < 20 || vms < 3 || vms > 90 || replicas < 1 || replicas > 20) {
-    std::cerr << "--duration, --vms or --replicas is out of range; --help prints the ranges\n";
+  const int routes = values["routes"].as<int>();
+  if (!duration || duration->count() < 20 || vms < 3 || vms > 90 || replicas < 1 || replicas > 20 ||
+      routes < 0 || routes > 3000) {
+    std::cerr << "--duration, --vms, --replicas or --routes is out of range; --help prints the ranges\n";
     return 2;
   }
   const auto seed = values["seed"].as<uint64_t>();
   std::cout << "seed " << seed << std::endl;
   std::signal(SIGPIPE, SIG_IGN);
   // The suspended coroutines refer to the run, so it is not destroyed.
-  auto* soak = new cornelplank::soak::Soak(seed, *duration, vms, replicas);
+  auto* soak = new cornelplank::soak::Soak(seed, *duration, vms, replicas, routes);
   std::_Exit(soak->Run() > 0 ? 1 : 0);
 }
