--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -216,6 +216,49 @@
   EXPECT_EQ(page.changes[0].value, "new");
 }
 
+struct SupersededCase {
+  const char* name;
+  std::vector<platform::StoreChange> changes;
+  std::vector<std::pair<std::string, std::optional<std::string>>> expected;  // keys and values
+};
+class SupersededChangeTest : public ::testing::TestWithParam<SupersededCase> {};
+
+// Guards against memory and answers that grow with the number of versions of a large value.
+TEST_P(SupersededChangeTest, IsNeitherKeptNorSent) {
+  net::asio::io_context loop{1};
+  platform::PrefixMirror mirror(loop);
+  mirror.Replace({{"op/config", "first", 1}});
+  const uint64_t begin = mirror.List().revision;
+  for (const platform::StoreChange& change : GetParam().changes) mirror.Apply({change});
+  platform::StorePage page;
+  ASSERT_TRUE(testing::RunTask(loop, [](auto& watched, uint64_t after, auto* out) -> net::Task<> {
+    *out = co_await watched.Watch(after, std::chrono::milliseconds(10));
+  }(mirror, begin, &page)));
+  std::vector<std::pair<std::string, std::optional<std::string>>> seen;
+  for (const platform::StoreChange& change : page.changes) {
+    seen.emplace_back(change.key, change.value);
+    EXPECT_NE(change.revision, 0U);
+  }
+  EXPECT_EQ(seen, GetParam().expected);
+  EXPECT_EQ(page.revision, begin + GetParam().changes.size());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Changes, SupersededChangeTest,
+    ::testing::Values(
+        SupersededCase{"Versions",
+                       {{"op/config", "a", 2}, {"op/config", "b", 3}, {"op/config", "c", 4}},
+                       {{"op/config", "c"}}},
+        SupersededCase{"OtherKeyBetween",
+                       {{"op/config", "a", 2}, {"op/evacuate/z", "{}", 3}, {"op/config", "b", 4}},
+                       {{"op/evacuate/z", "{}"}, {"op/config", "b"}}},
+        SupersededCase{"TakenBack",
+                       {{"op/evacuate/z", "{}", 2}, {"op/evacuate/z", std::nullopt, 3}},
+                       {{"op/evacuate/z", std::nullopt}}},
+        SupersededCase{
+            "Again", {{"op/config", std::nullopt, 2}, {"op/config", "d", 3}}, {{"op/config", "d"}}}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against two VMs that read from each other after calls to the store failed at both: they would
 // exchange their outdated state and never read the store again.
 TEST_F(StoreSyncTest, VmsDoNotReadFromEachOtherAfterAnOutage) {
