--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -96,6 +96,10 @@
   /// Loads that another VM reported longer ago than this are not counted.
   static constexpr std::chrono::milliseconds kMaxPeerLoadAge{1500};
 
+  /// `config_bound`: time within which a new configuration has to be in force everywhere.
+  explicit ReplicaRegistry(std::chrono::milliseconds config_bound = std::chrono::milliseconds(4000))
+      : config_freshness_(config_bound - ConfigFreshness::kBoundMargin) {}
+
   void SetConfig(std::shared_ptr<const RoutingConfig> config) {
     config_ = std::move(config);
     if (config_) config_freshness_.OnApplied(config_->version);
@@ -103,9 +107,6 @@
   /// The configuration in force; null before the first `SetConfig`.
   const RoutingConfig* config() const { return config_.get(); }
   std::shared_ptr<const RoutingConfig> SharedConfig() const { return config_; }
-  /// `bound`: time within which a new configuration has to be in force everywhere.
-  explicit ReplicaRegistry(std::chrono::milliseconds bound = std::chrono::milliseconds(4000))
-      : config_freshness_(bound - ConfigFreshness::kBoundMargin) {}
 
   /// Whether the configuration in force may still be the newest one.
   ConfigFreshness& config_freshness() { return config_freshness_; }
