--- a/tests/gateway/completion_test.cc
+++ b/tests/gateway/completion_test.cc
@@ -80,6 +80,44 @@
   EXPECT_FALSE(whole);
 }
 
+struct ResumptionCase {
+  const char* name;
+  int status;  // of the engines that are to resume the stream
+  const char* body;
+};
+class FailedResumptionTest : public testing::TestWithParam<ResumptionCase> {};
+
+// Guards against the text of a later engine's answer in the middle of a stream, and against a whole stream.
+TEST_P(FailedResumptionTest, EndsTheStreamWithAnErrorEvent) {
+  std::atomic<int> calls{0};
+  const auto handler = [&calls](const http::Request& request) {
+    if (calls++ == 0) return ScriptedStream(request, {.count = 3, .done = false});
+    http::Response response;
+    response.status = GetParam().status;
+    response.body = GetParam().body;
+    return response;
+  };
+  FakeUpstream first(handler);
+  FakeUpstream second(handler);
+  FakeFleet fleet;
+  fleet.AddEngine("a", "e1", first.address());
+  fleet.AddEngine("a", "e2", second.address());
+  const size_t vm = fleet.StartVm("a");
+  bool whole = true;
+  const std::string stream = fleet.ReadStream(fleet.Completion(vm, true), &whole);
+  EXPECT_EQ(Tokens(stream), "t0t1t2error:unknown");
+  EXPECT_EQ(stream.find("marker"), std::string::npos) << stream;
+  EXPECT_FALSE(whole);
+  EXPECT_GE(calls, 2);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, FailedResumptionTest,
+    testing::Values(ResumptionCase{"Refusal", 503,
+                                   R"({"code":"full","detail":"marker","outcome":"not-run"})"},
+                    ResumptionCase{"Error", 500, "marker"},
+                    ResumptionCase{"NoStream", 200, R"({"id":"marker","choices":[]})"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against passing on the answer to another request, which an engine that mixes up requests may send.
 // The answer's id shows it.
 TEST(CompletionTest, NeverPassesAnotherRequestsWholeAnswer) {
