--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -37,7 +37,7 @@
   std::chrono::milliseconds change_bound{4000};      // a new configuration
   std::chrono::milliseconds evacuation_bound{4000};  // an evacuated zone
   std::chrono::milliseconds drain_bound{4000};       // a replica that leaves
-  std::chrono::milliseconds grace{8000};  // from SIGTERM to the end of the process
+  std::chrono::milliseconds grace{8000};             // from SIGTERM to the end of the process
 };
 
 /// Reads and checks the settings file. Returns no value, with all faults in `faults`, when it has any.
