--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -146,8 +146,7 @@
 
 class CutHeadTest : public testing::TestWithParam<const char*> {};
 
-// Guards against a server that closes inside the head of its response and is taken for a 200 with an empty
-// body.
+// Guards against a response that is cut inside its head and taken for a 200 with an empty body.
 TEST_P(CutHeadTest, IsNoResponse) {
   const OneAnswerServer server(GetParam());
   ASSERT_NE(server.port(), 0);
--- a/tests/platform/direct_read_policy_test.cc
+++ b/tests/platform/direct_read_policy_test.cc
@@ -56,8 +56,7 @@
 };
 class ReadTimesTest : public ::testing::TestWithParam<BoundCase> {};
 
-// Guards against VMs that refuse a deployment with a low bound, and against direct reads beside sources that
-// work.
+// Guards against VMs that refuse low bounds, and against direct reads beside sources that work.
 TEST_P(ReadTimesTest, LeavesTimeForADirectRead) {
   const milliseconds bound = GetParam().bound;
   const ReadTimes times = ReadTimes::ForBound(bound);
--- a/tests/platform/faulty_replica_test.cc
+++ b/tests/platform/faulty_replica_test.cc
@@ -35,8 +35,7 @@
 class StrayRefusalTest : public ProxyPath,
                          public ::testing::WithParamInterface<std::tuple<StrayRefusalCase, bool>> {};
 
-// Guards against a refusal of an earlier request that is taken for that of a request which the replica runs:
-// the client would be told that it has not run, or it would run at a second replica.
+// Guards against the refusal of an earlier request that is taken for that of one which the replica runs.
 TEST_P(StrayRefusalTest, SaysNothingAboutALaterRequest) {
   const auto& [param, over_hops] = GetParam();
   const std::string first_answer = Response("200 OK", "1", "first", kSigned);
@@ -87,8 +86,7 @@
 class FailedResumptionTest : public ProxyPath,
                              public ::testing::WithParamInterface<std::tuple<ResumptionCase, bool>> {};
 
-// Guards against the text or the head of a later replica's error in the middle of a stream, and against a
-// broken-off stream that ends as if it were whole.
+// Guards against a later replica's error in the middle of a stream, or a broken-off stream that looks whole.
 TEST_P(FailedResumptionTest, EndsTheStreamRecognisably) {
   const auto& [param, over_hops] = GetParam();
   SequenceServer first(loop, {{std::string(kStreamHead) + "id: 1\ndata: a\n\nid: 2\nda", true, ""}});
--- a/tests/platform/replica_limit_test.cc
+++ b/tests/platform/replica_limit_test.cc
@@ -61,8 +61,7 @@
   }
 };
 
-// Guards against a replica that gets more requests from all VMs together than the limit that it states, and
-// against requests that are refused while other replicas could serve them.
+// Guards against replicas that get more than their limit, and against refusals while others could serve.
 TEST_P(StatedLimitTest, IsKeptByAllVmsTogether) {
   const auto& param = GetParam();
   TestFleet fleet(param.vms, param.replicas, CrashingReplicaSettings{});
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -362,8 +362,7 @@
                                            TurnedAwayCase{"SilentForAWholeZone", Mode::kSilent, 9, "y"}),
                          [](const auto& info) { return info.param.name; });
 
-// Guards against a VM that reaches the store but stays at an outdated configuration, because it tries VMs one
-// after the other that count as alive and don't answer.
+// Guards against a VM that reaches the store but stays outdated, as it tries one silent VM after the other.
 TEST_F(StoreSyncTest, ReadsTheStoreInTimeWhileOtherVmsAreSilent) {
   constexpr std::chrono::milliseconds kBound{4000};
   constexpr uint32_t kSilentVms = 12;
--- a/tests/serving/replica_limit_test.cc
+++ b/tests/serving/replica_limit_test.cc
@@ -28,8 +28,7 @@
 };
 class ReplicaLimitRateTest : public ::testing::TestWithParam<RateCase> {};
 
-// Guards against a sum over all VMs that is beyond one and a half times the limit and 5 requests in 4 s, and
-// against a limit of which only a small part is used.
+// Guards against a sum over all VMs that is beyond the tolerance, and against limits that are hardly used.
 TEST_P(ReplicaLimitRateTest, AllVmsTogetherKeepTheLimit) {
   constexpr milliseconds kStep{5};
   constexpr milliseconds kWindow{4000};
@@ -108,8 +107,7 @@
 };
 class UnconfirmedLimitTest : public ::testing::TestWithParam<SilenceCase> {};
 
-// Guards against a limit that ends, or that nobody learns the end of, because the other replicas take all
-// requests.
+// Guards against a limit that is forgotten, or whose end is not noticed, as other replicas take all requests.
 TEST_P(UnconfirmedLimitTest, IsKeptAndAskedForAgain) {
   struct OneVm final : HopDirectory {
     std::vector<RemoteRegion> RemoteRegions(const std::string&) const override { return {}; }
@@ -174,8 +172,7 @@
 };
 class ReplicaLimitPriorityTest : public ::testing::TestWithParam<PriorityCase> {};
 
-// Guards against less urgent requests that take the limit from urgent ones, and against some that get
-// nothing.
+// Guards against less urgent requests that take the limit from urgent ones, and against some left without.
 TEST_P(ReplicaLimitPriorityTest, UrgentRequestsGoFirst) {
   ReplicaLimit limit;
   limit.OnStated(1, kStart);
