Bound numbers and nesting of everything that is read from outside

Callers: another operator's machines ended again and again, or stopped following the list of replicas, after another writer had left an odd entry. Cause: numbers were converted without a check of their range, which is undefined and differs between processors; values of any depth were parsed, copied and written. One faulty record made the VM list of the older gateway unusable, and a field of another type in an engine's load report ended that process. Change: base::ToInteger, ToTime, ParseNumber and ParseJson (at most 64 levels) are the only ways from text to numbers and JSON.

--- a/apps/ctl/commands/check_patch.cc
+++ b/apps/ctl/commands/check_patch.cc
@@ -71,7 +71,7 @@
     return std::nullopt;
   }
   Proposal proposal{options.author, options.base, *text};
-  const auto value = nlohmann::json::parse(*text, nullptr, false);
+  const auto value = base::ParseJson(*text);
   if (value.is_object() && value.contains("patch")) {
     proposal.patch_json = value["patch"].dump();
     if (proposal.author.empty() && value.contains("author") && value["author"].is_string()) {
--- a/apps/ctl/commands/verdict.cc
+++ b/apps/ctl/commands/verdict.cc
@@ -56,7 +56,7 @@
       return std::nullopt;
     }
     try {
-      const auto status = nlohmann::json::parse(response->body);
+      const auto status = base::ParseJson(response->body);
       return ConfigPosition{status.at("region"), status.at("config").at("seq"),
                             status.at("config").at("digest")};
     } catch (const nlohmann::json::exception& fault) {
--- a/apps/load/core/answer.cc
+++ b/apps/load/core/answer.cc
@@ -59,7 +59,7 @@
 bool AnswerCheck::TakeEvent(const http::SseEvent& event) {
   if (event.event == "error") {
     error_ = true;
-    error_code_ = TextAt(json::parse(event.data, nullptr, false), "/code");
+    error_code_ = TextAt(base::ParseJson(event.data), "/code");
   } else if (event.data == http::kSseDone) {
     // A second end mark, or one after an error event, would let a client take a partial answer for a complete
     // one.
@@ -73,7 +73,7 @@
 }
 
 void AnswerCheck::TakeToken(const std::string& data) {
-  const json event = json::parse(data, nullptr, false);
+  const json event = base::ParseJson(data);
   const std::string text = TextAt(event, "/choices/0/delta/content");
   if (text != TokenText(prompt_hash_, seed_, tokens_)) wrong_ = true;
   if (event.is_object() && event.value("index", tokens_) != tokens_) wrong_ = true;
@@ -90,13 +90,13 @@
 Result AnswerCheck::BodyResult(const std::string& body) const {
   std::string expected;
   for (uint64_t index = 0; index < max_tokens_; ++index) expected += TokenText(prompt_hash_, seed_, index);
-  const std::string text = TextAt(json::parse(body, nullptr, false), "/choices/0/message/content");
+  const std::string text = TextAt(base::ParseJson(body), "/choices/0/message/content");
   if (text == expected) return Result::kWhole;
   return expected.starts_with(text) ? Result::kUnmarkedTruncation : Result::kWrong;
 }
 
 Result ErrorResult(const std::string& body) {
-  const std::string outcome = TextAt(json::parse(body, nullptr, false), "/outcome");
+  const std::string outcome = TextAt(base::ParseJson(body), "/outcome");
   if (outcome == "not-run") return Result::kNotRun;
   if (outcome == "ran") return Result::kRan;
   return Result::kUnknown;
--- a/apps/load/core/entry_list.cc
+++ b/apps/load/core/entry_list.cc
@@ -25,7 +25,7 @@
 }
 
 bool EntryList::Adopt(const std::string& json, base::TimePoint now) {
-  const auto list = nlohmann::json::parse(json, nullptr, false);
+  const auto list = base::ParseJson(json);
   if (!list.is_object() || !list.contains("entries") || !list["entries"].is_array()) return false;
   std::vector<std::string> entries;
   for (const auto& entry : list["entries"]) {
--- a/apps/load/runner.cc
+++ b/apps/load/runner.cc
@@ -57,7 +57,7 @@
       measured_.result = state.request_sent ? Result::kNoAnswer : Result::kNoConnection;
     } else if (status_ != 200) {
       measured_.result = ErrorResult(body_);
-      const auto problem = nlohmann::json::parse(body_, nullptr, false);
+      const auto problem = base::ParseJson(body_);
       measured_.code = std::to_string(status_);
       if (problem.is_object()) measured_.code += " " + problem.value("code", "");
     } else if (streamed_) {
--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "libs/base/internal/checked_number.h"
 #include "libs/base/internal/clock.h"
 #include "libs/base/internal/event_log.h"
 #include "libs/base/internal/hash.h"
+#include "libs/base/internal/json_text.h"
 #include "libs/base/internal/log.h"
 #include "libs/base/internal/outcome.h"
 #include "libs/base/internal/random.h"
--- a/libs/base/internal/settings.cc
+++ b/libs/base/internal/settings.cc
@@ -10,6 +10,8 @@
 #include <sstream>
 #include <utility>
 
+#include "libs/base/internal/checked_number.h"
+
 namespace cornelplank::base {
 namespace {
 
@@ -47,14 +49,6 @@
   return 1;
 }
 
-template <typename T>
-std::optional<T> ParseNumber(std::string_view text) {
-  T value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
 std::string Trim(const std::string& text) {
   const size_t first = text.find_first_not_of(" \t");
   if (first == std::string::npos) return "";
--- a/libs/config/internal/json_reader.h
+++ b/libs/config/internal/json_reader.h
@@ -18,17 +18,6 @@
 
 using Json = nlohmann::json;
 
-/// Limit of nested objects and lists. The deepest published form has 8 levels. Without a limit, a deeply
-/// nested value would overflow the stack in the recursive functions of the JSON library.
-inline constexpr int kMaxJsonDepth = 64;
-
-/// True when the brackets of `text` nest deeper than `max_depth`. The parser callback of the JSON library
-/// could check this while parsing, but with a callback the parser takes quadratic time in the members of an
-/// object.
-bool IsTooDeep(std::string_view text, int max_depth = kMaxJsonDepth);
-/// Returns `text` with each object and list that is nested deeper than `max_depth` replaced by null.
-std::string CutDeepValues(std::string_view text, int max_depth);
-
 /// Limit of a list of names. Finding duplicates takes quadratic time in the length. Lists hold zones,
 /// regions, models, classes or methods; the largest planned deployment has 26 zones.
 inline constexpr size_t kMaxNames = 1000;
--- a/libs/config/internal/log_entry.cc
+++ b/libs/config/internal/log_entry.cc
@@ -14,8 +14,8 @@
 /// Parses log text after replacing values that are nested too deeply, so that they don't make the rest of the
 /// log unreadable.
 std::optional<Json> ParseLogJson(std::string_view text, int max_depth, ConfigReason* reason) {
-  return IsTooDeep(text, max_depth) ? ParseJson(CutDeepValues(text, max_depth), reason)
-                                    : ParseJson(text, reason);
+  return base::IsTooDeep(text, max_depth) ? ParseJson(base::CutDeepValues(text, max_depth), reason)
+                                          : ParseJson(text, reason);
 }
 
 std::optional<LogEntry> EntryFromJson(const Json& value, const JsonPath& path, Faults* faults) {
@@ -37,7 +37,7 @@
 
 /// Writes a patch that is not JSON as a string; only entries that were built in memory can have one.
 Json EntryToJson(const LogEntry& entry) {
-  Json patch = Json::parse(entry.patch_json, nullptr, false);
+  Json patch = base::ParseJson(entry.patch_json);
   if (patch.is_discarded()) patch = entry.patch_json;
   Json value = {{"seq", entry.seq}, {"author", entry.author}, {"patch", std::move(patch)}};
   value["base"] = entry.base == kNoBase ? Json(nullptr) : Json(entry.base);
@@ -47,7 +47,7 @@
 }  // namespace
 
 std::optional<LogPage> ParseLogPage(std::string_view json, ConfigReason* reason) {
-  const auto value = ParseLogJson(json, kMaxJsonDepth, reason);
+  const auto value = ParseLogJson(json, base::kMaxJsonDepth, reason);
   if (!value) return std::nullopt;
   Faults faults;
   const JsonPath root;
@@ -72,7 +72,7 @@
 }
 
 std::optional<LogEntry> ParseLogEntry(std::string_view json, ConfigReason* reason) {
-  const auto value = ParseLogJson(json, kMaxJsonDepth - kEntryDepth, reason);
+  const auto value = ParseLogJson(json, base::kMaxJsonDepth - kEntryDepth, reason);
   if (!value) return std::nullopt;
   Faults faults;
   const JsonPath root;
--- a/libs/config/internal/vm_record.cc
+++ b/libs/config/internal/vm_record.cc
@@ -28,10 +28,11 @@
 
 }  // namespace
 
-std::optional<VmList> ParseVmList(std::string_view json, ConfigReason* reason) {
+std::optional<VmList> ParseVmList(std::string_view json, ConfigReason* reason, UnusableVmRecords* unusable) {
   const auto value = ParseJson(json, reason);
   if (!value) return std::nullopt;
   Faults faults;
+  UnusableVmRecords left_out;
   const JsonPath root;
   ObjectReader reader(*value, root, &faults);
   VmList list;
@@ -39,10 +40,21 @@
       reader.Integer("age_ms", std::nullopt, 0, std::numeric_limits<int32_t>::max())};
   std::set<std::string> ids;
   ForEachElement(&reader, "vms", true, &faults, [&](const Json& element, const JsonPath& path) {
-    VmRecord vm = ReadVm(element, path, &faults);
-    if (!ids.insert(vm.id).second) faults.push_back({path.ToPointer(), "VM '" + vm.id + "' is listed twice"});
-    list.vms.push_back(std::move(vm));
+    const size_t faults_before = left_out.faults.size();
+    VmRecord vm = ReadVm(element, path, &left_out.faults);
+    if (!vm.id.empty() && !ids.insert(vm.id).second) {
+      left_out.faults.push_back({path.ToPointer(), "VM '" + vm.id + "' is listed twice"});
+    }
+    if (left_out.faults.size() == faults_before) {
+      list.vms.push_back(std::move(vm));
+    } else if (vm.id.empty()) {
+      left_out.unnamed = true;
+    } else {
+      left_out.ids.insert(std::move(vm.id));
+    }
   });
+  std::erase_if(list.vms, [&](const VmRecord& vm) { return left_out.ids.contains(vm.id); });
+  if (unusable != nullptr) *unusable = std::move(left_out);
   if (faults.empty()) return list;
   base::SetReason(reason, ConfigCode::kMalformed, faults.front().Text());
   return std::nullopt;
--- a/libs/config/internal/vm_record.h
+++ b/libs/config/internal/vm_record.h
@@ -3,10 +3,12 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "libs/config/internal/names.h"
 #include "libs/config/internal/reason.h"
 
 namespace cornelplank::config {
@@ -36,10 +38,19 @@
   bool operator==(const VmList&) const = default;
 };
 
-/// Reads the published form {"age_ms","vms":[...]}. Unknown fields are ignored. A faulty record or a
-/// duplicate id makes the whole list invalid, because a list without that VM would mean that it was removed.
-/// On failure the result is empty and `reason` (may be null) holds kMalformed.
-std::optional<VmList> ParseVmList(std::string_view json, ConfigReason* reason);
+/// The records of a VM list that can't be used. The list says nothing about their VMs.
+struct UnusableVmRecords {
+  std::set<std::string> ids;  // of the VMs whose record is faulty or contradicted by another one
+  bool unnamed = false;       // a record has no id that can be read, so that it may belong to any VM
+  Faults faults;
+};
+
+/// Reads the published form {"age_ms","vms":[...]}. Unknown fields are ignored. Faulty records and those of
+/// an id that is listed twice are left out and described in `unusable` (may be null): a VM without a usable
+/// record has not been removed. When the rest of the list is faulty the result is empty and `reason` (may be
+/// null) holds kMalformed.
+std::optional<VmList> ParseVmList(std::string_view json, ConfigReason* reason,
+                                  UnusableVmRecords* unusable = nullptr);
 std::string WriteVmList(const VmList& list);
 
 }  // namespace cornelplank::config
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -12,6 +12,8 @@
 namespace cornelplank::fleet {
 namespace {
 
+// Greatest size of an unpacked heartbeat, in words of 8 bytes. A datagram could otherwise demand 64 MB.
+constexpr uint64_t kMaxHeartbeatWords = 64 << 10;
 // Greatest limit of a replica that is passed on, in requests a second; a greater one limits nothing.
 constexpr double kMaxLimitPerSecond = 1e9;
 
@@ -177,7 +179,9 @@
   // Cap'n Proto reports malformed bytes by exception.
   const auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-    capnp::PackedMessageReader message(in);
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxHeartbeatWords;
+    capnp::PackedMessageReader message(in, options);
     heartbeat = Read(message.getRoot<schema::Beat>());
   });
   if (failure != nullptr) return std::nullopt;
--- a/libs/gateway/internal/local_attempt.cc
+++ b/libs/gateway/internal/local_attempt.cc
@@ -59,7 +59,7 @@
 /// The failure for a response with a status other than 200. The problem details in its body say whether the
 /// engine ran the request; without them the outcome is `unknown`.
 Failure ResponseFailure(int status, const std::string& body) {
-  const auto problem = nlohmann::json::parse(body, nullptr, false);
+  const auto problem = base::ParseJson(body);
   const auto text = [&problem](const char* key) {
     return problem.is_object() && problem.contains(key) && problem[key].is_string()
                ? problem[key].get<std::string>()
--- a/libs/gateway/internal/platform_reader.cc
+++ b/libs/gateway/internal/platform_reader.cc
@@ -120,8 +120,18 @@
   next_vms_ = now + interval + base::Duration{random_.Below(static_cast<uint64_t>(interval.count() / 4))};
   int status = 0;
   const auto body = Get("vms", "/v1/vms", kReadTimeout, &status);
-  const auto list = body ? config::ParseVmList(*body, nullptr) : std::nullopt;
-  if (!list) return;
+  if (!body) return;
+  config::ConfigReason reason;
+  config::UnusableVmRecords unusable;
+  const auto list = config::ParseVmList(*body, &reason, &unusable);
+  for (const config::Fault& fault : unusable.faults) {
+    CP_LOG(WARNING, "vms") << "Invalid record of the VM list at " << fault.pointer
+                           << "; what is known of its VM stays.";
+  }
+  if (!list) {
+    CP_LOG(WARNING, "vms") << "The VM list can't be read: " << reason.detail;
+    return;
+  }
   std::vector<membership::VmListEntry> entries;
   for (const config::VmRecord& vm : list->vms) {
     entries.push_back(
@@ -129,7 +139,7 @@
          vm.state == config::VmState::kLeaving ? membership::VmState::kLeaving : membership::VmState::kLive});
   }
   const std::lock_guard<std::mutex> lock(shared_->fleet.mutex);
-  shared_->fleet.table.ApplyVmList(entries, list->age, shared_->clock.Now());
+  shared_->fleet.table.ApplyVmList(entries, list->age, shared_->clock.Now(), unusable.ids, !unusable.unnamed);
 }
 
 void PlatformReader::ReadClients(bool reader) {
--- a/libs/gateway/internal/prompt.cc
+++ b/libs/gateway/internal/prompt.cc
@@ -35,7 +35,7 @@
 }  // namespace
 
 bool ParsePrompt(const std::string& body, GatewayRequest* request) {
-  const json json_body = json::parse(body, nullptr, false);
+  const json json_body = base::ParseJson(body);
   if (!json_body.is_object()) return false;
   const auto model = json_body.find("model");
   const auto messages = json_body.find("messages");
@@ -64,7 +64,7 @@
 }
 
 std::string AttemptBody(const GatewayRequest& request, uint32_t resume_tokens) {
-  json json_body = json::parse(request.body, nullptr, false);
+  json json_body = base::ParseJson(request.body);
   if (!json_body.contains("seed")) json_body["seed"] = base::Hash64(request.request_id) >> 32;
   if (resume_tokens > 0) json_body["resume_tokens"] = resume_tokens;
   return json_body.dump();
--- a/libs/gateway/internal/upstream_poller.cc
+++ b/libs/gateway/internal/upstream_poller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -27,18 +28,27 @@
   return number;
 }
 
+/// Returns a text member of an object; `fallback` when it is missing or of another type.
+std::string TextMember(const json& object, const char* key, const char* fallback) {
+  const auto found = object.find(key);
+  return found != object.end() && found->is_string() ? found->get<std::string>() : fallback;
+}
+
 /// The prefix hash of a cache event, which is encoded as 16 hexadecimal digits; 0 when it is missing.
 uint64_t PrefixOf(const json& event) {
-  const std::string name = event.value("prefix", "");
+  const std::string name = TextMember(event, "prefix", "");
   uint64_t prefix = 0;
   std::from_chars(name.data(), name.data() + name.size(), prefix, 16);
   return prefix;
 }
 
-/// Returns an unsigned member of an object; 0 when it is missing or of another type.
+/// Returns an unsigned member of an object, at most the greatest of 32 bits; 0 when it is missing or of
+/// another type.
 uint32_t UnsignedMember(const json& load, const char* key) {
   const auto found = load.find(key);
-  return found != load.end() && found->is_number_unsigned() ? found->get<uint32_t>() : 0;
+  if (found == load.end() || !found->is_number_unsigned()) return 0;
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(found->get<uint64_t>(), std::numeric_limits<uint32_t>::max()));
 }
 
 /// Returns the models and versions that a load report lists as loaded.
@@ -48,7 +58,7 @@
   if (found == load.end() || !found->is_array()) return models;
   for (const json& entry : *found) {
     if (entry.is_object() && entry.contains("model") && entry["model"].is_string()) {
-      models.emplace(entry["model"].get<std::string>(), entry.value("version", ""));
+      models.emplace(entry["model"].get<std::string>(), TextMember(entry, "version", ""));
     }
   }
   return models;
@@ -123,7 +133,7 @@
   request.connect_timeout = shared_->settings.connect_limit;
   request.timeout = kPollTimeout;
   const auto response = http_->Send(request, nullptr, nullptr);
-  const auto load = response ? json::parse(response->body, nullptr, false) : json();
+  const auto load = response ? base::ParseJson(response->body) : json();
   const base::TimePoint now = shared_->clock.Now();
   if (!load.is_object() || response->status != 200) {
     if (!own) return;
@@ -141,7 +151,7 @@
   report.running = UnsignedMember(load, "running");
   report.queued = UnsignedMember(load, "queued");
   report.age = milliseconds{UnsignedMember(load, "age_ms")};
-  const std::string state = load.value("state", "ready");
+  const std::string state = TextMember(load, "state", "ready");
   if (state == "leaving") report.state = upstreams::EngineState::kLeaving;
   if (state == "loading") report.state = upstreams::EngineState::kLoading;
   const auto models = ModelsOf(load);
@@ -173,15 +183,15 @@
   request.connect_timeout = shared_->settings.connect_limit;
   request.timeout = kPollTimeout;
   const auto response = http_->Send(request, nullptr, nullptr);
-  const auto body = response ? json::parse(response->body, nullptr, false) : json();
+  const auto body = response ? base::ParseJson(response->body) : json();
   if (!body.is_object() || !body.contains("events") || !body["events"].is_array()) return;
   std::vector<upstreams::PrefixCacheEvent> events;
   for (const json& entry : body["events"]) {
     if (!entry.is_object() || events.size() >= kMaxCacheEvents) break;
     upstreams::PrefixCacheEvent event;
     event.seq = entry.contains("seq") ? ParseUnsigned(entry["seq"]) : 0;
-    event.operation = entry.value("op", "") == "evict" ? upstreams::CacheOperation::kEvict
-                                                       : upstreams::CacheOperation::kAdd;
+    event.operation = TextMember(entry, "op", "") == "evict" ? upstreams::CacheOperation::kEvict
+                                                             : upstreams::CacheOperation::kAdd;
     event.prefix = PrefixOf(entry);
     event.tokens = UnsignedMember(entry, "tokens");
     events.push_back(event);
--- a/libs/membership/internal/vm_table.cc
+++ b/libs/membership/internal/vm_table.cc
@@ -66,12 +66,13 @@
   return &vm;
 }
 
-void VmTable::ApplyVmList(const std::vector<VmListEntry>& list, base::Duration age, base::TimePoint now) {
+void VmTable::ApplyVmList(const std::vector<VmListEntry>& list, base::Duration age, base::TimePoint now,
+                          const std::set<std::string>& unreadable, bool complete) {
   now = AdvanceTime(now);
   const base::TimePoint produced_at = now - std::max(age, base::Duration{0});
   if (produced_at < list_produced_at_) return;
   list_produced_at_ = produced_at;
-  for (auto& [id, vm] : vms_) vm.listed = false;
+  for (auto& [id, vm] : vms_) vm.listed = unreadable.contains(id) || (!complete && vm.listed);
   for (const VmListEntry& entry : list) {
     const bool known = vms_.contains(entry.id);
     Vm* vm = Merge(entry, now);
--- a/libs/membership/internal/vm_table.h
+++ b/libs/membership/internal/vm_table.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,9 +76,11 @@
   VmTable(VmTable&&) = default;
   VmTable& operator=(VmTable&&) = default;
 
-  /// Applies a complete VM list that the platform produced `age` ago. A list older than the newest applied
-  /// one is ignored.
-  void ApplyVmList(const std::vector<VmListEntry>& list, base::Duration age, base::TimePoint now);
+  /// Applies a VM list that the platform produced `age` ago. A list older than the newest applied one is
+  /// ignored. `unreadable`: ids of VMs that it lists too, with a record that can't be used; they stay as they
+  /// are. Unless the list is `complete`, no VM counts as removed because it is missing.
+  void ApplyVmList(const std::vector<VmListEntry>& list, base::Duration age, base::TimePoint now,
+                   const std::set<std::string>& unreadable = {}, bool complete = true);
   /// Records an incoming call of the VM. It proves one direction only, so it clears no suspicion.
   void RecordHeartbeat(const VmListEntry& from, base::TimePoint now);
   /// Merges a peer's entry of another VM, from which some node received a message `age` ago. An entry with an
--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -1,5 +1,6 @@
 #include "libs/net/internal/http_call.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <limits>
@@ -17,6 +18,8 @@
 constexpr uint64_t kUnlimitedBodyBytes = std::numeric_limits<uint64_t>::max();
 // Greatest number of interim (100 Continue) responses before the final one.
 constexpr int kMaxInterimResponses = 8;
+// Greatest idle timeout of a peer that is believed, in seconds.
+constexpr int64_t kMaxKeepAliveSeconds = 3600;
 // Size of the buffer for one read of a body, in bytes.
 constexpr size_t kReadBufferBytes = 4096;
 
@@ -28,8 +31,8 @@
   const std::string_view digits = start == std::string_view::npos ? text : text.substr(start + 8);
   int64_t seconds = 0;
   const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  if (parsed.ec != std::errc()) return std::nullopt;
-  return std::chrono::seconds(seconds);
+  if (parsed.ec != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(std::min(seconds, kMaxKeepAliveSeconds));
 }
 
 /// The request line and the headers of the request, as they are sent.
--- a/libs/net/internal/loop.cc
+++ b/libs/net/internal/loop.cc
@@ -63,7 +63,7 @@
   uint16_t port = 0;
   const std::string_view digits = text.substr(colon + 1);
   const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (fault != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+  if (fault != std::errc() || end != digits.data() + digits.size() || port == 0) return std::nullopt;
   Error error;
   const auto address = asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
   if (error) return std::nullopt;
--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -60,7 +60,10 @@
   bool wrong_replica = false;  // the address now belongs to a replica other than the expected one
   bool encoded = false;        // the body has a content encoding, although none was asked for
   std::optional<ReportedLoad> load;
-  std::optional<std::chrono::milliseconds> cold_remaining;  // until the replica has its full speed
+  std::optional<base::Duration> cold_remaining;  // until the replica has its full speed
+  bool leaving = false;                          // the replica is about to exit and takes no new requests
+  // Set when the replica turned the request away: it takes no requests from this VM for so long.
+  std::optional<base::Duration> push_back;
   // Requests a second that the replica takes from all VMs together; none when it states no limit.
   std::optional<double> rate_limit;
 };
--- a/tests/gateway/fake_fleet.h
+++ b/tests/gateway/fake_fleet.h
@@ -24,6 +24,8 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
   void SetHandler(Handler handler);
+  /// Answers the next questions for the load with this text.
+  void SetLoad(std::string text);
   /// The requests received so far, except for load reports, cache events and orders.
   std::vector<http::Request> Received() const;
   void Stop() { server_.reset(); }
@@ -33,6 +35,8 @@
 
   mutable std::mutex mutex_;
   Handler handler_;
+  std::string load_ =
+      R"({"state":"ready","running":0,"queued":0,"models":[{"model":"m","version":"1"}],"age_ms":0})";
   std::vector<http::Request> received_;
   std::unique_ptr<http::Server> server_;
 };
@@ -78,6 +82,9 @@
 
   config::Document document;  // two regions without upstreams; published by the first StartVm
   FakePlatform platform;
+  // Settings of VMs that are started later.
+  std::chrono::milliseconds drain_limit{10000};
+  std::chrono::milliseconds progress_limit{300};
 
   void AddEngine(const std::string& region, const std::string& id, const std::string& address);
   void AddService(const std::string& region, const std::string& id, const std::string& address);
