Send nothing to a replica that has said it leaves or wants nothing for a time

Callers: requests went on to replicas that had said in their answers that they leave, and a replica that turned requests away for a time was asked again at once. Cause: neither header was read; HealthObservation::kRefused changed nothing. Change: the registry keeps both statements until the replica has another id or incarnation, the first also while the store does not list it. SendGate is the one place that says whether this VM may send a replica a request now; it also holds the cold interval, the limits, evacuation and the penalties of ejected and unlisted replicas. The standing blocks are checked again once a connection is there. When all replicas push back, the request is refused at once with the time until the first of them takes requests again. The VMs don't pass the statements on: each VM is bound by what it has heard itself, a leaving replica serves for drain_ms, and 12 bytes a replica to 67 VMs would cost more datagrams than the sends that they save.

--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -65,6 +65,8 @@
   set(state_, "quarantined_parts", static_cast<double>(gauges.quarantined_parts));
   set(state_, "replicas", static_cast<double>(gauges.replicas));
   set(state_, "limited_replicas", static_cast<double>(gauges.limited_replicas));
+  set(state_, "leaving_replicas", static_cast<double>(gauges.leaving_replicas));
+  set(state_, "pushed_back_replicas", static_cast<double>(gauges.pushed_back_replicas));
   set(state_, "vms", static_cast<double>(gauges.vms));
   set(state_, "active_requests", static_cast<double>(gauges.active_requests));
   set(state_, "ready", gauges.ready ? 1 : 0);
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -193,6 +193,8 @@
   gauges.quarantined_parts = quarantine_.quarantined_count();
   gauges.replicas = registry_.replicas().size();
   gauges.limited_replicas = registry_.LimitedCount();
+  gauges.leaving_replicas = registry_.LeavingCount();
+  gauges.pushed_back_replicas = registry_.PushedBackCount(clock_.Now());
   gauges.vms = members_.LiveCount(clock_.Now());
   gauges.active_requests = client_server_->ActiveSessionCount() + hop_server_->ActiveSessionCount();
   gauges.ready = Ready();
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -7,10 +7,6 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Penalties that let such replicas be chosen only when nothing better is left.
-constexpr std::chrono::seconds kEjectedPenalty{5};
-constexpr std::chrono::seconds kUnlistedPenalty{3};
-constexpr std::chrono::seconds kColdPenalty{1};
 // Penalty at a failure rate of 1; proportional to the rate beyond kOrdinaryFailureRate.
 constexpr std::chrono::milliseconds kFailurePenalty{1500};
 // Failure rate up to which failures are put down to the requests themselves, such as a lookup of something
@@ -30,6 +26,21 @@
 
 base::Duration FromMs(double ms) { return std::chrono::duration_cast<base::Duration>(Milliseconds(ms)); }
 
+/// The reason for a refusal when only replicas with this block are left; none for those that take no requests
+/// later either.
+std::optional<RefusalReason> ReasonOf(SendBlock block) {
+  switch (block) {
+    case SendBlock::kPushedBack:
+      return RefusalReason::kPushedBack;
+    case SendBlock::kCold:
+      return RefusalReason::kCold;
+    case SendBlock::kLimited:
+      return RefusalReason::kLimited;
+    default:
+      return std::nullopt;
+  }
+}
+
 bool Contains(const std::vector<std::string>& list, std::string_view value) {
   return std::find(list.begin(), list.end(), value) != list.end();
 }
@@ -58,6 +69,8 @@
       return "replicas_limited";
     case RefusalReason::kCold:
       return "cold_replicas_only";
+    case RefusalReason::kPushedBack:
+      return "replicas_pushed_back";
   }
   return "unknown";
 }
@@ -94,12 +107,20 @@
   const int priority = std::clamp(query.route->priority, 0, kLeastUrgentPriority);
   std::shared_ptr<TrackedReplica> owner;
   uint64_t owner_weight = 0;
-  std::vector<std::shared_ptr<TrackedReplica>> usable;
+  SendGate gate(registry, hops, own_id_, now);
+  std::vector<std::pair<std::shared_ptr<TrackedReplica>, base::Duration>> allowed;  // with their penalties
   for (const auto& [id, replica] : registry.replicas()) {
     if (replica->published.service != query.service || replica->published.region != own_region_) continue;
-    if (!registry.IsUsable(*replica) || Contains(query.excluded_replicas, id)) continue;
-    usable.push_back(replica);
-    if (replica->IsCold(now) || replica->IsEjected(now) || replica->unlisted_since) continue;
+    if (Contains(query.excluded_replicas, id)) continue;
+    const SendPermission permission = gate.Check(*replica, service, priority);
+    if (permission.allowed()) {
+      allowed.emplace_back(replica, permission.penalty);
+    } else if (const auto cause = ReasonOf(permission.block)) {
+      *reason = *cause;
+    }
+    // A replica that may not be sent this request can own its prefix only while the block passes soon.
+    const bool lasting = !permission.allowed() && permission.block != SendBlock::kLimited;
+    if (lasting || replica->IsCold(now) || replica->IsEjected(now) || replica->unlisted_since) continue;
     if (replica->limit.Confirmed(now)) continue;  // could take only a part of the prefix's requests
     const uint64_t weight = base::RendezvousWeight(
         {reinterpret_cast<const char*>(&query.prefix_key), sizeof query.prefix_key}, id);
@@ -108,29 +129,7 @@
       owner_weight = weight;
     }
   }
-  std::vector<std::string> vms;
-  for (const auto& replica : usable) {
-    if (replica->IsCold(now)) {
-      if (vms.empty()) vms = hops.OwnRegionVms();
-      const base::Duration interval = ColdStartLimiter::SendInterval(replica->published.id, own_id_, vms,
-                                                                     service.cold_requests_per_second);
-      if (interval.count() == 0 || now - replica->last_cold_send < interval) {
-        *reason = RefusalReason::kCold;
-        continue;
-      }
-    }
-    const auto rate = replica->limit.PerSecond();
-    if (rate) {
-      if (replica->limit.ShareDue(now)) {
-        if (vms.empty()) vms = hops.OwnRegionVms();
-        replica->limit.SetShare(ReplicaLimit::ShareOf(replica->published.id, own_id_, vms, *rate), now);
-      }
-      const auto wait = replica->limit.TimeToSend(priority, now);
-      if (!wait || wait->count() > 0) {
-        *reason = RefusalReason::kLimited;
-        continue;
-      }
-    }
+  for (const auto& [replica, penalty] : allowed) {
     const OutstandingWork work = replica->TotalWork(now);
     const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
     Placement placement{replica, {}, {}, {}, EstimateWait(work, slots, service, registry), replica == owner};
@@ -146,10 +145,7 @@
     score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
     score += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
     if (replica->limit.Confirmed(now)) score += settings_.limited_cost;
-    if (replica->IsEjected(now)) score += kEjectedPenalty;
-    if (replica->unlisted_since) score += kUnlistedPenalty;
-    if (replica->IsCold(now)) score += kColdPenalty;
-    placement.cost = score;
+    placement.cost = score + penalty;
     if (!best || placement.cost < best->cost) best = placement;
   }
   return best;
@@ -188,14 +184,18 @@
   return best;
 }
 
-std::optional<base::Duration> Placer::TimeToLimitedReplica(const std::string& service, int priority,
+std::optional<base::Duration> Placer::TimeToBlockedReplica(const std::string& service_name, int priority,
                                                            const ReplicaRegistry& registry,
+                                                           const HopDirectory& hops,
                                                            base::TimePoint now) const {
+  const RoutingConfig* config = registry.config();
+  const ServiceConfig* service = config == nullptr ? nullptr : config->FindService(service_name);
+  if (service == nullptr) return std::nullopt;
+  SendGate gate(registry, hops, own_id_, now);
   std::optional<base::Duration> shortest;
   for (const auto& [id, replica] : registry.replicas()) {
-    if (replica->published.service != service || replica->published.region != own_region_) continue;
-    if (!registry.IsUsable(*replica) || !replica->limit.PerSecond()) continue;
-    const auto wait = replica->limit.TimeToSend(priority, now);
+    if (replica->published.service != service_name || replica->published.region != own_region_) continue;
+    const auto wait = gate.Check(*replica, *service, priority).wait;
     if (wait) shortest = std::min(shortest.value_or(*wait), *wait);
   }
   return shortest;
@@ -210,7 +210,8 @@
   std::vector<base::Duration> waits;
   for (const auto& [id, replica] : registry.replicas()) {
     if (replica->published.service != service_name || replica->published.region != own_region_) continue;
-    if (!registry.IsUsable(*replica) || replica->IsCold(now) || replica->IsEjected(now)) continue;
+    if (!SendGate::CheckStanding(*replica, registry, now).allowed()) continue;
+    if (replica->IsCold(now) || replica->IsEjected(now)) continue;
     if (replica->limit.PerSecond()) continue;  // what it takes is left to the requests of this region
     const OutstandingWork work = replica->TotalWork(now);
     const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "libs/serving/internal/cold_start_limiter.h"
 #include "libs/serving/internal/hop_directory.h"
 #include "libs/serving/internal/replica_registry.h"
+#include "libs/serving/internal/send_gate.h"
 
 namespace cornelplank::serving {
 
@@ -50,6 +50,7 @@
   kCrashingPrompt,  // a part of its prompt crashes replicas; see PromptQuarantine
   kLimited,         // only replicas are left that have stated a limit, and this VM may send them nothing now
   kCold,            // only cold replicas are left, and this VM may send them nothing now
+  kPushedBack,      // only replicas are left that want no requests from this VM for a time
 };
 
 /// The reason's name in log lines and metrics.
@@ -102,11 +103,11 @@
   std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaRegistry& registry,
                                   const HopDirectory& hops, base::TimePoint now, RefusalReason* reason);
 
-  /// Time until this VM may send a request of `priority` to one of the replicas of the service that have
-  /// stated a limit. Returns no value when it may send to none of them.
-  std::optional<base::Duration> TimeToLimitedReplica(const std::string& service, int priority,
+  /// Time until this VM may send a request of `priority` to one of the replicas of the service that it may
+  /// send nothing now. Returns no value when no such time is known.
+  std::optional<base::Duration> TimeToBlockedReplica(const std::string& service, int priority,
                                                      const ReplicaRegistry& registry,
-                                                     base::TimePoint now) const;
+                                                     const HopDirectory& hops, base::TimePoint now) const;
   /// Time that an engine needs to process this many prompt tokens.
   base::Duration EstimatePrefillTime(double tokens) const;
 
@@ -125,8 +126,8 @@
   /// Penalty for one more request of `priority` where it takes slots that are reserved for more urgent ones.
   base::Duration ReservedSlotCost(const OutstandingWork& work, uint32_t slots, const ServiceConfig& service,
                                   int priority) const;
-  /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a cold replica, or one
-  /// with a limit, had to be skipped.
+  /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a replica had to be
+  /// skipped that takes requests again later.
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
                                        const ReplicaRegistry& registry, const HopDirectory& hops,
                                        base::TimePoint now, RefusalReason* reason);
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -28,8 +28,8 @@
 // Bounds of Retry-After for refused requests, except those that admission control refuses.
 constexpr std::chrono::milliseconds kMinRetryAfter{200};
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
-// Greatest random addition to Retry-After for requests that limits of replicas leave no room for.
-constexpr std::chrono::milliseconds kLimitRetrySpread{1000};
+// Greatest random addition to Retry-After for requests that replicas leave no room for at present.
+constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
 
 }  // namespace
 
@@ -257,6 +257,10 @@
     // The configuration may have changed while the connection was established.
     const std::string region = hop ? placement.region : placement.replica->published.region;
     withheld_ = !MakePlacementQuery().AllowsRegion(region);
+    // So may the replica's state; its connection may have taken as long as the replica lets requests pass.
+    if (replica_ && !SendGate::CheckStanding(*replica_, deps_.registry, deps_.clock.Now()).allowed()) {
+      withheld_ = true;
+    }
     if (!withheld_ && writer_.CheckClient()) {
       outcome = co_await SendAndRelay(*call_, placement);
     }
@@ -322,15 +326,17 @@
   }
   if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
   if (refusal_reason_ == RefusalReason::kConfigOutdated) return ConfigFreshness::kRetryAfter;
-  if (refusal_reason_ == RefusalReason::kLimited) {
-    // Another VM may have a part of the limit when this one has none. The spread keeps clients from returning
-    // at the same time.
-    const auto wait =
-        deps_.placer.TimeToLimitedReplica(service_, route_.priority, deps_.registry, deps_.clock.Now());
-    const base::Duration spread =
-        std::chrono::duration_cast<base::Duration>(kLimitRetrySpread * proxy_.random_.Unit());
-    return std::clamp<base::Duration>(wait.value_or(base::Duration::zero()) + spread, kMinRetryAfter,
-                                      kMaxRetryAfter);
+  const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
+  if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
+    const auto wait = deps_.placer.TimeToBlockedReplica(service_, route_.priority, deps_.registry, deps_.hops,
+                                                        deps_.clock.Now());
+    // The spread keeps clients from returning at the same time.
+    const base::Duration time =
+        wait.value_or(base::Duration::zero()) +
+        std::chrono::duration_cast<base::Duration>(kBlockedRetrySpread * proxy_.random_.Unit());
+    // The replicas push back every VM, while another VM may have a part of a limit when this one has none.
+    const base::Duration most = pushed_back ? time : base::Duration(kMaxRetryAfter);
+    return std::clamp<base::Duration>(time, kMinRetryAfter, std::max<base::Duration>(most, kMinRetryAfter));
   }
   const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
   return std::min<base::Duration>(wait, kMaxRetryAfter);
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -51,6 +51,8 @@
   /// Reports a request as late that ends after its target latency without any event.
   void ReportMissedTarget();
   bool MayRetry() const;
+  /// Records what the response of an attempt says about its replica rather than about the request.
+  void RecordReplicaStatements(const ResponseInfo& info);
   /// Whether a part of the prompt is known to crash replicas, so that the request must not be sent now.
   bool IsQuarantined();
   /// Whether the attempt that has ended with `outcome` shows that its replica crashed before the first event.
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -23,6 +23,14 @@
 
 }  // namespace
 
+void ProxiedRequest::RecordReplicaStatements(const ResponseInfo& info) {
+  // A response of another replica at this address says nothing about the one that was expected.
+  if (!replica_ || info.wrong_replica) return;
+  const base::TimePoint now = deps_.clock.Now();
+  if (info.leaving) deps_.registry.RecordLeaving(*replica_, now);
+  if (info.push_back) deps_.registry.RecordPushBack(*replica_, *info.push_back, now);
+}
+
 net::Task<AttemptOutcome> ProxiedRequest::SendAndRelay(net::HttpCall& call, const Placement& placement) {
   const base::Duration left = TimeLeft();
   if (left <= kMinAttemptTime) co_return AttemptOutcome::kNotSent;
@@ -50,6 +58,7 @@
     head = co_await call.ReadHead(std::max<base::Duration>(TimeLeft(), kMinAttemptTime));
     if (!head) co_return AttemptOutcome::kUnknown;
     info = deps_.codec.DecodeResponse(*head);
+    RecordReplicaStatements(info);
     if (info.request_id.empty() || info.request_id == request_info_.id) break;
     // A second response to an earlier request of this connection: read it to its end and drop it.
     base::LogEvent("crossed_answer").Text("request", request_info_.id).Text("answers", info.request_id);
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -64,6 +64,10 @@
       const ServiceConfig* service = config_ ? config_->FindService(published.service) : nullptr;
       if (service != nullptr) entry->cold_until = now + service->cold_start;
     }
+    const auto departure = departures_.find(published.id);
+    if (departure != departures_.end() && departure->second.incarnation == published.incarnation) {
+      entry->said_leaving = true;
+    }
   }
   entry->published = published;
   entry->unlisted_since.reset();
@@ -100,6 +104,9 @@
   std::erase_if(replicas_, [&](const auto& entry) {
     return entry.second->unlisted_since && now - *entry.second->unlisted_since > kUnlistedGrace;
   });
+  std::erase_if(departures_, [&](const auto& entry) {
+    return now - entry.second.stated_at > kDepartureMemory && !replicas_.contains(entry.first);
+  });
 }
 
 std::shared_ptr<TrackedReplica> ReplicaRegistry::Find(std::string_view id) const {
@@ -107,10 +114,6 @@
   return entry == replicas_.end() ? nullptr : entry->second;
 }
 
-bool ReplicaRegistry::IsUsable(const TrackedReplica& replica) const {
-  return !replica.published.leaving && !evacuated_.contains(replica.published.zone);
-}
-
 void ReplicaRegistry::BeginAttempt(TrackedReplica& replica, const OutstandingWork& work, uint64_t prefix_key,
                                    base::TimePoint now) {
   replica.own_work.requests += work.requests;
@@ -152,11 +155,25 @@
   }
 }
 
-void ReplicaRegistry::MarkCold(TrackedReplica& replica, std::chrono::milliseconds remaining,
-                               base::TimePoint now) {
+void ReplicaRegistry::MarkCold(TrackedReplica& replica, base::Duration remaining, base::TimePoint now) {
   replica.cold_until = std::max(replica.cold_until, now + remaining);
 }
 
+void ReplicaRegistry::RecordLeaving(TrackedReplica& replica, base::TimePoint now) {
+  departures_[replica.published.id] = {replica.published.incarnation, now};
+  if (replica.said_leaving) return;
+  replica.said_leaving = true;
+  base::LogEvent("replica_leaving").Text("replica", replica.published.id).Text("source", "response");
+}
+
+void ReplicaRegistry::RecordPushBack(TrackedReplica& replica, base::Duration time, base::TimePoint now) {
+  if (now + time <= replica.pushed_back_until) return;
+  const bool begins = now >= replica.pushed_back_until;
+  replica.pushed_back_until = now + time;
+  if (!begins) return;
+  base::LogEvent("replica_pushed_back").Text("replica", replica.published.id).Time("for_ms", time);
+}
+
 void ReplicaRegistry::OnLimitStated(TrackedReplica& replica, std::optional<double> per_second,
                                     base::TimePoint at, const char* source, base::TimePoint now) {
   if (!replica.limit.OnStated(per_second, at)) return;
@@ -204,6 +221,18 @@
   }));
 }
 
+size_t ReplicaRegistry::LeavingCount() const {
+  return static_cast<size_t>(std::count_if(replicas_.begin(), replicas_.end(), [](const auto& entry) {
+    return entry.second->published.leaving || entry.second->said_leaving;
+  }));
+}
+
+size_t ReplicaRegistry::PushedBackCount(base::TimePoint now) const {
+  return static_cast<size_t>(std::count_if(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+    return now < entry.second->pushed_back_until;
+  }));
+}
+
 void ReplicaRegistry::ObserveServiceTime(const std::string& service, base::Duration time) {
   auto& average = service_times_.try_emplace(service, time).first->second;
   average += std::chrono::duration_cast<base::Duration>((time - average) * kServiceTimeWeight);
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -60,6 +60,8 @@
   base::TimePoint last_cold_send{};  // when this VM last sent it a request while it was cold
   base::TimePoint last_progress{};   // when bytes of any of its responses last arrived
   base::TimePoint ejected_until{};
+  bool said_leaving = false;            // a response of its own stated that it is about to exit
+  base::TimePoint pushed_back_until{};  // until when it has asked this VM to send it nothing
   ReplicaLimit limit;
   base::TimePoint tracked_since{};  // when this record began; statements from before are about another run
   base::Duration last_ejection{0};  // doubles with each ejection; 0 after a success
@@ -95,6 +97,8 @@
   static constexpr std::chrono::milliseconds kUnlistedGrace{2300};
   /// Loads that another VM reported longer ago than this are not counted.
   static constexpr std::chrono::milliseconds kMaxPeerLoadAge{1500};
+  /// How long a replica's statement that it leaves is remembered when the store no longer lists the replica.
+  static constexpr std::chrono::minutes kDepartureMemory{10};
 
   /// `config_bound`: time within which a new configuration has to be in force everywhere.
   explicit ReplicaRegistry(std::chrono::milliseconds config_bound = std::chrono::milliseconds(4000))
@@ -127,8 +131,6 @@
 
   /// Returns null when no replica has this id.
   std::shared_ptr<TrackedReplica> Find(std::string_view id) const;
-  /// True when the replica is not leaving and its zone is not evacuated.
-  bool IsUsable(const TrackedReplica& replica) const;
   const std::map<std::string, std::shared_ptr<TrackedReplica>, std::less<>>& replicas() const {
     return replicas_;
   }
@@ -144,7 +146,13 @@
   void EndAttempt(TrackedReplica& replica, const OutstandingWork& work, HealthObservation result,
                   base::TimePoint now);
   /// Extends the time for which the replica counts as cold to `remaining` from now; never shortens it.
-  void MarkCold(TrackedReplica& replica, std::chrono::milliseconds remaining, base::TimePoint now);
+  void MarkCold(TrackedReplica& replica, base::Duration remaining, base::TimePoint now);
+  /// Records that a response of the replica stated that it is about to exit. It holds until the replica has
+  /// another id or incarnation, whatever the store lists.
+  void RecordLeaving(TrackedReplica& replica, base::TimePoint now);
+  /// Records that the replica wants no requests from this VM for `time`. It ends with a restart of the
+  /// replica.
+  void RecordPushBack(TrackedReplica& replica, base::Duration time, base::TimePoint now);
   /// Records the limit that a response of the replica states, or that it states none.
   void RecordLimit(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint now);
   /// Merges the limits that another VM of the region has heard of.
@@ -155,6 +163,10 @@
   base::TimePoint limits_changed_at() const { return limits_changed_at_; }
   /// Number of replicas with a limit.
   size_t LimitedCount() const;
+  /// Number of replicas that leave, by the store or by their own responses.
+  size_t LeavingCount() const;
+  /// Number of replicas that want no requests from this VM now.
+  size_t PushedBackCount(base::TimePoint now) const;
   /// Adds one measurement to the moving average of the time for which a request occupies a slot.
   void ObserveServiceTime(const std::string& service, base::Duration time);
   /// This average; a default before the first measurement.
@@ -166,6 +178,12 @@
   void ReplacePeerLoads(uint32_t vm, const std::vector<ReplicaWork>& loads, base::TimePoint now);
 
  private:
+  /// A replica's statement that it is about to exit.
+  struct Departure {
+    uint64_t incarnation = 0;
+    base::TimePoint stated_at{};
+  };
+
   void OnLimitStated(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint at,
                      const char* source, base::TimePoint now);
 
@@ -174,6 +192,8 @@
   base::TimePoint limits_changed_at_{};
   std::map<std::string, std::shared_ptr<TrackedReplica>, std::less<>> replicas_;  // by id
   std::unordered_map<uint32_t, std::weak_ptr<TrackedReplica>> by_key_;
+  // By id. Kept when the store no longer lists the replica, since it may list it again for a while.
+  std::map<std::string, Departure, std::less<>> departures_;
   std::set<std::string> evacuated_;                                   // names of zones
   std::map<std::string, base::Duration, std::less<>> service_times_;  // averages by service
 };
--- /dev/null
+++ b/libs/serving/internal/send_gate.cc
@@ -0,0 +1,64 @@
+#include "libs/serving/internal/send_gate.h"
+
+#include "libs/serving/internal/cold_start_limiter.h"
+
+namespace cornelplank::serving {
+namespace {
+
+constexpr std::chrono::seconds kEjectedPenalty{5};
+constexpr std::chrono::seconds kUnlistedPenalty{3};
+constexpr std::chrono::seconds kColdPenalty{1};
+
+}  // namespace
+
+SendPermission SendGate::CheckStanding(const TrackedReplica& replica, const ReplicaRegistry& registry,
+                                       base::TimePoint now) {
+  SendPermission permission;
+  if (replica.published.leaving || replica.said_leaving) {
+    permission.block = SendBlock::kLeaving;
+  } else if (registry.EvacuatedZones().contains(replica.published.zone)) {
+    permission.block = SendBlock::kEvacuated;
+  } else if (now < replica.pushed_back_until) {
+    permission.block = SendBlock::kPushedBack;
+    permission.wait = replica.pushed_back_until - now;
+  }
+  return permission;
+}
+
+const std::vector<std::string>& SendGate::Vms() {
+  if (vms_.empty()) vms_ = hops_.OwnRegionVms();
+  return vms_;
+}
+
+SendPermission SendGate::Check(TrackedReplica& replica, const ServiceConfig& service, int priority) {
+  SendPermission permission = CheckStanding(replica, registry_, now_);
+  if (!permission.allowed()) return permission;
+  if (replica.IsCold(now_)) {
+    const base::Duration interval = ColdStartLimiter::SendInterval(replica.published.id, own_id_, Vms(),
+                                                                   service.cold_requests_per_second);
+    const base::TimePoint next = replica.last_cold_send + interval;
+    if (interval.count() == 0 || now_ < next) {
+      permission.block = SendBlock::kCold;
+      permission.wait = replica.cold_until - now_;
+      if (interval.count() > 0) permission.wait = std::min(*permission.wait, next - now_);
+      return permission;
+    }
+    permission.penalty += kColdPenalty;
+  }
+  if (const auto rate = replica.limit.PerSecond()) {
+    if (replica.limit.ShareDue(now_)) {
+      replica.limit.SetShare(ReplicaLimit::ShareOf(replica.published.id, own_id_, Vms(), *rate), now_);
+    }
+    const auto wait = replica.limit.TimeToSend(priority, now_);
+    if (!wait || wait->count() > 0) {
+      permission.block = SendBlock::kLimited;
+      permission.wait = wait;
+      return permission;
+    }
+  }
+  if (replica.IsEjected(now_)) permission.penalty += kEjectedPenalty;
+  if (replica.unlisted_since) permission.penalty += kUnlistedPenalty;
+  return permission;
+}
+
+}  // namespace cornelplank::serving
--- a/libs/serving/serving.h
+++ b/libs/serving/serving.h
@@ -13,4 +13,5 @@
 #include "libs/serving/internal/request_observer.h"
 #include "libs/serving/internal/request_proxy.h"
 #include "libs/serving/internal/routing_config.h"
+#include "libs/serving/internal/send_gate.h"
 #include "libs/serving/internal/sse_event_splitter.h"
--- a/tests/platform/crashing_replica.h
+++ b/tests/platform/crashing_replica.h
@@ -33,7 +33,7 @@
 /// with a new incarnation. It runs any number of requests at once.
 class CrashingReplica {
  public:
-  /// A request with the crashing part.
+  /// A request that reached the replica.
   struct Arrival {
     base::TimePoint time{};
     std::string request_id;
@@ -67,6 +67,13 @@
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
   /// When each request arrived.
   const std::vector<base::TimePoint>& arrival_times() const { return arrival_times_; }
+  /// All requests that arrived, and those to which it answered that it leaves or wants nothing for a time.
+  const std::vector<Arrival>& all_arrivals() const { return all_arrivals_; }
+  const std::vector<Arrival>& statements() const { return statements_; }
+  /// States in all responses from now on that it leaves.
+  void Leave() { leaving_ = true; }
+  /// Refuses all requests from now on, with this Retry-After in seconds; empty: it refuses none.
+  void SetPushBack(std::string retry_after) { push_back_ = std::move(retry_after); }
   /// States this limit from now on; empty: none.
   void SetLimit(std::string limit) { settings_.limit = std::move(limit); }
   /// Number of requests that were answered completely.
@@ -142,14 +149,24 @@
     const auto prompt = request["Prompt-Prefix"];
     const bool crashes = HoldsCrashingPart({prompt.data(), prompt.size()});
     arrival_times_.push_back(clock_.Now());
+    all_arrivals_.push_back({clock_.Now(), request_id});
+    if (!push_back_.empty()) {
+      statements_.push_back({clock_.Now(), request_id});
+      const std::string refusal = "HTTP/1.1 503 Busy\r\nAttempt-Id: " + request_id +
+                                  "\r\nNot-Executed: 1\r\nRetry-After: " + push_back_ + LeavingHeader() +
+                                  "\r\nContent-Length: 0\r\n\r\n";
+      co_return co_await Write(connection, net::asio::buffer(refusal));
+    }
     if (crashes) arrivals_.push_back({clock_.Now(), request_id});
     co_await net::Sleep(loop_, settings_.first_event_delay);
     if (!connection.socket.is_open()) co_return false;
     if (!crashes || settings_.head_before_crash) {
       const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + request_id +
                                (settings_.limit.empty() ? "" : "\r\nServer-Limit: " + settings_.limit) +
+                               LeavingHeader() +
                                "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n";
+      if (leaving_) statements_.push_back({clock_.Now(), request_id});
       if (!co_await Write(connection, net::asio::buffer(head))) co_return false;
     }
     if (crashes) {
@@ -181,6 +198,8 @@
     co_return !error && connection.socket.is_open();
   }
 
+  std::string LeavingHeader() const { return leaving_ ? "\r\nServer-Leaving: 1" : ""; }
+
   /// `prompt`: ID:TOKENS,... of all parts in order.
   bool HoldsCrashingPart(std::string_view prompt) const {
     if (settings_.crashing_part.empty()) return false;
@@ -202,6 +221,10 @@
   uint64_t incarnation_ = 0;
   std::vector<base::TimePoint> crash_times_;
   std::vector<Arrival> arrivals_;
+  std::vector<Arrival> all_arrivals_;
+  std::vector<Arrival> statements_;
+  bool leaving_ = false;
+  std::string push_back_;  // value of Retry-After; empty: requests are served
   std::vector<base::TimePoint> arrival_times_;
   int served_ = 0;
 };
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -100,7 +100,8 @@
   RunFor(loop, kSyncTime);
   EXPECT_EQ(vm->versions, (std::vector<uint64_t>{7, 9}));
   EXPECT_TRUE(vm->registry.EvacuatedZones().contains("z"));
-  EXPECT_FALSE(vm->registry.IsUsable(*vm->registry.Find("i-1")));
+  EXPECT_FALSE(
+      serving::SendGate::CheckStanding(*vm->registry.Find("i-1"), vm->registry, clock.Now()).allowed());
   store.Remove("op/evacuate/z");
   RunFor(loop, kSyncTime);
   EXPECT_FALSE(vm->registry.EvacuatedZones().contains("z"));
@@ -287,7 +288,9 @@
   }
   store.Put("servers/i-1", ReplicaText("svc", testing::Loopback(9), "draining"));
   RunFor(loop, std::chrono::milliseconds(500));
-  for (const auto& vm : vms) EXPECT_FALSE(vm->registry.IsUsable(*vm->registry.Find("i-1")));
+  for (const auto& vm : vms)
+    EXPECT_FALSE(
+        serving::SendGate::CheckStanding(*vm->registry.Find("i-1"), vm->registry, clock.Now()).allowed());
 }
 
 struct TurnedAwayCase {
--- a/tests/platform/test_fleet.h
+++ b/tests/platform/test_fleet.h
@@ -236,6 +236,14 @@
     return result;
   }
 
+  /// After `time`, lists all replicas with their present incarnation once more.
+  void ListAllAfter(std::chrono::milliseconds time) {
+    net::Spawn(loop_, "listing", [](TestFleet& fleet, std::chrono::milliseconds delay) -> net::Task<> {
+      co_await net::Sleep(fleet.loop_, delay);
+      for (size_t i = 0; i < fleet.replicas_.size(); ++i) fleet.List(i);
+    }(*this, time));
+  }
+
   net::asio::io_context& loop() { return loop_; }
   base::TimePoint Now() const { return clock_.Now(); }
   /// Number of events in a complete response.
