Answer every request before the end of a planned stop

Callers: requests that came late in the grace of a planned stop were passed on and cut when the process ended, among them requests that must not be repeated. Cause: a request that a VM had read after SIGTERM was sent to a replica however long it would take, and at the end of the grace the loop stopped with requests in progress. The older gateway took new requests until its drain limit and then cut them. Change: entry VM: a request that is not expected to end before the VM does is refused as not run, with a Retry-After of 20 ms; the expectation is the average and four deviations of its route's times. Half a second before the grace ends all others get a final answer: 502, or 503 when they were not sent. The time for which connections are accepted is at most a third of the grace. Gateway: new requests are refused one second into the drain, deadlines end before the drain limit, and what is left then fails with an unknown outcome.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -17,9 +17,13 @@
 // Less urgent housekeeping, such as closing idle connections, runs once a second.
 constexpr int kTicksPerSlowTick = 10;
 // Connections are accepted for this time after SIGTERM: clients use the answer of an entry directory for 2 s.
+// The divisor bounds it for short grace periods, so that the requests which arrive last can be served.
 constexpr std::chrono::milliseconds kDrainAcceptTime{2200};
-// The process exits this long before the end of the grace period, when the platform would kill it.
-constexpr std::chrono::milliseconds kKillMargin{300};
+constexpr int kDrainAcceptDivisor = 3;
+// Requests still in progress are answered this long before the end of the grace period, when the platform
+// would kill the process, and the process exits before that.
+constexpr std::chrono::milliseconds kLastAnswerMargin{500};
+constexpr std::chrono::milliseconds kKillMargin{200};
 constexpr std::chrono::milliseconds kDrainPollInterval{50};
 // Heartbeats that announce that the VM leaves. Several, because single datagrams may be lost.
 constexpr int kLeavingHeartbeats = 3;
@@ -304,6 +308,9 @@
 net::Task<> EntryVm::Drain() {
   leaving_ = true;
   const base::TimePoint begin = clock_.Now();
+  const base::Duration accept_time =
+      std::min<base::Duration>(kDrainAcceptTime, settings_.grace / kDrainAcceptDivisor);
+  proxy_.BeginStop(begin + settings_.grace - kLastAnswerMargin);
   members_.own().state = fleet::MemberState::kLeaving;
   client_server_->AnnounceClose();
   hop_server_->AnnounceClose();
@@ -311,13 +318,19 @@
     heartbeat_loop_->BroadcastState();
     co_await net::Sleep(loop_, kTickInterval);
   }
-  while (clock_.Now() - begin < kDrainAcceptTime) {
+  while (clock_.Now() - begin < accept_time) {
     co_await net::Sleep(loop_, kDrainPollInterval);
   }
   client_server_->StopAccepting();
   hop_server_->StopAccepting();
-  while (clock_.Now() - begin < settings_.grace - kKillMargin) {
-    if (client_server_->SessionCount() == 0 && hop_server_->SessionCount() == 0) break;
+  co_await AwaitSessions(begin + settings_.grace - kLastAnswerMargin);
+  if (client_server_->SessionCount() + hop_server_->SessionCount() == 0) co_return;
+  proxy_.EndRequests();
+  co_await AwaitSessions(begin + settings_.grace - kKillMargin);
+}
+
+net::Task<> EntryVm::AwaitSessions(base::TimePoint limit) {
+  while (clock_.Now() < limit && client_server_->SessionCount() + hop_server_->SessionCount() > 0) {
     co_await net::Sleep(loop_, kDrainPollInterval);
   }
 }
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -63,8 +63,10 @@
   net::Task<> HandleStopSignals();
   net::Task<> HandleReloadSignals();
   /// Announces that the VM leaves, accepts connections a little longer and waits for the requests in
-  /// progress, at most until shortly before the end of the grace period.
+  /// progress. Shortly before the end of the grace period those that are left get a final answer.
   net::Task<> Drain();
+  /// Waits until no connection for requests is open, at most until `limit`.
+  net::Task<> AwaitSessions(base::TimePoint limit);
   /// Reads the settings file again and applies seeds, zones, the burst of second sends and the grace period.
   /// Faulty settings are logged and not applied.
   void Reload();
--- a/libs/gateway/internal/completion_run.cc
+++ b/libs/gateway/internal/completion_run.cc
@@ -123,6 +123,9 @@
 }
 
 bool CompletionRun::PollAttempts() {
+  if (shared_->clock.Now() >= shared_->drain.LastAnswer()) {
+    return Fail({503, "entry-leaving", "this VM has shut down", base::Outcome::kUnknown});
+  }
   const milliseconds limit = active_.size() > 1 ? kHedgePollLimit : kPollLimit;
   for (size_t i = 0; i < active_.size(); ++i) {
     ActiveAttempt* active = active_[i].get();
@@ -211,7 +214,7 @@
 }
 
 bool CompletionRun::OnCompleteAnswer(ActiveAttempt* active) {
-  auto answer = nlohmann::json::parse(active->body, nullptr, false);
+  auto answer = base::ParseJson(active->body);
   const bool own = answer.is_object() && answer.contains("id") && answer["id"] == active->wire_id;
   if (!own) {
     return OnFailure(
--- a/libs/gateway/internal/dispatcher.cc
+++ b/libs/gateway/internal/dispatcher.cc
@@ -125,7 +125,10 @@
     }
     *failure = RouteFailure(reason);
     const bool wait = reason.code == routing::RouteCode::kWaitForSpare && request.visited_zones.empty();
-    if (!wait || shared_->clock.Now() + reason.retry_after >= request.deadline) return std::nullopt;
+    if (!wait || shared_->clock.Now() + reason.retry_after >=
+                     std::min(request.deadline, shared_->drain.LastAnswer())) {
+      return std::nullopt;
+    }
     std::this_thread::sleep_for(std::clamp(ToMilliseconds(reason.retry_after), kMinSpareWait, kMaxSpareWait));
   }
 }
--- a/libs/gateway/internal/gateway.cc
+++ b/libs/gateway/internal/gateway.cc
@@ -26,9 +26,6 @@
 // A VM that starts waits this long for the newest configuration. Then it serves with the one that it has,
 // because in a partition there may be no peer and no platform to ask.
 constexpr seconds kStartCatchUpLimit{2};
-// Shortest time for which the listener of a leaving VM stays open. Until clients have seen a response that
-// says that the VM is leaving, they still send new requests to it, and these are served.
-constexpr milliseconds kMinDrain{1000};
 
 /// Returns the start time in ms in the high bits and random low bits, so that a later start of the VM has a
 /// higher incarnation.
@@ -99,6 +96,8 @@
 
   bool Drain() override {
     CP_LOG(INFO, "gateway") << "Draining.";
+    const base::TimePoint start = clock_.Now();
+    shared_.drain.Begin(start, shared_.settings.drain_limit);
     shared_.draining.store(true);
     own_.state = membership::VmState::kLeaving;
     {
@@ -111,11 +110,10 @@
       shared_.tickets.table.Drain();
     }
     shared_.node->SetIdentityMetadata(wire::EncodeVm(own_));
-    const base::TimePoint start = clock_.Now();
     while (clock_.Now() - start < shared_.settings.drain_limit) {
       const bool idle =
           clients_server_->in_flight() == 0 && shared_.node->incoming_calls() == 0 && open_tickets() == 0;
-      if (idle && clock_.Now() - start >= kMinDrain) return true;
+      if (idle && clock_.Now() - start >= DrainClock::kTakeTime) return true;
       std::this_thread::sleep_for(kDrainPollInterval);
     }
     CP_LOG(WARNING, "gateway")
--- a/libs/gateway/internal/peer_handler.cc
+++ b/libs/gateway/internal/peer_handler.cc
@@ -37,21 +37,26 @@
 rpc::ForwardEnd PeerHandler::OnForward(const rpc::ForwardRequest& forward, rpc::AnswerWriter& writer) {
   shared_->metrics.CountHop();
   GatewayRequest request = FromForward(forward, shared_->clock.Now());
+  // Only this VM can run the calls whose tickets it has minted.
+  const bool minted_here = request.kind == rpc::ForwardKind::kServiceCall && !request.ticket.empty();
+  if (!minted_here && shared_->drain.Refuses(shared_->clock.Now())) {
+    return NotRunEnd("entry-leaving", "this VM is shutting down");
+  }
+  request.deadline = std::min(request.deadline, shared_->drain.LastAnswer());
   const ServingView view = shared_->View();
   if (!view.document) return NotRunEnd("no-configuration", "this VM has not yet learned a configuration");
   const auto& zones = request.visited_zones;
-  const bool is_ticket_call = request.kind == rpc::ForwardKind::kServiceCall && !request.ticket.empty();
   const bool zone_visited = std::find(zones.begin(), zones.end(), shared_->settings.zone) != zones.end();
   // A call with a ticket is forwarded straight to its owner, also within one zone, and the owner passes it
   // only to an upstream.
-  if (zones.empty() || (zone_visited && !is_ticket_call)) return NotRunEnd("no-route", "loop");
+  if (zones.empty() || (zone_visited && !minted_here)) return NotRunEnd("no-route", "loop");
   if (!AwaitConfig(request)) {
     return NotRunEnd("older-configuration", "this VM's configuration is older than the request's");
   }
   if (!ResolveClass(*shared_->View().document, &request)) {
     return NotRunEnd("class-not-allowed", "unknown class");
   }
-  if (is_ticket_call) request.visited_zones.clear();
+  if (minted_here) request.visited_zones.clear();
   if (request.kind == rpc::ForwardKind::kCompletion) return RunCompletion(request, forward, writer);
   if (request.kind == rpc::ForwardKind::kMintTicket) {
     return WriteServiceAnswer(services_->MintLocally(request), writer);
@@ -74,6 +79,9 @@
       dispatcher_->OpenAttempt(request, *choice, forward.attempt_id, forward.resume_tokens, &failure);
   if (!attempt) return ToEnd(failure);
   while (!writer.cancelled()) {
+    if (shared_->clock.Now() >= shared_->drain.LastAnswer()) {
+      return {false, "entry-leaving", "this VM has shut down", base::Outcome::kUnknown};
+    }
     AttemptEvent event = attempt->Next(kAttemptPollLimit);
     switch (event.kind) {
       case AttemptEvent::Kind::kHead:
--- a/libs/gateway/internal/request_reader.cc
+++ b/libs/gateway/internal/request_reader.cc
@@ -123,7 +123,13 @@
   if (!timeout) {
     return Refuse(failure, 400, "invalid-request", "Request-Timeout-Ms must be a positive number");
   }
-  request.deadline = shared->clock.Now() + *timeout;
+  const base::TimePoint now = shared->clock.Now();
+  if (shared->drain.Refuses(now)) {
+    Refuse(failure, 503, "entry-leaving", "this VM is shutting down; another one serves the request");
+    failure->client_error = false;
+    return std::nullopt;
+  }
+  request.deadline = std::min(now + *timeout, shared->drain.LastAnswer());
   if (http_request.path.starts_with(kServices)) request.kind = rpc::ForwardKind::kServiceCall;
   if (http_request.path == "/v1/tickets") request.kind = rpc::ForwardKind::kMintTicket;
   if (request.kind == rpc::ForwardKind::kServiceCall) {
--- a/libs/gateway/internal/service_calls.cc
+++ b/libs/gateway/internal/service_calls.cc
@@ -54,7 +54,7 @@
 }  // namespace
 
 http::Response ServiceCalls::MintTicket(GatewayRequest request) {
-  const auto body = json::parse(request.body, nullptr, false);
+  const auto body = base::ParseJson(request.body);
   if (!body.is_object() || !body.contains("service") || !body["service"].is_string()) {
     return FailureResponse({400, "invalid-request", "the body must name a service", base::Outcome::kNotRun});
   }
@@ -171,6 +171,13 @@
   while (true) {
     AttemptEvent event = attempt->Next(kForwardPollLimit);
     answer.place = attempt->place();
+    if (event.kind == AttemptEvent::Kind::kNothing && shared_->clock.Now() >= shared_->drain.LastAnswer()) {
+      event = {AttemptEvent::Kind::kFailed,
+               0,
+               {},
+               "",
+               {503, "entry-leaving", "this VM has shut down", base::Outcome::kUnknown}};
+    }
     switch (event.kind) {
       case AttemptEvent::Kind::kHead:
         answer.status = event.status;
@@ -302,7 +309,7 @@
     answer = shared_->tickets.table.Lookup(request.ticket, BindingOf(request), RequestDigest(request),
                                            shared_->clock.Now());
   } while (answer.decision == tickets::TicketDecision::kInProgress &&
-           shared_->clock.Now() < request.deadline);
+           shared_->clock.Now() < std::min(request.deadline, shared_->drain.LastAnswer()));
   return ToServiceAnswer(answer);
 }
 
@@ -372,6 +379,36 @@
   return answer;
 }
 
+/// Like `http::Client::Send`, but ends when this VM's requests must have their answers.
+std::optional<http::Response> ServiceCalls::SendUntilLastAnswer(const http::ClientRequest& request,
+                                                                http::HttpReason* reason,
+                                                                http::ExchangeState* state) const {
+  const auto exchange = shared_->http->Open(request);
+  http::Response response;
+  while (true) {
+    http::ExchangeEvent event = exchange->Next(kForwardPollLimit);
+    *state = exchange->state();
+    switch (event.kind) {
+      case http::ExchangeEvent::Kind::kHead:
+        response.status = event.status;
+        response.headers = std::move(event.headers);
+        break;
+      case http::ExchangeEvent::Kind::kData:
+        response.body += event.data;
+        break;
+      case http::ExchangeEvent::Kind::kEnd:
+        return response;
+      case http::ExchangeEvent::Kind::kFailed:
+        *reason = std::move(event.reason);
+        return std::nullopt;
+      case http::ExchangeEvent::Kind::kNothing:
+        if (shared_->clock.Now() < shared_->drain.LastAnswer()) break;
+        base::SetReason(reason, http::HttpErrorCode::kTimeout, "this VM has shut down");
+        return std::nullopt;
+    }
+  }
+}
+
 /// Sends the call to a replica of a plain service and reports the result to the replica table. Returns
 /// nothing and sets `failure` when there is no response or its status is 503. After a 503 the outcome is
 /// `unknown`, because the call was sent.
@@ -395,7 +432,7 @@
   http_request.single_use_connection = true;
   ReplicaReporter report(shared_, reservation.target.upstream, reservation.in_flight.IsProbe());
   http::HttpReason reason;
-  auto response = shared_->http->Send(http_request, &reason, state);
+  auto response = SendUntilLastAnswer(http_request, &reason, state);
   if (response) report.RecordHead(response->status, response->headers);
   if (response && response->status != kUnavailable) {
     report.RecordSuccess();
--- a/libs/gateway/internal/service_calls.h
+++ b/libs/gateway/internal/service_calls.h
@@ -48,6 +48,9 @@
   ServiceAnswer CallReplica(const GatewayRequest& request, const RouteChoice& choice);
   ServiceAnswer ToServiceAnswer(const tickets::TicketAnswer& ticket) const;
   ServiceAnswer AwaitTicket(const GatewayRequest& request);
+  std::optional<http::Response> SendUntilLastAnswer(const http::ClientRequest& request,
+                                                    http::HttpReason* reason,
+                                                    http::ExchangeState* state) const;
   std::optional<http::Response> SendToReplica(const GatewayRequest& request, const Reservation& reservation,
                                               http::ExchangeState* state, Failure* failure);
   /// The conditions, as they hold now, for sending a call with a ticket.
--- a/libs/gateway/internal/shared_state.h
+++ b/libs/gateway/internal/shared_state.h
@@ -11,6 +11,7 @@
 #include "libs/config/config.h"
 #include "libs/gateway/internal/admission_gate.h"
 #include "libs/gateway/internal/client_table.h"
+#include "libs/gateway/internal/drain_clock.h"
 #include "libs/gateway/internal/gateway_metrics.h"
 #include "libs/gateway/internal/gateway_settings.h"
 #include "libs/gateway/internal/incarnation_monitor.h"
@@ -88,6 +89,7 @@
   std::unique_ptr<http::Client> http;
   std::unique_ptr<rpc::Node> node;  // set once, before the first request
   std::atomic<bool> draining{false};
+  DrainClock drain;
   std::atomic<uint64_t> next_request{1};
 
   /// Returns 16 hexadecimal digits, unique over all VMs and restarts with overwhelming probability.
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -71,6 +71,8 @@
       return "cold_replicas_only";
     case RefusalReason::kPushedBack:
       return "replicas_pushed_back";
+    case RefusalReason::kStopping:
+      return "stopping";
   }
   return "unknown";
 }
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -51,6 +51,7 @@
   kLimited,         // only replicas are left that have stated a limit, and this VM may send them nothing now
   kCold,            // only cold replicas are left, and this VM may send them nothing now
   kPushedBack,      // only replicas are left that want no requests from this VM for a time
+  kStopping,        // this VM is about to exit, and the request is not expected to end before
 };
 
 /// The reason's name in log lines and metrics.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
 // Greatest random addition to Retry-After for requests that replicas leave no room for at present.
 constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
+// Retry-After while this VM stops: other VMs take the request at once.
+constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
 
 }  // namespace
 
@@ -122,6 +124,23 @@
   call_->Cancel();
 }
 
+void ProxiedRequest::CancelAttempt() {
+  awaiting_bytes_ = false;
+  if (call_) call_->Cancel();
+}
+
+bool ProxiedRequest::OutlastsVm() const {
+  if (!proxy_.stops_at_) return false;
+  const base::Duration expected = proxy_.completion_times_.Upper(route_.name).value_or(TimeLeft());
+  return deps_.clock.Now() + std::min(expected, TimeLeft()) > *proxy_.stops_at_;
+}
+
+NextStep ProxiedRequest::LastStep() const {
+  if (writer_.Started()) return NextStep::kAbortResponse;
+  if (held_error_) return NextStep::kForwardErrorResponse;
+  return progress_.may_have_run ? NextStep::kFail : NextStep::kRefuse;
+}
+
 bool ProxiedRequest::IsQuarantined() {
   // The VM that forwarded a request has checked it. Between two sends there is one check, since a check that
   // lets a request with a condemned part pass makes it the trial.
@@ -183,16 +202,22 @@
       refusal_reason_ = RefusalReason::kNoTime;
       placement.reset();
     }
+    if (proxy_.ended_ || (placement && progress_.sends == 0 && OutlastsVm())) {
+      refusal_reason_ = RefusalReason::kStopping;
+      placement.reset();
+    }
     if (!placement) {
-      co_await Finish(progress_.response_started ? NextStep::kAbortResponse
-                      : held_error_              ? NextStep::kForwardErrorResponse
-                      : progress_.may_have_run   ? NextStep::kFail
-                                                 : NextStep::kRefuse);
+      co_await Finish(LastStep());
       co_return;
     }
     expected_first_byte_ = placement->expected;
     progress_.last_outcome = co_await RunAttempt(std::move(*placement));
     if (writer_.ClientGone()) break;
+    if (proxy_.ended_ && progress_.last_outcome != AttemptOutcome::kComplete) {
+      refusal_reason_ = RefusalReason::kStopping;
+      co_await Finish(LastStep());
+      co_return;
+    }
     progress_.time_left = TimeLeft();
     progress_.response_started = writer_.Started();
     auto& budget = proxy_.RetryBudget(service_);
@@ -326,6 +351,7 @@
   }
   if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
   if (refusal_reason_ == RefusalReason::kConfigOutdated) return ConfigFreshness::kRetryAfter;
+  if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
   const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
   if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
     const auto wait = deps_.placer.TimeToBlockedReplica(service_, route_.priority, deps_.registry, deps_.hops,
@@ -355,6 +381,7 @@
   switch (step) {
     case NextStep::kDone:
       ++proxy_.counters_.answered;
+      proxy_.completion_times_.Observe(route_.name, deps_.clock.Now() - received_at_);
       NotifyObserver("answered");
       if (base::AllowRoutineLogLine()) LogRequestEnd("answered", 200);
       break;
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -30,6 +30,8 @@
   /// other response either, and another attempt can be made now. Requests at a replica that is only busy stay
   /// in its queue.
   void CheckSilence(base::TimePoint now);
+  /// Ends the current attempt, if there is one.
+  void CancelAttempt();
 
  private:
   /// A complete error response of a replica, kept until it is clear that no other attempt follows.
@@ -51,8 +53,12 @@
   /// Reports a request as late that ends after its target latency without any event.
   void ReportMissedTarget();
   bool MayRetry() const;
+  /// Whether the VM exits before the request can be expected to end.
+  bool OutlastsVm() const;
   /// Records what the response of an attempt says about its replica rather than about the request.
   void RecordReplicaStatements(const ResponseInfo& info);
+  /// The final step when no attempt may follow for a reason other than the outcome of the last one.
+  NextStep LastStep() const;
   /// Whether a part of the prompt is known to crash replicas, so that the request must not be sent now.
   bool IsQuarantined();
   /// Whether the attempt that has ended with `outcome` shows that its replica crashed before the first event.
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -109,6 +109,12 @@
   co_await proxied.Run();
 }
 
+void RequestProxy::EndRequests() {
+  ended_ = true;
+  base::LogEvent("requests_ended").Number("active", static_cast<int64_t>(active_requests_->size()));
+  for (ProxiedRequest* proxied : *active_requests_) proxied->CancelAttempt();
+}
+
 net::Task<> RequestProxy::RunSilenceChecks() {
   while (true) {
     co_await net::Sleep(deps_.loop, kSilenceCheckInterval);
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -2,12 +2,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "libs/net/net.h"
 #include "libs/retry/retry.h"
 #include "libs/serving/internal/adaptive_admission.h"
+#include "libs/serving/internal/completion_estimate.h"
 #include "libs/serving/internal/hop_directory.h"
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/placement.h"
@@ -63,6 +65,11 @@
   /// Sets how many second sends (retries) of each service this VM may make in a burst. Beyond the burst they
   /// are limited to a fixed fraction of the requests.
   void SetSecondSendBurst(double burst);
+  /// From now on refuses requests, as not run, that are not expected to end before `end`, when the VM exits.
+  void BeginStop(base::TimePoint end) { stops_at_ = end; }
+  /// Ends all requests in progress: those without a response are answered with 502, or with 503 when they
+  /// have not been sent to a replica. Later ones are refused.
+  void EndRequests();
   const ProxyCounters& counters() const { return counters_; }
 
  private:
@@ -88,6 +95,9 @@
   ProxyDependencies deps_;
   std::map<std::string, retry::ExtraAttemptBudget> budgets_;             // by service
   std::map<std::pair<std::string, int>, AdaptiveAdmission> admissions_;  // by service and priority
+  CompletionEstimate completion_times_;
+  std::optional<base::TimePoint> stops_at_;  // when the VM exits; none while it is not stopping
+  bool ended_ = false;                       // EndRequests was called
   base::Random random_{base::EntropySeed()};
   double second_send_burst_ = 2;
   ProxyCounters counters_;
--- a/libs/serving/serving.h
+++ b/libs/serving/serving.h
@@ -3,6 +3,7 @@
 #include "libs/serving/internal/adaptive_admission.h"
 #include "libs/serving/internal/attempt_policy.h"
 #include "libs/serving/internal/cold_start_limiter.h"
+#include "libs/serving/internal/completion_estimate.h"
 #include "libs/serving/internal/config_freshness.h"
 #include "libs/serving/internal/hop_directory.h"
 #include "libs/serving/internal/message_codec.h"
