--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -28,8 +28,10 @@
 // Bounds of Retry-After for refused requests, except those that admission control refuses.
 constexpr std::chrono::milliseconds kMinRetryAfter{200};
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
-// Greatest random addition to Retry-After for requests that limits of replicas leave no room for.
-constexpr std::chrono::milliseconds kLimitRetrySpread{1000};
+// Greatest random addition to Retry-After for requests that replicas leave no room for at present.
+constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
+// Retry-After while this VM stops: other VMs take the request at once.
+constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
 
 }  // namespace
 
@@ -122,6 +124,23 @@
   call_->Cancel();
 }
 
+void ProxiedRequest::CancelAttempt() {
+  awaiting_bytes_ = false;
+  if (call_) call_->Cancel();
+}
+
+bool ProxiedRequest::OutlastsVm() const {
+  if (!proxy_.stops_at_) return false;
+  const base::Duration expected = proxy_.completion_times_.Upper(route_.name).value_or(TimeLeft());
+  return deps_.clock.Now() + std::min(expected, TimeLeft()) > *proxy_.stops_at_;
+}
+
+NextStep ProxiedRequest::LastStep() const {
+  if (writer_.Started()) return NextStep::kAbortResponse;
+  if (held_error_) return NextStep::kForwardErrorResponse;
+  return progress_.may_have_run ? NextStep::kFail : NextStep::kRefuse;
+}
+
 bool ProxiedRequest::IsQuarantined() {
   // The VM that forwarded a request has checked it. Between two sends there is one check, since a check that
   // lets a request with a condemned part pass makes it the trial.
@@ -183,16 +202,22 @@
       refusal_reason_ = RefusalReason::kNoTime;
       placement.reset();
     }
+    if (proxy_.ended_ || (placement && progress_.sends == 0 && OutlastsVm())) {
+      refusal_reason_ = RefusalReason::kStopping;
+      placement.reset();
+    }
     if (!placement) {
-      co_await Finish(progress_.response_started ? NextStep::kAbortResponse
-                      : held_error_              ? NextStep::kForwardErrorResponse
-                      : progress_.may_have_run   ? NextStep::kFail
-                                                 : NextStep::kRefuse);
+      co_await Finish(LastStep());
       co_return;
     }
     expected_first_byte_ = placement->expected;
     progress_.last_outcome = co_await RunAttempt(std::move(*placement));
     if (writer_.ClientGone()) break;
+    if (proxy_.ended_ && progress_.last_outcome != AttemptOutcome::kComplete) {
+      refusal_reason_ = RefusalReason::kStopping;
+      co_await Finish(LastStep());
+      co_return;
+    }
     progress_.time_left = TimeLeft();
     progress_.response_started = writer_.Started();
     auto& budget = proxy_.RetryBudget(service_);
@@ -257,6 +282,10 @@
     // The configuration may have changed while the connection was established.
     const std::string region = hop ? placement.region : placement.replica->published.region;
     withheld_ = !MakePlacementQuery().AllowsRegion(region);
+    // So may the replica's state; its connection may have taken as long as the replica lets requests pass.
+    if (replica_ && !SendGate::CheckStanding(*replica_, deps_.registry, deps_.clock.Now()).allowed()) {
+      withheld_ = true;
+    }
     if (!withheld_ && writer_.CheckClient()) {
       outcome = co_await SendAndRelay(*call_, placement);
     }
@@ -322,15 +351,18 @@
   }
   if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
   if (refusal_reason_ == RefusalReason::kConfigOutdated) return ConfigFreshness::kRetryAfter;
-  if (refusal_reason_ == RefusalReason::kLimited) {
-    // Another VM may have a part of the limit when this one has none. The spread keeps clients from returning
-    // at the same time.
-    const auto wait =
-        deps_.placer.TimeToLimitedReplica(service_, route_.priority, deps_.registry, deps_.clock.Now());
-    const base::Duration spread =
-        std::chrono::duration_cast<base::Duration>(kLimitRetrySpread * proxy_.random_.Unit());
-    return std::clamp<base::Duration>(wait.value_or(base::Duration::zero()) + spread, kMinRetryAfter,
-                                      kMaxRetryAfter);
+  if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
+  const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
+  if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
+    const auto wait = deps_.placer.TimeToBlockedReplica(service_, route_.priority, deps_.registry, deps_.hops,
+                                                        deps_.clock.Now());
+    // The spread keeps clients from returning at the same time.
+    const base::Duration time =
+        wait.value_or(base::Duration::zero()) +
+        std::chrono::duration_cast<base::Duration>(kBlockedRetrySpread * proxy_.random_.Unit());
+    // The replicas push back every VM, while another VM may have a part of a limit when this one has none.
+    const base::Duration most = pushed_back ? time : base::Duration(kMaxRetryAfter);
+    return std::clamp<base::Duration>(time, kMinRetryAfter, std::max<base::Duration>(most, kMinRetryAfter));
   }
   const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
   return std::min<base::Duration>(wait, kMaxRetryAfter);
@@ -349,6 +381,7 @@
   switch (step) {
     case NextStep::kDone:
       ++proxy_.counters_.answered;
+      proxy_.completion_times_.Observe(route_.name, deps_.clock.Now() - received_at_);
       NotifyObserver("answered");
       if (base::AllowRoutineLogLine()) LogRequestEnd("answered", 200);
       break;
