Exchange loads through a few VMs of each zone in large regions

Cause: a VM told its loads to 4 others each 200 ms in turns. With 68 VMs a region it heard from each other one every 3.4 s, and reports older than 1.5 s count as none: most of the region's work was unknown at any moment. Weighed: more datagrams of the same kind (24 in place of 4: a trial, twice the bytes between zones); gossip that forwards others' loads (a few kilobytes a datagram); placing by one VM of the zone (an extra hop for each request). Change: LoadExchange. A sum names the heartbeats that it contains, so that a VM takes out its own work, and the VMs that it covers count as alive.

--- a/libs/fleet/fleet.h
+++ b/libs/fleet/fleet.h
@@ -2,4 +2,5 @@
 
 #include "libs/fleet/internal/heartbeat_codec.h"
 #include "libs/fleet/internal/heartbeat_loop.h"
+#include "libs/fleet/internal/load_exchange.h"
 #include "libs/fleet/internal/member_table.h"
--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -57,6 +57,19 @@
   ageMs @3 :UInt32;
 }
 
+struct CoveredVm {
+  address @0 :UInt32;
+  beat @1 :UInt32;
+}
+
+# The loads of several VMs, added up.
+struct LoadSum {
+  wholeRegion @0 :Bool;
+  ageMs @1 :UInt32;
+  vms @2 :List(CoveredVm);
+  loads @3 :List(Load);
+}
+
 struct Beat {
   sender @0 :Member;
   members @1 :List(Member);
@@ -67,4 +80,5 @@
   clearances @6 :List(Clearance);
   verdicts @7 :List(Verdict);
   limits @8 :List(Limit);
+  sum @9 :LoadSum;
 }
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -23,6 +23,8 @@
 CAPNP_DECLARE_SCHEMA(a2103cc643b3efa8);
 CAPNP_DECLARE_SCHEMA(8171ff5f901bbc9d);
 CAPNP_DECLARE_SCHEMA(d8df2857f8871b6e);
+CAPNP_DECLARE_SCHEMA(db6a93315eb1491a);
+CAPNP_DECLARE_SCHEMA(8c856a19509854e9);
 CAPNP_DECLARE_SCHEMA(ea2b3ab719697f97);
 
 }  // namespace schemas
@@ -137,6 +139,36 @@
   };
 };
 
+struct CoveredVm {
+  CoveredVm() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db6a93315eb1491a, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LoadSum {
+  LoadSum() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c856a19509854e9, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Beat {
   Beat() = delete;
 
@@ -145,7 +177,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea2b3ab719697f97, 1, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ea2b3ab719697f97, 1, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -807,6 +839,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class CoveredVm::Reader {
+public:
+  typedef CoveredVm Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAddress() const;
+
+  inline  ::uint32_t getBeat() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CoveredVm::Builder {
+public:
+  typedef CoveredVm Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAddress();
+  inline void setAddress( ::uint32_t value);
+
+  inline  ::uint32_t getBeat();
+  inline void setBeat( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CoveredVm::Pipeline {
+public:
+  typedef CoveredVm Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LoadSum::Reader {
+public:
+  typedef LoadSum Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getWholeRegion() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader getVms() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadSum::Builder {
+public:
+  typedef LoadSum Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getWholeRegion();
+  inline void setWholeRegion(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasVms();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder getVms();
+  inline void setVms( ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>> disownVms();
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadSum::Pipeline {
+public:
+  typedef LoadSum Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Beat::Reader {
 public:
   typedef Beat Reads;
@@ -850,6 +1064,9 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasSum() const;
+  inline  ::cornelplank::fleet::schema::LoadSum::Reader getSum() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -937,6 +1154,13 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasSum();
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder getSum();
+  inline void setSum( ::cornelplank::fleet::schema::LoadSum::Reader value);
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder initSum();
+  inline void adoptSum(::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> disownSum();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -956,6 +1180,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cornelplank::fleet::schema::Member::Pipeline getSender();
+  inline  ::cornelplank::fleet::schema::LoadSum::Pipeline getSum();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1410,6 +1635,130 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CoveredVm::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CoveredVm::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CoveredVm::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CoveredVm::Reader::getBeat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CoveredVm::Builder::getBeat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CoveredVm::Builder::setBeat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSum::Reader::getWholeRegion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadSum::Builder::getWholeRegion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadSum::Builder::setWholeRegion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadSum::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadSum::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSum::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSum::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSum::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSum::Builder::setVms( ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadSum::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSum::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSum::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadSum::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadSum::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Beat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1701,6 +2050,45 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Beat::Reader::hasSum() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasSum() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cornelplank::fleet::schema::LoadSum::Reader Beat::Reader::getSum() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::getSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::LoadSum::Pipeline Beat::Pipeline::getSum() {
+  return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Beat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::initSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::adoptSum(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> Beat::Builder::disownSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -119,6 +119,44 @@
   return statements;
 }
 
+void Write(capnp::List<schema::Load>::Builder out, const std::vector<serving::ReplicaWork>& loads) {
+  for (uint32_t i = 0; i < loads.size(); ++i) {
+    out[i].setReplica(loads[i].replica_key);
+    out[i].setRequests(loads[i].work.requests);
+    out[i].setPrefillTokens(Clamp(loads[i].work.prefill_tokens));
+    out[i].setMemoryTokens(Clamp(loads[i].work.memory_tokens));
+  }
+}
+
+std::vector<serving::ReplicaWork> ReadLoads(capnp::List<schema::Load>::Reader in) {
+  std::vector<serving::ReplicaWork> loads;
+  for (const auto load : in) {
+    loads.push_back(
+        {load.getReplica(), {load.getRequests(), load.getPrefillTokens(), load.getMemoryTokens()}});
+  }
+  return loads;
+}
+
+void Write(schema::LoadSum::Builder out, const LoadSum& sum) {
+  out.setWholeRegion(sum.whole_region);
+  out.setAgeMs(Milliseconds(sum.age));
+  auto vms = out.initVms(static_cast<uint32_t>(sum.vms.size()));
+  for (uint32_t i = 0; i < sum.vms.size(); ++i) {
+    vms[i].setAddress(sum.vms[i].address);
+    vms[i].setBeat(sum.vms[i].heartbeat_count);
+  }
+  Write(out.initLoads(static_cast<uint32_t>(sum.loads.size())), sum.loads);
+}
+
+LoadSum Read(schema::LoadSum::Reader in) {
+  LoadSum sum;
+  sum.whole_region = in.getWholeRegion();
+  sum.age = std::chrono::milliseconds(in.getAgeMs());
+  for (const auto vm : in.getVms()) sum.vms.push_back({vm.getAddress(), vm.getBeat()});
+  sum.loads = ReadLoads(in.getLoads());
+  return sum;
+}
+
 Heartbeat Read(schema::Beat::Reader in) {
   Heartbeat heartbeat;
   heartbeat.sender = Read(in.getSender());
@@ -129,12 +167,9 @@
                                       std::chrono::milliseconds(offer.getAgeMs())});
   }
   if (in.getHasLoads()) {
-    heartbeat.loads.emplace();
-    for (const auto load : in.getLoads()) {
-      heartbeat.loads->push_back(
-          {load.getReplica(), {load.getRequests(), load.getPrefillTokens(), load.getMemoryTokens()}});
-    }
+    heartbeat.loads = ReadLoads(in.getLoads());
   }
+  if (in.hasSum()) heartbeat.load_sum = Read(in.getSum());
   heartbeat.quarantine = ReadQuarantine(in);
   heartbeat.limits = ReadLimits(in);
   return heartbeat;
@@ -157,15 +192,9 @@
   }
   out.setHasLoads(heartbeat.loads.has_value());
   if (heartbeat.loads) {
-    auto loads = out.initLoads(heartbeat.loads->size());
-    for (size_t i = 0; i < heartbeat.loads->size(); ++i) {
-      const auto& share = (*heartbeat.loads)[i];
-      loads[i].setReplica(share.replica_key);
-      loads[i].setRequests(share.work.requests);
-      loads[i].setPrefillTokens(Clamp(share.work.prefill_tokens));
-      loads[i].setMemoryTokens(Clamp(share.work.memory_tokens));
-    }
+    Write(out.initLoads(static_cast<uint32_t>(heartbeat.loads->size())), *heartbeat.loads);
   }
+  if (heartbeat.load_sum) Write(out.initSum(), *heartbeat.load_sum);
   Write(out, heartbeat.quarantine);
   Write(out, heartbeat.limits);
   kj::VectorOutputStream bytes;
--- a/libs/fleet/internal/heartbeat_codec.h
+++ b/libs/fleet/internal/heartbeat_codec.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "libs/fleet/internal/load_exchange.h"
 #include "libs/fleet/internal/member_table.h"
 
 namespace cornelplank::fleet {
@@ -17,6 +18,7 @@
   std::optional<std::vector<serving::ReplicaWork>> loads;  // the sender's own; only within its region
   serving::QuarantineReport quarantine;                    // prompt parts that crash replicas, of all VMs
   std::vector<serving::LimitStatement> limits;             // of replicas of the own region
+  std::optional<LoadSum> load_sum;                         // only within its region
 };
 
 /// Returns the heartbeat as packed Cap'n Proto.
--- a/libs/fleet/internal/heartbeat_loop.cc
+++ b/libs/fleet/internal/heartbeat_loop.cc
@@ -38,7 +38,8 @@
       members_(members),
       replicas_(replicas),
       socket_(loop),
-      random_(base::EntropySeed()) {}
+      random_(base::EntropySeed()),
+      load_exchange_(settings.loads, members, replicas) {}
 
 std::unique_ptr<HeartbeatLoop> HeartbeatLoop::Start(asio::io_context& loop, const base::Clock& clock,
                                                     const HeartbeatSettings& settings,
@@ -84,17 +85,19 @@
   for (const RegionWaitReport& report : heartbeat.wait_reports) members_.MergeWaitReport(report, now);
   if (quarantine_ != nullptr) quarantine_->Merge(heartbeat.quarantine, now);
   replicas_.MergeLimits(heartbeat.limits, now);
-  if (heartbeat.loads) replicas_.ReplacePeerLoads(heartbeat.sender.address, *heartbeat.loads, now);
+  if (heartbeat.loads) load_exchange_.OnLoads(heartbeat.sender, *heartbeat.loads, now);
+  if (heartbeat.load_sum) load_exchange_.OnSum(heartbeat.sender, *heartbeat.load_sum, now);
 }
 
-Heartbeat HeartbeatLoop::MakeHeartbeat(bool with_loads, bool with_members) {
+Heartbeat HeartbeatLoop::MakeHeartbeat(Content content) {
   const base::TimePoint now = clock_.Now();
   Heartbeat heartbeat;
   ++members_.own().heartbeat_count;
   heartbeat.sender = members_.own();
-  if (with_loads) heartbeat.loads = replicas_.OwnLoads();
+  const bool with_members = content == Content::kMembers;
+  if (content == Content::kOwnLoads) heartbeat.loads = replicas_.OwnLoads();
   const bool limits_changed = now - replicas_.limits_changed_at() < kNewsTime;
-  if (with_loads && (limits_changed || now - limits_sent_at_ >= settings_.limit_interval)) {
+  if (!with_members && (limits_changed || now - limits_sent_at_ >= settings_.limit_interval)) {
     heartbeat.limits = replicas_.LimitStatements(settings_.limits_per_heartbeat, now);
     limits_sent_at_ = now;
   }
@@ -126,12 +129,17 @@
 net::Task<> HeartbeatLoop::SendLoads() {
   while (true) {
     co_await net::Sleep(loop_, settings_.load_interval);
-    auto vms = members_.OwnRegionVms(clock_.Now());
-    vms.erase(vms.begin());  // this VM
-    if (vms.empty()) continue;
-    const std::string bytes = EncodeHeartbeat(MakeHeartbeat(true, false));
-    const size_t count = std::min(vms.size(), settings_.region_fanout);
-    for (size_t i = 0; i < count; ++i) SendTo(vms[next_region_vm_++ % vms.size()], bytes);
+    const Heartbeat own_loads = MakeHeartbeat(Content::kOwnLoads);
+    for (auto& message : load_exchange_.NextRound(own_loads.sender.heartbeat_count, clock_.Now())) {
+      if (message.targets.empty()) continue;
+      Heartbeat heartbeat = own_loads;
+      if (message.sum) {
+        heartbeat.loads.reset();
+        heartbeat.load_sum = std::move(message.sum);
+      }
+      const std::string bytes = EncodeHeartbeat(heartbeat);
+      for (const VmAddress vm : message.targets) SendTo(vm, bytes);
+    }
   }
 }
 
@@ -172,7 +180,7 @@
   while (true) {
     const auto targets = PickMemberTargets();
     if (!targets.empty()) {
-      const std::string bytes = EncodeHeartbeat(MakeHeartbeat(false, true));
+      const std::string bytes = EncodeHeartbeat(MakeHeartbeat(Content::kMembers));
       for (const VmAddress vm : targets) SendTo(vm, bytes);
     }
     members_.Tick(clock_.Now());
@@ -184,7 +192,7 @@
 }
 
 void HeartbeatLoop::BroadcastState() {
-  const std::string bytes = EncodeHeartbeat(MakeHeartbeat(false, true));
+  const std::string bytes = EncodeHeartbeat(MakeHeartbeat(Content::kMembers));
   for (const auto& [address, entry] : members_.others()) SendTo(address, bytes);
 }
 
--- a/libs/fleet/internal/heartbeat_loop.h
+++ b/libs/fleet/internal/heartbeat_loop.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libs/fleet/internal/heartbeat_codec.h"
+#include "libs/fleet/internal/load_exchange.h"
 #include "libs/fleet/internal/member_table.h"
 #include "libs/net/net.h"
 
@@ -18,12 +19,12 @@
   std::chrono::milliseconds load_interval{200};  // between heartbeats with loads to VMs of the own region
   std::chrono::milliseconds member_interval{
       500};                           // between heartbeats with members to a few VMs of any region
-  size_t region_fanout = 4;           // VMs that get each heartbeat with loads; a larger region takes turns
   size_t members_per_heartbeat = 40;  // keeps a datagram without crashes within one Ethernet frame
   size_t crashes_per_heartbeat = 16;  // the newest ones; about 50 bytes each
   size_t limits_per_heartbeat = 24;   // limits of replicas, the newest ones; about 12 bytes each
   // Between heartbeats with limits to VMs of the own region, while no limit changes.
   std::chrono::milliseconds limit_interval{1000};
+  LoadExchangeSettings loads;
 };
 
 /// Exchanges heartbeats with the other entry VMs over UDP and merges what arrives into the member table and
@@ -61,7 +62,9 @@
   void Merge(const Heartbeat& heartbeat);
   /// Picks the VMs for one round of `SendMembers`.
   std::vector<VmAddress> PickMemberTargets();
-  Heartbeat MakeHeartbeat(bool with_loads, bool with_members);
+  /// What a heartbeat carries beside its sender and news.
+  enum class Content { kOwnLoads, kMembers };
+  Heartbeat MakeHeartbeat(Content content);
   void SendTo(VmAddress vm, const std::string& bytes);
 
   net::asio::io_context& loop_;
@@ -76,7 +79,7 @@
   serving::PromptQuarantine* quarantine_ = nullptr;
   base::Random random_;
   base::TimePoint limits_sent_at_{};
-  size_t next_region_vm_ = 0;  // counts up; modulo the number of VMs it is the next one to get loads
+  LoadExchange load_exchange_;
 };
 
 }  // namespace cornelplank::fleet
--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -59,10 +59,20 @@
         .Number("incarnation", static_cast<int64_t>(member.incarnation))
         .Number("state", static_cast<int64_t>(member.state));
   }
+  if (member.incarnation != known.incarnation) entry.relayed_count = 0;
   entry.member = member;
   entry.last_heartbeat = now;
 }
 
+void MemberTable::RefreshHeartbeat(VmAddress vm, uint32_t heartbeat_count, base::TimePoint now) {
+  const auto entry = others_.find(vm);
+  if (entry == others_.end()) return;
+  Entry& known = entry->second;
+  if (heartbeat_count <= std::max(known.member.heartbeat_count, known.relayed_count)) return;
+  known.relayed_count = heartbeat_count;
+  known.last_heartbeat = now;
+}
+
 void MemberTable::RecordDatagram(VmAddress vm, base::TimePoint now) {
   const auto entry = others_.find(vm);
   if (entry != others_.end()) entry->second.last_datagram = now;
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -85,6 +85,9 @@
   /// Merges a statement that came from the VM itself. The statement of a VM that was silent is taken even
   /// with a lower incarnation: incarnations come from wall clocks, which are sometimes set back.
   void MergeSender(const Member& sender, base::TimePoint now);
+  /// Records that another VM has heard this heartbeat of a known VM. Ignored unless the count is higher than
+  /// the known one: a lower one is of another incarnation or older.
+  void RefreshHeartbeat(VmAddress vm, uint32_t heartbeat_count, base::TimePoint now);
   /// Records that a datagram arrived from the VM itself, which shows that the path from it works.
   void RecordDatagram(VmAddress vm, base::TimePoint now);
   /// Excludes the VM from forwarding for `kHopRetryDelay`.
@@ -97,6 +100,7 @@
 
   struct Entry {
     Member member;
+    uint32_t relayed_count = 0;        // greatest heartbeat count that others have stated alone
     base::TimePoint last_heartbeat{};  // when the heartbeat count last grew
     base::TimePoint last_datagram{};   // from the VM itself
     base::TimePoint last_hop_failure{};
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -36,11 +36,13 @@
 
 OutstandingWork TrackedReplica::TotalWork(base::TimePoint now) const {
   OutstandingWork total = own_work;
-  for (const auto& [vm, entry] : peer_work) {
-    if (now - entry.second > ReplicaRegistry::kMaxPeerLoadAge) continue;
-    total.requests += entry.first.requests;
-    total.prefill_tokens += entry.first.prefill_tokens;
-    total.memory_tokens += entry.first.memory_tokens;
+  for (const auto* reports : {&peer_work, &group_work}) {
+    for (const auto& [reporter, entry] : *reports) {
+      if (now - entry.second > ReplicaRegistry::kMaxPeerLoadAge) continue;
+      total.requests += entry.first.requests;
+      total.prefill_tokens += entry.first.prefill_tokens;
+      total.memory_tokens += entry.first.memory_tokens;
+    }
   }
   return total;
 }
@@ -262,4 +264,31 @@
   }
 }
 
+void ReplicaRegistry::DropPeerLoads(const std::vector<uint32_t>& vms) {
+  for (const auto& [id, replica] : replicas_) {
+    if (replica->peer_work.empty()) continue;
+    for (const uint32_t vm : vms) replica->peer_work.erase(vm);
+  }
+}
+
+void ReplicaRegistry::ReplaceGroupLoads(uint32_t group, const std::vector<ReplicaWork>& loads,
+                                        base::TimePoint at) {
+  DropGroupLoads(group);
+  for (const ReplicaWork& load : loads) {
+    const auto entry = by_key_.find(load.replica_key);
+    if (entry == by_key_.end()) continue;
+    if (const auto replica = entry->second.lock()) replica->group_work[group] = {load.work, at};
+  }
+}
+
+void ReplicaRegistry::DropGroupLoads(uint32_t group) {
+  for (const auto& [id, replica] : replicas_) replica->group_work.erase(group);
+}
+
+void ReplicaRegistry::DropZoneGroupLoads() {
+  for (const auto& [id, replica] : replicas_) {
+    std::erase_if(replica->group_work, [](const auto& entry) { return entry.first != kRegionGroup; });
+  }
+}
+
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -55,6 +55,8 @@
   OutstandingWork own_work;
   /// Work that other VMs reported, and when the report arrived, by address of the VM.
   std::map<uint32_t, std::pair<OutstandingWork, base::TimePoint>> peer_work;
+  /// Sums of the work of groups of VMs that are not in `peer_work`, and when it was reported, by group.
+  std::map<uint32_t, std::pair<OutstandingWork, base::TimePoint>> group_work;
   std::optional<base::TimePoint> unlisted_since;  // set while the store does not list the replica
   base::TimePoint cold_until{};
   base::TimePoint last_cold_send{};  // when this VM last sent it a request while it was cold
@@ -97,6 +99,8 @@
   static constexpr std::chrono::milliseconds kUnlistedGrace{2300};
   /// Loads that another VM reported longer ago than this are not counted.
   static constexpr std::chrono::milliseconds kMaxPeerLoadAge{1500};
+  /// The group of all other VMs of the region.
+  static constexpr uint32_t kRegionGroup = 0;
   /// How long a replica's statement that it leaves is remembered when the store no longer lists the replica.
   static constexpr std::chrono::minutes kDepartureMemory{10};
 
@@ -176,6 +180,13 @@
   std::vector<ReplicaWork> OwnLoads() const;
   /// Replaces everything that `vm` reported before.
   void ReplacePeerLoads(uint32_t vm, const std::vector<ReplicaWork>& loads, base::TimePoint now);
+  /// Drops what these VMs reported.
+  void DropPeerLoads(const std::vector<uint32_t>& vms);
+  /// Replaces the sum of a group of VMs: those of a zone, by its key, or the others of the region.
+  void ReplaceGroupLoads(uint32_t group, const std::vector<ReplicaWork>& loads, base::TimePoint at);
+  void DropGroupLoads(uint32_t group);
+  /// Drops the sums of all groups but `kRegionGroup`.
+  void DropZoneGroupLoads();
 
  private:
   /// A replica's statement that it is about to exit.
