Let the soak's replicas say that they leave or want nothing for a time

Cause: the statements had tests with a few VMs only; the soak has restarts, freezes, store outages and hops. Change: a leaving replica says so in all its responses; a new event lets a replica refuse half of its requests with a Retry-After. StatementCheck fails when a VM that has got such a response sends a request to that replica afterwards, unless the VM was frozen or started again since.

--- a/tests/platform/wire.h
+++ b/tests/platform/wire.h
@@ -16,6 +16,8 @@
 inline constexpr char kNotRun[] = "Not-Executed";
 inline constexpr char kExpectedReplica[] = "Expected-Instance";
 inline constexpr char kRateLimit[] = "Server-Limit";
+inline constexpr char kLeaving[] = "Server-Leaving";
+inline constexpr char kRetryAfter[] = "Retry-After";
 inline constexpr char kLastEvent[] = "Last-Event-Id";
 inline constexpr char kConfigKey[] = "op/config";
 
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -118,8 +118,32 @@
   CheckPlacement(*request, region);
 }
 
+std::optional<StatementCheck::Pair> Ledger::SenderOf(const Request& request, const std::string& replica,
+                                                     const std::string& region) const {
+  if (faults_.RegionOf(request.vm) != region) return std::nullopt;
+  return StatementCheck::Pair{request.vm, request.incarnation, replica};
+}
+
+void Ledger::OnStatement(const std::string& id, const std::string& replica, const std::string& region,
+                         std::optional<Duration> push_back) {
+  const Request* request = Find(id);
+  const auto pair = request == nullptr ? std::nullopt : SenderOf(*request, replica, region);
+  if (!pair) return;
+  Count(push_back ? "statements_push_back" : "statements_leaving");
+  if (push_back) statements_.OnPushBack(*pair, *push_back, Now());
+  if (!push_back) statements_.OnLeaving(*pair, Now());
+}
+
 void Ledger::OnArrival(const std::string& id, const std::string& replica, const std::string& region) {
   const Request* request = Find(id);
+  const auto pair = request == nullptr ? std::nullopt : SenderOf(*request, replica, region);
+  const auto stated_at = pair ? statements_.OnArrival(*pair, Now()) : std::nullopt;
+  // A VM that was frozen may not have read the response.
+  if (stated_at && !faults_.Disturbed(request->vm, "", *stated_at)) {
+    Fail("statement", id,
+         "replica " + replica + " had told the VM that it leaves or wants nothing; " +
+             faults_.Describe(request->vm));
+  }
   const TimePoint since = Now() - RateCheck::kLearningTime;
   // Counted are only the VMs that must know the limit. Forwarded requests come from an unknown VM.
   if (request == nullptr || faults_.RegionOf(request->vm) != region ||
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -9,6 +9,7 @@
 #include "tests/platform/fake_store.h"
 #include "tests/platform/wire.h"
 #include "tests/soak/rate_check.h"
+#include "tests/soak/statement_check.h"
 
 namespace cornelplank::soak {
 
@@ -91,6 +92,12 @@
              const std::string& service, const std::string& region);
   /// A request reaches a replica, which may refuse it.
   void OnArrival(const std::string& id, const std::string& replica, const std::string& region);
+  /// A response of the replica to the request states that the replica leaves, or with `push_back` that it
+  /// wants nothing for a time.
+  void OnStatement(const std::string& id, const std::string& replica, const std::string& region,
+                   std::optional<Duration> push_back);
+  /// The replica has started again.
+  void OnReplicaStart(const std::string& replica) { statements_.OnRestart(replica); }
   /// Limits of replicas and what reaches them.
   RateCheck& rates() { return rates_; }
   /// A replica answers the request with a signed status.
@@ -113,6 +120,9 @@
   /// Time since a configuration that lets the route's requests go to the region was last in force; no value
   /// if none ever did.
   std::optional<Duration> AgeOfPermission(const std::string& route, const std::string& region) const;
+  /// The VM that sent the request to a replica in `region`; none when another VM forwarded it.
+  std::optional<StatementCheck::Pair> SenderOf(const Request& request, const std::string& replica,
+                                               const std::string& region) const;
   void CheckPlacement(const Request& request, const std::string& region);
   void CheckSuccess(const Request& request, const Result& result);
   void CheckLoss(const Request& request, const Result& result);
@@ -123,6 +133,7 @@
   std::unordered_map<std::string, Request> requests_;
   std::deque<std::string> order_;  // ids in the order of their requests
   RateCheck rates_;
+  StatementCheck statements_;
   std::map<std::string, uint64_t> counts_;
   uint64_t failures_ = 0;
   // Greatest age of a configuration that a request was placed by, without and after faults.
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -15,6 +15,9 @@
 
 void Replica::Start(const std::string& id) {
   id_ = id;
+  leaving_ = false;
+  push_back_.reset();
+  ledger_.OnReplicaStart(id);
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   born_ = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
   acceptor_.emplace(loop_, address_);
@@ -23,6 +26,11 @@
   Publish(false);
 }
 
+void Replica::Drain(bool announced) {
+  leaving_ = true;
+  if (announced) Publish(true);
+}
+
 void Replica::Publish(bool draining) {
   store_.Put(wire::ReplicaKey(id_), wire::EncodeReplica(service_, address_, zone_, kSlots, draining, born_));
 }
@@ -69,6 +77,10 @@
     head += std::string(wire::kRateLimit) + ": " + std::to_string(*limit_) + "\r\n";
     ledger_.rates().OnStated(id_, *limit_, Now());
   }
+  if (leaving_) {
+    head += std::string(wire::kLeaving) + ": 1\r\n";
+    ledger_.OnStatement(id, id_, region_, std::nullopt);
+  }
   return head + framing;
 }
 
@@ -91,6 +103,15 @@
       kept = true;
       continue;
     }
+    if (push_back_ && random_.Below(2) == 0) {
+      ledger_.OnStatement(id, id_, region_, push_back_);
+      const std::string refusal = std::string(wire::kNotRun) + ": 1\r\n" + wire::kRetryAfter + ": " +
+                                  std::to_string(std::chrono::duration<double>(*push_back_).count()) +
+                                  "\r\nContent-Length: 0\r\n\r\n";
+      open = co_await Write(socket, Head(id, 503, refusal));
+      kept = true;
+      continue;
+    }
     ledger_.OnRun(id, std::string(request.target()), request.body(), service_, region_);
     if (random_.Below(150) == 0) {
       // An answer to no request that arrives where the next answer is due.
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -29,8 +29,11 @@
   void Start(const std::string& id);
   /// Resets all connections and stops listening; the entry in the store stays.
   void Crash();
-  /// Announces that the replica leaves; it serves on.
-  void Drain() { Publish(true); }
+  /// The replica leaves: it says so in all its responses, and in the store if `announced`. It serves on.
+  void Drain(bool announced);
+  /// Refuses half of the requests from now on, and wants nothing from the VM that it refuses for `time`;
+  /// none: refuses no more.
+  void SetPushBack(std::optional<Duration> time) { push_back_ = time; }
   void Unregister() { store_.Remove(testing::wire::ReplicaKey(id_)); }
 
   /// States a limit of so many requests a second in all responses, until the next start; none: no longer.
@@ -70,7 +73,9 @@
   std::string id_;
   uint64_t born_ = 0;
   std::optional<double> limit_;  // requests a second
-  int generation_ = 0;           // grows with each start and crash
+  bool leaving_ = false;
+  std::optional<Duration> push_back_;
+  int generation_ = 0;  // grows with each start and crash
   std::optional<net::Tcp::acceptor> acceptor_;
   std::set<Socket> sockets_;
   std::multiset<std::string> working_;  // ids of the requests in progress
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -83,6 +83,7 @@
   net::Task<> DrainReplica(Replica& replica, Duration pause, bool announced);
   /// All replicas that share the load with `like` state a limit of requests a second.
   net::Task<> LimitReplicas(const Replica& like, double per_second, Duration time);
+  net::Task<> PushBackAtReplica(Replica& replica, Duration retry_after, Duration time);
   net::Task<> DisturbStore(Mode mode, Duration time);
   net::Task<> EvacuateZone(std::string zone, Duration time);
   net::Task<> Tracked(net::Task<> event);
@@ -218,7 +219,7 @@
 
 net::Task<> Soak::DrainReplica(Replica& replica, Duration pause, bool announced) {
   leaving_.insert(&replica);
-  if (announced) replica.Drain();
+  replica.Drain(announced);
   if (!announced) replica.Unregister();
   co_await net::Sleep(loop_,
                       kDrainTime + milliseconds(1500));  // replicas serve a little longer than they say
@@ -243,6 +244,13 @@
   }
 }
 
+net::Task<> Soak::PushBackAtReplica(Replica& replica, Duration retry_after, Duration time) {
+  const std::string id = replica.id();
+  replica.SetPushBack(retry_after);
+  co_await net::Sleep(loop_, time);
+  if (replica.id() == id) replica.SetPushBack(std::nullopt);
+}
+
 net::Task<> Soak::DisturbStore(Mode mode, Duration time) {
   store_disturbed_ = true;
   if (mode != Mode::kHistoryGone) fleet_.SetStoreServing(false);
@@ -295,7 +303,7 @@
   Replica& replica = *replicas_[event_random_.Below(replicas_.size())];
   const bool steady = !leaving_.contains(&replica);
   const std::string zone = Zones()[event_random_.Below(Zones().size())].name;
-  const uint64_t kind = event_random_.Below(20);
+  const uint64_t kind = event_random_.Below(21);
   if (kind < 11) {
     StartVmEvent();
   } else if (kind < 14 && steady) {
@@ -315,6 +323,11 @@
   } else if (kind == 18 && evacuated_.empty()) {
     ledger_.Count("event_evacuation");
     net::Spawn(loop_, "evacuation", Tracked(EvacuateZone(zone, Between(event_random_, 2000, 10000))));
+  } else if (kind == 20 && steady) {
+    ledger_.Count("event_push_back");
+    net::Spawn(loop_, "push_back",
+               Tracked(PushBackAtReplica(replica, Between(event_random_, 500, 3000),
+                                         Between(event_random_, 4000, 8000))));
   } else if (kind == 19) {
     ledger_.Count("event_limit");
     const double per_second = static_cast<double>(5 + event_random_.Below(80)) / 10;
