Compare the owners of a prefix and a sample of the other replicas in large regions

Callers: on the peak of a large region requests were refused by full replicas, or interrupted, while others had free slots. And what an owner of a prefix has no room for went to any replica, each of which reads it again. Change: a VM compares the owners of the prefix and a random sample of the sound others; its size is three times the replicas divided by the region's VMs, at least two, so that small regions compare all as before. The second replica in a prefix's order counts as holding half of it. Weighed: more jitter (also spreads where few VMs choose); forecasting the others' sends from the own ones (a VM sends a few requests a second).

--- a/libs/serving/internal/hop_directory.h
+++ b/libs/serving/internal/hop_directory.h
@@ -32,6 +32,8 @@
   virtual size_t OwnRank(uint64_t /*key*/) const { return 0; }
   /// Ids of the live VMs of the own region, this one included.
   virtual std::vector<std::string> OwnRegionVms() const = 0;
+  /// Number of live VMs of the own region, this one included.
+  virtual size_t OwnRegionVmCount() const { return OwnRegionVms().size(); }
 };
 
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -1,6 +1,8 @@
 #include "libs/serving/internal/placement.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace cornelplank::serving {
 namespace {
@@ -15,6 +17,15 @@
 // Share of an engine's KV cache that requests can fill before further ones wait for free memory.
 constexpr double kUsableMemoryShare = 0.85;
 
+// Replicas that a VM compares for one request: so many that each replica is compared by about this many VMs
+// at the same time, and at least kMinChoices. VMs with the same picture would otherwise all send to the least
+// loaded replicas until the next one arrives.
+constexpr size_t kChoosersPerReplica = 3;
+constexpr size_t kMinChoices = 2;
+// Chance that the second replica in a prefix's order holds it: it gets the requests for which the first has
+// no room, from all VMs.
+constexpr double kSecondOwnerShare = 0.5;
+
 // Least urgent priority that counts: routes of a higher number are treated like it.
 constexpr int kLeastUrgentPriority = 5;
 // Priority for which the wait is reported to other regions; most deployments use 0 to 2.
@@ -102,21 +113,37 @@
   return std::chrono::duration_cast<base::Duration>(settings_.reserved_slot_cost * beyond);
 }
 
+size_t Placer::SampleChoices(std::vector<Candidate>* candidates, size_t vms,
+                             const std::function<bool(const Candidate&)>& always) {
+  const size_t count = candidates->size();
+  const size_t choices =
+      std::max<size_t>(kMinChoices, kChoosersPerReplica * count / std::max<size_t>(vms, 1));
+  if (choices >= count) return count;
+  const auto sound = [](const Candidate& candidate) { return candidate.penalty.count() == 0; };
+  auto rest = std::stable_partition(candidates->begin(), candidates->end(), always);
+  const auto rest_end = std::stable_partition(rest, candidates->end(), sound);
+  if (rest == rest_end) return count;  // nothing sound is left to draw from
+  for (size_t i = 0; i < choices && rest != rest_end; ++i, ++rest) {
+    std::iter_swap(rest,
+                   rest + static_cast<ptrdiff_t>(random_.Below(static_cast<uint64_t>(rest_end - rest))));
+  }
+  return static_cast<size_t>(rest - candidates->begin());
+}
+
 std::optional<Placement> Placer::ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
                                              const ReplicaRegistry& registry, const HopDirectory& hops,
                                              base::TimePoint now, RefusalReason* reason) {
   std::optional<Placement> best;
   const int priority = std::clamp(query.route->priority, 0, kLeastUrgentPriority);
-  std::shared_ptr<TrackedReplica> owner;
-  uint64_t owner_weight = 0;
+  std::array<Owner, 2> owners;  // by weight
   SendGate gate(registry, hops, own_id_, now);
-  std::vector<std::pair<std::shared_ptr<TrackedReplica>, base::Duration>> allowed;  // with their penalties
+  std::vector<Candidate> candidates;
   for (const auto& [id, replica] : registry.replicas()) {
     if (replica->published.service != query.service || replica->published.region != own_region_) continue;
     if (Contains(query.excluded_replicas, id)) continue;
     const SendPermission permission = gate.Check(*replica, service, priority);
     if (permission.allowed()) {
-      allowed.emplace_back(replica, permission.penalty);
+      candidates.push_back({replica, permission.penalty});
     } else if (const auto cause = ReasonOf(permission.block)) {
       *reason = *cause;
     }
@@ -126,23 +153,32 @@
     if (replica->limit.Confirmed(now)) continue;  // could take only a part of the prefix's requests
     const uint64_t weight = base::RendezvousWeight(
         {reinterpret_cast<const char*>(&query.prefix_key), sizeof query.prefix_key}, id);
-    if (!owner || weight > owner_weight) {
-      owner = replica;
-      owner_weight = weight;
+    if (!owners[0].replica || weight > owners[0].weight) {
+      owners[1] = std::exchange(owners[0], {replica, weight});
+    } else if (!owners[1].replica || weight > owners[1].weight) {
+      owners[1] = {replica, weight};
     }
   }
-  for (const auto& [replica, penalty] : allowed) {
+  const auto cached_share = [&](const std::shared_ptr<TrackedReplica>& replica) {
+    if (query.prefix_key == 0) return 0.0;
+    if (replica == owners[0].replica || replica->LikelyHasPrefix(query.prefix_key, now)) return 1.0;
+    return replica == owners[1].replica ? kSecondOwnerShare : 0.0;
+  };
+  const size_t preferred =
+      SampleChoices(&candidates, hops.OwnRegionVmCount(),
+                    [&](const Candidate& candidate) { return cached_share(candidate.replica) > 0; });
+  candidates.resize(preferred);
+  for (const auto& [replica, penalty] : candidates) {
     const OutstandingWork work = replica->TotalWork(now);
     const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
-    Placement placement{replica, {}, {}, {}, EstimateWait(work, slots, service, registry), replica == owner};
-    const bool cached =
-        query.prefix_key != 0 && (replica == owner || replica->LikelyHasPrefix(query.prefix_key, now));
-    const uint32_t tokens_to_prefill =
-        query.prompt_tokens - (cached ? std::min(query.prefix_tokens, query.prompt_tokens) : 0);
+    Placement placement{
+        replica, {}, {}, {}, EstimateWait(work, slots, service, registry), replica == owners[0].replica};
+    const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
+    const double read_again = prefix * (1 - cached_share(replica));
     placement.expected = placement.wait;
-    if (service.engine) placement.expected += EstimatePrefillTime(tokens_to_prefill);
+    if (service.engine) placement.expected += EstimatePrefillTime(query.prompt_tokens - prefix + read_again);
     base::Duration score = placement.expected + ReservedSlotCost(work, slots, service, priority);
-    if (!cached) score += FromMs(query.prefix_tokens * settings_.repeated_prefill_ms_per_1000_tokens / 1000);
+    score += FromMs(read_again * settings_.repeated_prefill_ms_per_1000_tokens / 1000);
     const double failures = std::max(0.0, replica->failure_rate - kOrdinaryFailureRate);
     score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
     score += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -92,7 +93,10 @@
 /// Chooses where to send requests: to the replica or region with the least cost, which is the expected time
 /// to the first byte with penalties. A replica that does not hold the request's shared prompt prefix costs
 /// the time to process it again. Each prefix has one owner among the healthy replicas of the region, by
-/// rendezvous hashing, so that all VMs agree on it without communication.
+/// rendezvous hashing, so that all VMs agree on it without communication, and a second one for the requests
+/// that the first has no room for. Where many VMs choose among the same replicas by loads that are some
+/// hundred milliseconds old, each compares the owners and a few others only: the load that it answers is a
+/// peak of a large region, in which the least loaded replicas would get the requests of all VMs at once.
 class Placer {
  public:
   /// `seed`: of the random jitter.
@@ -127,6 +131,21 @@
   /// Penalty for one more request of `priority` where it takes slots that are reserved for more urgent ones.
   base::Duration ReservedSlotCost(const OutstandingWork& work, uint32_t slots, const ServiceConfig& service,
                                   int priority) const;
+  /// A replica that may be sent the request, with the penalty of its SendPermission.
+  struct Candidate {
+    std::shared_ptr<TrackedReplica> replica;
+    base::Duration penalty{0};
+  };
+  /// A replica with its rendezvous weight for a prefix.
+  struct Owner {
+    std::shared_ptr<TrackedReplica> replica;
+    uint64_t weight = 0;
+  };
+
+  /// Moves the candidates to compare to the front: those that `always` names and a random sample of the sound
+  /// others, smaller the more `vms` choose among them. Returns their number.
+  size_t SampleChoices(std::vector<Candidate>* candidates, size_t vms,
+                       const std::function<bool(const Candidate&)>& always);
   /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a replica had to be
   /// skipped that takes requests again later.
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
--- a/tests/serving/placement_test.cc
+++ b/tests/serving/placement_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "libs/serving/serving.h"
 
 namespace cornelplank::serving {
@@ -77,6 +79,70 @@
   EXPECT_NE(Choose()->replica, owner);
 }
 
+struct ChooserCase {
+  const char* name;
+  size_t vms;
+  size_t replicas;
+  size_t free;      // of the replicas; the others are full
+  size_t requests;  // that each VM places before it learns of the others' choices
+};
+class SamePictureTest : public PlacementTest, public ::testing::WithParamInterface<ChooserCase> {};
+
+// Guards against VMs with the same picture of the loads that all send to the few replicas which are free in
+// it: callers there wait behind each other, or are refused, while the other replicas get nothing.
+TEST_P(SamePictureTest, DoNotFillTheFreeReplicasBeyondTheirSlots) {
+  const auto& param = GetParam();
+  constexpr uint32_t kSlots = 12;
+  hops.vms.resize(param.vms, "other");
+  for (size_t i = 0; i < param.replicas; ++i) {
+    const std::string id = std::to_string(i);
+    AddReplica(id);
+    registry.Find(id)->published.slots = kSlots;
+    if (i >= param.free) registry.BeginAttempt(*registry.Find(id), {kSlots, 0, 0}, 0, kStart);
+  }
+  std::map<std::string, size_t> placed;
+  for (size_t vm = 0; vm < param.vms; ++vm) {
+    Placer own(std::to_string(vm), "r", {}, vm);
+    std::vector<std::pair<TrackedReplica*, OutstandingWork>> sent;  // known to this VM only
+    for (size_t i = 0; i < param.requests; ++i) {
+      const auto placement = own.Choose(query, registry, hops, kStart, &reason);
+      ASSERT_TRUE(placement);
+      ++placed[placement->replica->published.id];
+      sent.emplace_back(placement->replica.get(), OutstandingWork{1, 0, 0});
+      registry.BeginAttempt(*placement->replica, sent.back().second, 0, kStart);
+    }
+    for (auto& [replica, work] : sent) {
+      registry.EndAttempt(*replica, work, HealthObservation::kNeutral, kStart);
+    }
+  }
+  size_t most = 0;
+  for (size_t i = 0; i < param.free; ++i) most = std::max(most, placed[std::to_string(i)]);
+  EXPECT_LE(most, 2 * kSlots);
+}
+
+INSTANTIATE_TEST_SUITE_P(Regions, SamePictureTest,
+                         ::testing::Values(ChooserCase{"FewVms", 3, 10, 3, 4},
+                                           ChooserCase{"ManyVms", 22, 30, 6, 6},
+                                           ChooserCase{"LargeRegion", 68, 52, 10, 5},
+                                           ChooserCase{"LargeRegionFewFree", 68, 52, 4, 4}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against requests beyond the room of a prefix's owner that are spread over all replicas, each of
+// which then has to process the prefix.
+TEST_F(PlacementTest, SendsTheOverflowOfAPrefixToOneOtherReplica) {
+  for (int i = 0; i < 20; ++i) AddReplica(std::to_string(i));
+  hops.vms.resize(30, "other");
+  query.prefix_key = 42;
+  query.prefix_tokens = 5000;
+  query.prompt_tokens = 12000;
+  const auto owner = Choose()->replica;
+  registry.BeginAttempt(*owner, {64, 200000, 200000}, 0, kStart);
+  std::map<std::string, int> overflow;
+  for (int i = 0; i < 50; ++i) ++overflow[Choose()->replica->published.id];
+  EXPECT_EQ(overflow.size(), 1U);
+  EXPECT_FALSE(overflow.contains(owner->published.id));
+}
+
 struct ReservedSlotsCase {
   const char* name;
   int priority;
