--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -133,7 +133,6 @@
 std::optional<Placement> Placer::ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
                                              const ReplicaRegistry& registry, const HopDirectory& hops,
                                              base::TimePoint now, RefusalReason* reason) {
-  std::optional<Placement> best;
   const int priority = std::clamp(query.route->priority, 0, kLeastUrgentPriority);
   std::array<Owner, 2> owners;  // by weight
   SendGate gate(registry, hops, own_id_, now);
@@ -159,36 +158,47 @@
       owners[1] = {replica, weight};
     }
   }
-  const auto cached_share = [&](const std::shared_ptr<TrackedReplica>& replica) {
+  const auto cached_share = [&](const TrackedReplica& replica) {
     if (query.prefix_key == 0) return 0.0;
-    if (replica == owners[0].replica || replica->LikelyHasPrefix(query.prefix_key, now)) return 1.0;
-    return replica == owners[1].replica ? kSecondOwnerShare : 0.0;
+    if (&replica == owners[0].replica.get() || replica.LikelyHasPrefix(query.prefix_key, now)) return 1.0;
+    return &replica == owners[1].replica.get() ? kSecondOwnerShare : 0.0;
   };
-  const size_t preferred =
-      SampleChoices(&candidates, hops.OwnRegionVmCount(),
-                    [&](const Candidate& candidate) { return cached_share(candidate.replica) > 0; });
-  candidates.resize(preferred);
-  for (const auto& [replica, penalty] : candidates) {
-    const OutstandingWork work = replica->TotalWork(now);
-    const uint32_t slots = std::max<uint32_t>(1, replica->published.slots);
-    Placement placement{
-        replica, {}, {}, {}, EstimateWait(work, slots, service, registry), replica == owners[0].replica};
-    const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
-    const double read_again = prefix * (1 - cached_share(replica));
-    placement.expected = placement.wait;
-    if (service.engine) placement.expected += EstimatePrefillTime(query.prompt_tokens - prefix + read_again);
-    base::Duration score = placement.expected + ReservedSlotCost(work, slots, service, priority);
-    score += FromMs(read_again * settings_.repeated_prefill_ms_per_1000_tokens / 1000);
-    const double failures = std::max(0.0, replica->failure_rate - kOrdinaryFailureRate);
-    score += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
-    score += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
-    if (replica->limit.Confirmed(now)) score += settings_.limited_cost;
-    placement.cost = score + penalty;
-    if (!best || placement.cost < best->cost) best = placement;
+  const size_t count = SampleChoices(&candidates, hops.OwnRegionVmCount(), [&](const Candidate& candidate) {
+    return cached_share(*candidate.replica) > 0;
+  });
+  std::optional<Placement> best;
+  for (size_t i = 0; i < count; ++i) {
+    const Candidate& candidate = candidates[i];
+    Placement placement = Price(candidate, query, service, registry, cached_share(*candidate.replica), now);
+    placement.prefix_owner = candidate.replica == owners[0].replica;
+    if (!best || placement.cost < best->cost) best = std::move(placement);
   }
   return best;
 }
 
+Placement Placer::Price(const Candidate& candidate, const PlacementQuery& query, const ServiceConfig& service,
+                        const ReplicaRegistry& registry, double cached_share, base::TimePoint now) {
+  const TrackedReplica& replica = *candidate.replica;
+  const int priority = std::clamp(query.route->priority, 0, kLeastUrgentPriority);
+  const OutstandingWork work = replica.TotalWork(now);
+  const uint32_t slots = std::max<uint32_t>(1, replica.published.slots);
+  const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
+  const double read_again = prefix * (1 - cached_share);
+  Placement placement;
+  placement.replica = candidate.replica;
+  placement.wait = EstimateWait(work, slots, service, registry);
+  placement.expected = placement.wait;
+  if (service.engine) placement.expected += EstimatePrefillTime(query.prompt_tokens - prefix + read_again);
+  base::Duration cost = placement.expected + ReservedSlotCost(work, slots, service, priority);
+  cost += FromMs(read_again * settings_.repeated_prefill_ms_per_1000_tokens / 1000);
+  const double failures = std::max(0.0, replica.failure_rate - kOrdinaryFailureRate);
+  cost += std::chrono::duration_cast<base::Duration>(kFailurePenalty * failures);
+  cost += std::chrono::duration_cast<base::Duration>(settings_.jitter * random_.Unit());
+  if (replica.limit.Confirmed(now)) cost += settings_.limited_cost;
+  placement.cost = cost + candidate.penalty;
+  return placement;
+}
+
 std::optional<Placement> Placer::Choose(const PlacementQuery& query, const ReplicaRegistry& registry,
                                         const HopDirectory& hops, base::TimePoint now,
                                         RefusalReason* reason) {
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -146,6 +146,9 @@
   /// others, smaller the more `vms` choose among them. Returns their number.
   size_t SampleChoices(std::vector<Candidate>* candidates, size_t vms,
                        const std::function<bool(const Candidate&)>& always);
+  /// The placement at a candidate that holds the given share of the request's prefix.
+  Placement Price(const Candidate& candidate, const PlacementQuery& query, const ServiceConfig& service,
+                  const ReplicaRegistry& registry, double cached_share, base::TimePoint now);
   /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a replica had to be
   /// skipped that takes requests again later.
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
