Don't refuse a call with a ticket as not run while the gateway drains

Callers: one second into a drain a call with a ticket was refused with the outcome not-run, although the same call may have run before; the outcome invites a second booking. Cause: refused all requests of clients before their ticket was read. Found by reading the change. Change: calls with a ticket go on to their owner, with a deadline before the drain limit.

--- a/libs/gateway/internal/request_reader.cc
+++ b/libs/gateway/internal/request_reader.cc
@@ -124,11 +124,6 @@
     return Refuse(failure, 400, "invalid-request", "Request-Timeout-Ms must be a positive number");
   }
   const base::TimePoint now = shared->clock.Now();
-  if (shared->drain.Refuses(now)) {
-    Refuse(failure, 503, "entry-leaving", "this VM is shutting down; another one serves the request");
-    failure->client_error = false;
-    return std::nullopt;
-  }
   request.deadline = std::min(now + *timeout, shared->drain.LastAnswer());
   if (http_request.path.starts_with(kServices)) request.kind = rpc::ForwardKind::kServiceCall;
   if (http_request.path == "/v1/tickets") request.kind = rpc::ForwardKind::kMintTicket;
@@ -137,6 +132,13 @@
     const std::string_view type = http::HeaderValue(http_request.headers, "Content-Type");
     if (!type.empty()) request.headers.emplace_back("Content-Type", type);
   }
+  // A call with a ticket may run already, as its client may have sent it before, so it can't be refused as
+  // not run. Its owner decides, which may be this VM.
+  if (request.ticket.empty() && shared->drain.Refuses(now)) {
+    Refuse(failure, 503, "entry-leaving", "this VM is shutting down; another one serves the request");
+    failure->client_error = false;
+    return std::nullopt;
+  }
   size_t header_bytes = 0;
   for (const auto& [name, value] : http_request.headers) header_bytes += name.size() + value.size();
   if (header_bytes > kMaxHeaderBytes) {
--- a/tests/gateway/drain_test.cc
+++ b/tests/gateway/drain_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "tests/gateway/fake_fleet.h"
@@ -100,5 +101,32 @@
                  "upstream-broken"}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a call with a ticket that is refused as not run although it may have run, since its client
+// may have sent it before.
+TEST(LateTicketTest, IsRunByItsOwner) {
+  FakeUpstream ledger([](const http::Request&) {
+    http::Response response;
+    response.body = "receipt";
+    return response;
+  });
+  FakeFleet fleet;
+  fleet.drain_limit = kDrainLimit;
+  fleet.AddService("a", "s1", ledger.address());
+  const size_t vm = fleet.StartVm("a");
+  const auto minted = fleet.Send(fleet.Request(vm, "POST", "/v1/tickets", R"({"service":"ledger"})"));
+  ASSERT_TRUE(minted);
+  auto call = fleet.Request(vm, "POST", "/v1/services/ledger/book", "{}");
+  call.headers["Idempotency-Key"] = nlohmann::json::parse(minted->body)["ticket"];
+  std::thread drain([&] { fleet.vm(vm).Drain(); });
+  std::this_thread::sleep_for(milliseconds{1500});
+  const auto response = fleet.Send(call);
+  const auto again = fleet.Send(call);
+  drain.join();
+  ASSERT_TRUE(response && again);
+  EXPECT_EQ(response->body, "receipt");
+  EXPECT_EQ(again->body, "receipt");
+  EXPECT_EQ(ledger.Received().size(), 1U);
+}
+
 }  // namespace
 }  // namespace cornelplank::gateway
