Put statements of tests into braces and compare pairs without a null literal

Cause: clang-tidy refused four places in the tests (google-readability-braces, modernize-use-nullptr). Change: braces; operator< by std::tie in place of a defaulted operator<=>. No change of behaviour.

--- a/tests/decoders/decoder_fuzz.cc
+++ b/tests/decoders/decoder_fuzz.cc
@@ -139,8 +139,9 @@
 
 std::optional<std::string> CheckPage(const std::string& text) {
   platform::StorePage page;
-  if (platform::DecodePage(text, &page) && !InRange(page.store_age, hours(24)))
+  if (platform::DecodePage(text, &page) && !InRange(page.store_age, hours(24))) {
     return "the age is out of range";
+  }
   return std::nullopt;
 }
 
@@ -212,8 +213,9 @@
   for (uint64_t step = 0; step < steps; ++step) {
     for (const Decoder& decoder : decoders) {
       const std::string text = mutator.Change(decoder.text);
-      if (const auto fault = decoder.check(text))
+      if (const auto fault = decoder.check(text)) {
         return std::string(decoder.name) + ": " + *fault + ": " + text;
+      }
     }
   }
   return std::nullopt;
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -288,9 +288,10 @@
   }
   store.Put("servers/i-1", ReplicaText("svc", testing::Loopback(9), "draining"));
   RunFor(loop, std::chrono::milliseconds(500));
-  for (const auto& vm : vms)
+  for (const auto& vm : vms) {
     EXPECT_FALSE(
         serving::SendGate::CheckStanding(*vm->registry.Find("i-1"), vm->registry, clock.Now()).allowed());
+  }
 }
 
 struct TurnedAwayCase {
--- a/tests/soak/statement_check.h
+++ b/tests/soak/statement_check.h
@@ -23,7 +23,9 @@
     int vm = 0;
     int incarnation = 0;
     std::string replica;
-    auto operator<=>(const Pair&) const = default;
+    bool operator<(const Pair& other) const {
+      return std::tie(vm, incarnation, replica) < std::tie(other.vm, other.incarnation, other.replica);
+    }
   };
 
   void OnLeaving(const Pair& pair, base::TimePoint now) { leaving_.try_emplace(pair, now); }
