--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -145,7 +145,7 @@
   return !broken;
 }
 
-int RunCase(const std::string& program) {
+[[noreturn]] void RunCase(const std::string& program) {
   Store store(RunIp(10));
   store.Put("op/config", Config());
   Fleet fleet({{RunIp(1), "z1"}}, "z1:r1", {store.address()});
@@ -166,8 +166,7 @@
   Record::Line("MIXED: " + std::to_string(broken) + " of " + std::to_string(tries) +
                " answers were cut in half and looked complete");
   std::cout << broken << " of " << tries << " answers were cut in half and looked complete\n";
-  EndChildren();
-  return broken > 0 ? kRuleBroken : kRuleHeld;
+  Finish(broken > 0 ? kRuleBroken : kRuleHeld);
 }
 
 }  // namespace
@@ -178,8 +177,5 @@
   if (argc == 4 && std::string(argv[1]) == "replica") {
     return review::RunReplica(argv[2], std::atoi(argv[3]));
   }
-  std::cout.flush();
-  const int result = review::RunCase(argv[0]);
-  std::cout.flush();
-  std::_Exit(result);
+  review::RunCase(argv[0]);
 }
--- a/review/support/harness.cc
+++ b/review/support/harness.cc
@@ -101,6 +101,13 @@
   std::_Exit(kCouldNotRun);
 }
 
+void Finish(int exit_code) {
+  EndChildren();
+  std::cout.flush();
+  // Threads of stand-ins may still run, so nothing is destroyed.
+  std::_Exit(exit_code);
+}
+
 void SleepFor(Milliseconds time) { std::this_thread::sleep_for(time); }
 
 bool WaitUntil(const std::function<bool()>& condition, Milliseconds limit) {
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -32,6 +32,9 @@
 /// Prints the problem and ends the process with `kCouldNotRun`, after ending all VMs.
 [[noreturn]] void Abandon(const std::string& problem);
 
+/// Ends all VMs and child processes, and this process with the exit code.
+[[noreturn]] void Finish(int exit_code);
+
 void SleepFor(Milliseconds time);
 /// Polls `condition` until it holds; false when it doesn't within `limit`.
 bool WaitUntil(const std::function<bool()>& condition, Milliseconds limit);
@@ -188,6 +191,7 @@
   bool AwaitEnd(size_t vm, Milliseconds limit);
   void KillAll();
   bool Running(size_t vm);
+  pid_t Pid(size_t vm) const { return pids_[vm]; }
   /// Waits until the VM's readiness is 200.
   void AwaitReady(size_t vm);
   Address Frontend(size_t vm) const { return {places_[vm].ip, ports_.frontend}; }
