--- a/review/support/harness.cc
+++ b/review/support/harness.cc
@@ -475,28 +475,33 @@
 
 std::string Fleet::LogPath(size_t vm) const { return folder_ + "/vm" + std::to_string(vm) + ".log"; }
 
-void Fleet::Start(size_t vm) {
+std::string Fleet::SettingsPath(size_t vm) const { return folder_ + "/vm" + std::to_string(vm) + ".ini"; }
+
+void Fleet::WriteSettings(size_t vm) const {
   const std::string& ip = places_[vm].ip;
   const auto at = [&](int port) { return ip + ":" + std::to_string(port); };
   std::string seeds;
   for (size_t i = 0; i < std::min<size_t>(3, places_.size()); ++i) {
     seeds += (i == 0 ? "" : ",") + places_[i].ip + ":" + std::to_string(ports_.control);
   }
-  const std::string path = folder_ + "/vm" + std::to_string(vm) + ".ini";
   // platform/settings.ini.template with the bounds of gavekv-sentral.
-  std::ofstream(path) << "[vm]\nname=frontend-" << vm << "\nip=" << ip << "\nzone=" << places_[vm].zone
-                      << "\nzones=" << zones_ << "\nseeds=" << seeds
-                      << "\nmemory_mb=260\ndescriptors=4100\n\n[listen]\nclients=" << at(ports_.frontend)
-                      << "\nreadiness=" << at(ports_.ready) << "\ndirectory=" << at(ports_.directory)
-                      << "\nbeats=" << at(ports_.control) << "\nhops=" << at(ports_.internal)
-                      << "\nmetrics=" << at(ports_.metrics)
-                      << "\n\n[store]\naddress=" << stores_[vm % stores_.size()].Text()
-                      << "\n\n[limits]\nsecond_sends=54\nchange_bound=4000ms\nevacuation_bound=5000ms\n"
-                         "drain_bound=4000ms\ngrace=8s\n";
+  std::ofstream(SettingsPath(vm))
+      << "[vm]\nname=frontend-" << vm << "\nip=" << ip << "\nzone=" << places_[vm].zone
+      << "\nzones=" << zones_ << "\nseeds=" << seeds
+      << "\nmemory_mb=260\ndescriptors=4100\n\n[listen]\nclients=" << at(ports_.frontend)
+      << "\nreadiness=" << at(ports_.ready) << "\ndirectory=" << at(ports_.directory)
+      << "\nbeats=" << at(ports_.control) << "\nhops=" << at(ports_.internal)
+      << "\nmetrics=" << at(ports_.metrics) << "\n\n[store]\naddress=" << stores_[vm % stores_.size()].Text()
+      << "\n\n[limits]\nsecond_sends=54\nchange_bound=4000ms\nevacuation_bound=5000ms\n"
+         "drain_bound=4000ms\ngrace=8s\n";
+}
+
+void Fleet::Start(size_t vm) {
+  WriteSettings(vm);
   const char* program = std::getenv("REVIEW_ENTRY");
   if (program == nullptr || access(program, X_OK) != 0) Abandon("cornelplank-entry is not built");
-  pids_[vm] = StartChild(program, {}, {"CORNELPLANK_NODE_FILE=" + path}, LogPath(vm));
-  Record::Line("VM " + std::to_string(vm) + " started at " + ip + " in " + places_[vm].zone);
+  pids_[vm] = StartChild(program, {}, {"CORNELPLANK_NODE_FILE=" + SettingsPath(vm)}, LogPath(vm));
+  Record::Line("VM " + std::to_string(vm) + " started at " + places_[vm].ip + " in " + places_[vm].zone);
 }
 
 void Fleet::Signal(size_t vm, int signal) {
@@ -531,8 +536,8 @@
   }
 }
 
-void Fleet::AwaitReady(size_t vm) {
-  const bool ready = WaitUntil(
+bool Fleet::BecomesReady(size_t vm, Milliseconds limit) {
+  return WaitUntil(
       [&] {
         const auto connection = Connection::Open({places_[vm].ip, ports_.ready}, Milliseconds(200));
         Message answer;
@@ -540,8 +545,11 @@
                connection->ReadHead(&answer, Milliseconds(300)) == ReadEnd::kComplete &&
                answer.Status() == 200;
       },
-      kReadyLimit);
-  if (!ready) Abandon("VM " + std::to_string(vm) + " doesn't get ready");
+      limit);
+}
+
+void Fleet::AwaitReady(size_t vm) {
+  if (!BecomesReady(vm, kReadyLimit)) Abandon("VM " + std::to_string(vm) + " doesn't get ready");
 }
 
 size_t Fleet::CountLog(size_t vm, const std::string& text) const {
@@ -553,6 +561,18 @@
   return count;
 }
 
+std::vector<std::string> Fleet::LogTail(size_t vm, size_t count) const {
+  std::ifstream log(LogPath(vm));
+  std::vector<std::string> lines;
+  for (std::string line; std::getline(log, line);) lines.push_back(line);
+  if (lines.size() > count) lines.erase(lines.begin(), lines.end() - static_cast<ptrdiff_t>(count));
+  for (std::string& line : lines) {
+    const size_t path = line.find(folder_ + "/");
+    if (path != std::string::npos) line.erase(path, folder_.size() + 1);
+  }
+  return lines;
+}
+
 pid_t StartChild(const std::string& program, const std::vector<std::string>& arguments,
                  const std::vector<std::string>& environment, const std::string& output) {
   std::vector<std::string> words{program};
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -184,7 +184,11 @@
   /// one element.
   Fleet(std::vector<VmPlace> places, std::string zones, std::vector<Address> stores);
   ~Fleet();
-  /// Starts the VM's process. It is killed when this process ends.
+  /// From now on settings are written with these zones.
+  void SetZones(std::string zones) { zones_ = std::move(zones); }
+  /// Writes the VM's settings file.
+  void WriteSettings(size_t vm) const;
+  /// Writes the settings and starts the VM's process. It is killed when this process ends.
   void Start(size_t vm);
   void Signal(size_t vm, int signal);
   /// Waits for the process to end, at most `limit`, and returns whether it has.
@@ -194,15 +198,20 @@
   pid_t Pid(size_t vm) const { return pids_[vm]; }
   /// Waits until the VM's readiness is 200.
   void AwaitReady(size_t vm);
+  /// Whether it becomes ready within `limit`.
+  bool BecomesReady(size_t vm, Milliseconds limit);
   Address Frontend(size_t vm) const { return {places_[vm].ip, ports_.frontend}; }
   Address Directory(size_t vm) const { return {places_[vm].ip, ports_.directory}; }
   const Ports& ports() const { return ports_; }
   size_t size() const { return places_.size(); }
   /// Lines of the VM's log that contain `text`.
   size_t CountLog(size_t vm, const std::string& text) const;
+  /// The last lines of the VM's log.
+  std::vector<std::string> LogTail(size_t vm, size_t count) const;
 
  private:
   std::string LogPath(size_t vm) const;
+  std::string SettingsPath(size_t vm) const;
 
   std::vector<VmPlace> places_;
   std::string zones_;
