--- a/review/support/harness.cpp
+++ b/review/support/harness.cpp
@@ -449,6 +449,52 @@
   return "{\"events\":[" + events + "],\"current_rev\":" + std::to_string(revision_) + "}";
 }
 
+Proxy::Proxy(const std::string& ip, const Address& target, double bytes_per_second)
+    : target_(target), bytes_per_second_(bytes_per_second) {
+  listener_ = std::make_unique<Listener>(ip, 0, [this](Connection& connection) { Serve(connection); });
+}
+
+void Proxy::SilenceOpen() {
+  ++generation_;
+  Record::Line("all open channels to the store go silent");
+}
+
+void Proxy::Carry(size_t bytes) {
+  Clock::time_point done;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto time =
+        std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(bytes / bytes_per_second_));
+    link_free_at_ = std::max(link_free_at_, Clock::now()) + time;
+    done = link_free_at_;
+  }
+  std::this_thread::sleep_until(done);
+}
+
+void Proxy::Serve(Connection& connection) {
+  constexpr size_t kPacketBytes = 4096;
+  const int generation = generation_;
+  const auto server = Connection::Open(target_);
+  if (!server) return;
+  std::vector<char> bytes(kPacketBytes);
+  while (true) {
+    pollfd ends[2] = {{connection.handle(), POLLIN, 0}, {server->handle(), POLLIN, 0}};
+    poll(ends, 2, 50);
+    if (generation != generation_) {
+      // Keeps both ends open and reads nothing more.
+      SleepFor(std::chrono::minutes(2));
+      return;
+    }
+    for (int i = 0; i < 2; ++i) {
+      if (ends[i].revents == 0) continue;
+      const ssize_t size = recv(ends[i].fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+      if (size <= 0) return;
+      if (i == 1) Carry(static_cast<size_t>(size));
+      if (!(i == 0 ? *server : connection).Write({bytes.data(), static_cast<size_t>(size)})) return;
+    }
+  }
+}
+
 std::string ReplicaEntry(const std::string& service, const Address& address, const std::string& zone,
                          int slots, const std::string& state, uint64_t born) {
   return "{\"service\":\"" + service + "\",\"address\":\"" + address.Text() + "\",\"zone\":\"" + zone +
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -162,6 +162,27 @@
   std::unique_ptr<Listener> listener_;
 };
 
+/// Passes connections on to `target`, over a link of `bytes_per_second` towards the one who connects.
+class Proxy {
+ public:
+  Proxy(const std::string& ip, const Address& target, double bytes_per_second);
+  const Address& address() const { return listener_->address(); }
+  /// All open connections go silent for good, in both directions and without a reset. New ones work.
+  void SilenceOpen();
+
+ private:
+  void Serve(Connection& connection);
+  /// Waits until the link has carried this many bytes.
+  void Carry(size_t bytes);
+
+  Address target_;
+  double bytes_per_second_;
+  std::mutex mutex_;
+  Clock::time_point link_free_at_ = Clock::now();
+  std::atomic<int> generation_{0};
+  std::unique_ptr<Listener> listener_;
+};
+
 /// The store's entry of a replica.
 std::string ReplicaEntry(const std::string& service, const Address& address, const std::string& zone,
                          int slots = 8, const std::string& state = "ready", uint64_t born = 0);
