--- a/review/1/find_seed.cpp
+++ b/review/1/find_seed.cpp
@@ -1,6 +1,5 @@
 // Searches for configurations that a VM can't read from another VM, and counts them. Not part of the case;
-// needs Boost: g++ -std=c++20 -O2 -I. review/1/find_seed.cpp platform/internal/value_packing.cc -o
-// /tmp/find_seed
+// needs Boost: g++ -std=c++20 -O2 -I. review/1/find_seed.cpp platform/internal/value_packing.cc -o find_seed
 
 #include <iostream>
 
