Don't take a VM's page for whole when an item of it can't be read

Callers saw the same as with the fault of the unpacking: a VM stayed at an old version for good. It dropped the item that it could not read, took the rest of the page for all that there was, and counted as current, so that it did not read the store either.

Change: a page of another VM with an unreadable item is malformed. The reader excludes that VM and reads another one or the store. Pages of the store, which other programs write to, are read as before. VmUnderTest moves to a header of its own, which also shortens store_sync_test.cc.

--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -1,72 +1,28 @@
 #include <gtest/gtest.h>
-#include <unistd.h>
 
-#include "tests/platform/fake_store.h"
+#include "tests/platform/vm_under_test.h"
 
 namespace cornelplank {
 namespace {
 
 using testing::ConfigText;
 using testing::FakeStore;
+using testing::kFirstVmAddress;
+using testing::MemberAt;
 using testing::ReplicaText;
 using testing::RunFor;
+using testing::VmUnderTest;
 using Mode = FakeStore::Mode;
 
 constexpr std::chrono::milliseconds kSyncTime{120};  // enough for a change to reach the VM
 
-fleet::Member MemberAt(uint32_t address, const std::string& zone = "z") {
-  fleet::Member member;
-  member.address = address;
-  member.incarnation = 1;
-  member.heartbeat_count = 1;
-  member.zone = fleet::NameKey(zone);
-  member.state = fleet::MemberState::kReady;
-  return member;
-}
-
-/// The parts of an entry VM that read the store, with a server for its mirrors at a loopback address of its
-/// own.
-struct VmUnderTest {
-  VmUnderTest(net::asio::io_context& loop, const base::Clock& clock, const net::Tcp::endpoint& store,
-              uint32_t address, uint16_t mirror_port, const std::string& zone = "z",
-              std::chrono::milliseconds bound = std::chrono::milliseconds(4000))
-      : members(MemberAt(address, zone), {{"z", "r"}, {"y", "q"}}),
-        sync(loop, clock, {store, mirror_port, bound, bound}, members, {{"z", "r"}}, registry,
-             [this](const serving::RoutingConfig& config) { versions.push_back(config.version); }),
-        not_found(),
-        mirror_server(sync.MakeMirrorServer(not_found)) {
-    net::Error error;
-    server = net::HttpServer::Listen(
-        loop, net::Tcp::endpoint(net::asio::ip::address_v4(address), mirror_port), *mirror_server, &error);
-    if (!server) throw std::runtime_error(error.message());
-    sync.Start();
-  }
-
-  struct NotFound final : net::RequestHandler {
-    net::Task<> Handle(net::Request&, net::ResponseWriter& writer) override {
-      co_await writer.Send({404, {}}, "");
-    }
-  };
-
-  serving::ReplicaRegistry registry;
-  fleet::MemberTable members;
-  std::vector<uint64_t> versions;  // of the configurations that came into force
-  platform::StoreSync sync;
-  NotFound not_found;
-  std::unique_ptr<platform::MirrorServer> mirror_server;
-  std::unique_ptr<net::HttpServer> server;
-};
-
-constexpr uint32_t kFirstVmAddress = 0x7f000102;  // 127.0.1.2
-
 struct StoreSyncTest : ::testing::Test {
   StoreSyncTest() {
     store.Put("op/config", ConfigText(7));
     store.Put("servers/i-1", ReplicaText("svc", testing::Loopback(9)));
   }
 
-  // Several test processes run at the same time, so each uses another port.
-  const uint16_t mirror_port = static_cast<uint16_t>(20000 + getpid() % 12000);
+  const uint16_t mirror_port = testing::OwnMirrorPort();
 
   std::unique_ptr<VmUnderTest> MakeVm(uint32_t index = 0) {
     return std::make_unique<VmUnderTest>(loop, clock, store.Endpoint(), kFirstVmAddress + index, mirror_port);
