Don't take a reset response without a length for a whole one

Callers got 200 with the replica's signature and half of its answer, which looked complete, when a replica answered before it had read a long body and then crashed; a stream ended in good order before its last event.

Cause: the kernel reports the end of a connection to one call only. The write of the request's body, which goes on in the background, got the reset and dropped it; the read then saw the end of the connection as after an orderly close, which ends a response without a length.

Change: the write's fault is kept, and such a response counts as whole only if the write has not failed or has failed with EPIPE, which the kernel gives for a reset after an orderly close. The write's coroutine gets its turn before that is looked at, as both may have ended in the same round of the loop. ETIMEDOUT, from TCP_USER_TIMEOUT, is covered by the same rule.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -1,6 +1,7 @@
 #include "libs/net/internal/http_call.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <limits>
@@ -127,11 +128,19 @@
     call->writing_ = false;
     co_return;
   }
-  // No fault is recorded: a broken connection fails the read of the response too, and a server that stopped
-  // reading the request may still send its response.
+  // No fault is recorded: a server that stopped reading the request may still send its response.
+  call->write_error_ = error;
   call->detail_ = "send: " + error.message();
 }
 
+Task<bool> HttpCall::EndedInOrder() {
+  // The write may have ended in the same round of the loop as the read, and its coroutine not yet have run.
+  if (writing_ && !write_error_) co_await asio::post(loop_, asio::use_awaitable);
+  // The kernel reports a reset or a timeout of the connection to one call only. When that was the write, the
+  // read gets an end of file as after an orderly close. EPIPE is what a reset after an orderly close gives.
+  co_return !write_error_ || write_error_ == asio::error::broken_pipe;
+}
+
 Task<std::optional<ResponseHead>> HttpCall::ReadHead(base::Duration timeout) {
   const auto self = shared_from_this();
   parser_.emplace();
@@ -187,7 +196,10 @@
     co_return false;
   }
   *done = parser_->is_done();
-  co_return true;
+  if (!*done || !EndsWithConnection()) co_return true;
+  *done = co_await EndedInOrder();
+  if (!*done) RecordFault(*write_error_, CallFault::kLost);
+  co_return *done;
 }
 
 void HttpCall::Finish() {
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -42,11 +42,12 @@
   /// a fault, such as a head that is not complete after `timeout`.
   Task<std::optional<ResponseHead>> ReadHead(base::Duration timeout);
   /// Appends the next part of the body to `out` and sets `*done` when the body is complete. Returns false on
-  /// a fault, such as no further byte within `timeout`.
+  /// a fault, such as no further byte within `timeout`, or a broken connection in place of the orderly close
+  /// that ends a body without a length.
   Task<bool> ReadSome(std::string* out, bool* done, base::Duration timeout);
 
-  /// Whether the response states no length, so that the end of the connection ends its body, however that
-  /// came about. Call it after `ReadHead`.
+  /// Whether the response states no length, so that the orderly end of the connection ends its body. A server
+  /// that stops in the middle of it may close the connection in order too. Call it after `ReadHead`.
   bool EndsWithConnection() const { return parser_ && parser_->get().need_eof(); }
 
   /// Whether the connection has carried another request before. Call it after `Connect`.
@@ -70,6 +71,8 @@
   /// Writes the bytes that `Send` could not write at once.
   static Task<> WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<PooledConnection> connection,
                           std::shared_ptr<std::string> bytes);
+  /// Whether the server closed the connection in order, after the read of the response came to its end.
+  Task<bool> EndedInOrder();
   /// Records the first fault: `default_fault`, or kTimeout when `error` is a timeout after the connection was
   /// made.
   void RecordFault(const Error& error, CallFault default_fault);
@@ -83,8 +86,9 @@
   bool head_request_ = false;
   bool reused_ = false;
   bool sent_ = false;
-  bool writing_ = false;   // the request has not been written completely
-  bool reusable_ = false;  // the response allows another request on the connection
+  bool writing_ = false;              // the request has not been written completely
+  std::optional<Error> write_error_;  // of the part of the request that is written in the background
+  bool reusable_ = false;             // the response allows another request on the connection
 };
 
 }  // namespace cornelplank::net
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -107,6 +107,35 @@
   EXPECT_EQ(server.connections(), 2);
 }
 
+struct EarlyEndCase {
+  const char* name;
+  Ending ending;
+  bool complete;
+};
+
+class EarlyEndTest : public ::testing::TestWithParam<EarlyEndCase> {};
+
+// Guards against the first part of a response without a length that counts as the whole response: the reset
+// that ends it is reported to the write of the request's body, which is still in progress.
+TEST_P(EarlyEndTest, IsCompleteOnlyAfterAnOrderlyClose) {
+  asio::io_context loop(1);
+  base::SystemClock clock;
+  net::ConnectionPool pool(loop, clock, {});
+  ScriptedServer server(loop, "HTTP/1.1 200 OK\r\n\r\nfirst part", GetParam().ending);
+  const net::Request long_request{"POST", "/", {}, std::string(16 << 20, 'x')};
+  FetchResult result;
+  ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, server.Endpoint(), &result, long_request)));
+  ASSERT_TRUE(result.head);
+  EXPECT_EQ(result.complete, GetParam().complete);
+  EXPECT_EQ(result.fault, GetParam().complete ? CallFault::kNone : CallFault::kLost);
+}
+
+INSTANTIATE_TEST_SUITE_P(Endings, EarlyEndTest,
+                         ::testing::Values(EarlyEndCase{"Reset", Ending::kReset, false},
+                                           EarlyEndCase{"ClosedWithUnreadBytes", Ending::kClose, false},
+                                           EarlyEndCase{"ShutDown", Ending::kShutDown, true}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against a refused connection that is reported as a loss after the request was sent, which forbids a
 // retry.
 TEST(HttpCallTest, RefusedConnectionSendsNothing) {
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -15,10 +15,11 @@
 inline net::Tcp::endpoint Loopback(uint16_t port = 0) { return {asio::ip::address_v4::loopback(), port}; }
 
 /// A server that answers each request with the same bytes. After them it closes or resets the connection, or
-/// keeps it open for the next request.
+/// keeps it open for the next request. It doesn't read the bodies of requests.
 class ScriptedServer {
  public:
-  enum class Ending { kClose, kReset, kKeepOpen };
+  /// kShutDown: ends its direction in order, and closes the connection a little later.
+  enum class Ending { kClose, kReset, kShutDown, kKeepOpen };
 
   /// Without `read_request` it sends the bytes at once, without waiting for a request.
   ScriptedServer(asio::io_context& loop, std::string bytes, Ending ending, bool read_request = true)
@@ -63,6 +64,10 @@
       }
       if (ending_ != Ending::kKeepOpen) break;
     }
+    if (ending_ == Ending::kShutDown) {
+      socket->shutdown(net::Tcp::socket::shutdown_send, error);
+      co_await net::Sleep(loop_, std::chrono::milliseconds(20));
+    }
     if (ending_ == Ending::kReset) {
       co_await net::Sleep(loop_, std::chrono::milliseconds(20));
       socket->set_option(asio::socket_base::linger(true, 0), error);
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -133,12 +133,18 @@
 
   /// Sends a request on a connection of its own and runs the loop for `time`, and on until the VM has closed
   /// the connection after its response. Returns the bytes received.
-  std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time) {
+  std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time,
+                   const std::string& body = "hi") {
     net::Tcp::socket socket(loop);
     socket.connect(Loopback(entry->server->Port()));
-    const std::string request = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
-                                "\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
-    asio::write(socket, asio::buffer(request));
+    const std::string request =
+        "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
+        "\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    net::Spawn(loop, "send", [](net::Tcp::socket& to, const std::string& bytes) -> net::Task<> {
+      net::Error ignored;  // the VM may respond and close before it has read everything
+      co_await asio::async_write(to, asio::buffer(bytes), net::Into(ignored));
+    }(socket, request));
     RunFor(loop, time);
     constexpr std::chrono::milliseconds kStep{5};
     constexpr int kMaxSteps = 1000;  // ample, as other processes may keep the machine busy
