Bound the bytes of a connection that are not parsed yet

Callers lost their requests when a VM ended for memory: a replica, a client, another VM or the store had sent bytes without end in a chunk's size or extension, in a trailer line or in trailers.

Cause: Beast's parser takes each of these only as a whole and has no limit for them, and neither had the buffers that it reads into.

Change: the buffers of client and server connections hold 64 KB, or the greatest head that the configuration allows. A longer piece ends the connection; a client gets 431. An answer that the parser refuses is reported as malformed, and no longer as lost, which counted it as a crash that the prompt may have caused.

--- a/libs/net/internal/connection_pool.h
+++ b/libs/net/internal/connection_pool.h
@@ -18,7 +18,7 @@
   bool IsReusable();
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   Tcp::endpoint endpoint;
   base::TimePoint idle_since{};
   base::Duration keep_alive{0};  // how long the peer keeps the connection open while it is idle
--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -51,6 +51,13 @@
   return text.str();
 }
 
+/// kMalformed when the parser refused the bytes that arrived, and kLost when too few arrived.
+CallFault FaultOfRead(const Error& error) {
+  const bool lost = error == http::error::end_of_stream || error == http::error::partial_message ||
+                    error.category() != make_error_code(http::error::bad_target).category();
+  return lost ? CallFault::kLost : CallFault::kMalformed;
+}
+
 }  // namespace
 
 const char* CallFaultName(CallFault fault) {
@@ -161,9 +168,7 @@
     parser_->body_limit(kUnlimitedBodyBytes);
   }
   if (error) {
-    const bool lost = error == http::error::end_of_stream || error == http::error::partial_message ||
-                      error.category() != make_error_code(http::error::bad_target).category();
-    RecordFault(error, lost ? CallFault::kLost : CallFault::kMalformed);
+    RecordFault(error, FaultOfRead(error));
     co_return std::nullopt;
   }
   ResponseHead head;
@@ -192,7 +197,7 @@
   if (error == http::error::need_buffer) error = {};
   out->append(part.data(), part.size() - body.size);
   if (error) {
-    RecordFault(error, CallFault::kLost);
+    RecordFault(error, FaultOfRead(error));
     co_return false;
   }
   *done = parser_->is_done();
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <cerrno>
@@ -30,7 +31,7 @@
 
 /// The response status for a request that the parser refused with `error`.
 unsigned StatusForParseError(const Error& error) {
-  if (error == http::error::header_limit) return 431;
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) return 431;
   if (error == http::error::body_limit) return 413;
   return 400;
 }
@@ -94,6 +95,7 @@
 Task<std::optional<Request>> HttpSession::ReadRequest() {
   Parser parser;
   parser.header_limit(server_.limits_.header_bytes);
+  buffer_.max_size(std::max<size_t>(kMaxUnparsedBytes, server_.limits_.header_bytes));
   parser.body_limit(server_.limits_.body_bytes);
   Error error;
   stream_.expires_after(server_.limits_.header_timeout);
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -22,7 +22,7 @@
   /// Serves the connection until it ends. Static, because a task starts only after it has been created: its
   /// parameter keeps the session alive until then.
   static Task<> Run(std::shared_ptr<HttpSession> session);
-  /// Closes the connection unless a request has begun to arrive on it.
+  /// Ends the connection unless a request has begun to arrive on it.
   void CloseIfIdle();
 
  private:
@@ -60,7 +60,7 @@
   HttpServer& server_;
   std::shared_ptr<SessionRegistry> registry_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   Notification watch_ended_;  // signalled when `WatchClient` ends
   bool idle_ = true;          // no request is being read or served
   bool keep_alive_ = true;
--- a/libs/net/internal/loop.h
+++ b/libs/net/internal/loop.h
@@ -22,6 +22,11 @@
 template <typename T = void>
 using Task = asio::awaitable<T>;
 
+/// Most bytes of a connection, received but not parsed yet, that are kept. The HTTP parser takes a header, a
+/// chunk size with its extensions and a trailer section only as a whole, and puts no limit on the last two. A
+/// connection on which a longer one arrives is ended.
+inline constexpr size_t kMaxUnparsedBytes = 65536;
+
 /// Returns a completion token for coroutines that stores the error code in `error` instead of throwing.
 inline auto Into(Error& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -119,6 +119,47 @@
         WireCase{"NoHttp", "hello\r\n\r\n", "HTTP/1.1 400", "close", 0}),
     [](const auto& info) { return info.param.name; });
 
+struct EndlessRequestCase {
+  const char* name;
+  std::string start;
+  std::string part;  // repeated until the server closes the connection
+};
+
+class EndlessRequestTest : public HttpServerTest, public ::testing::WithParamInterface<EndlessRequestCase> {};
+
+// Guards against a server that keeps what a client sends without end, until its memory is used up.
+TEST_P(EndlessRequestTest, IsGivenUp) {
+  constexpr size_t kMaxTaken = 24 << 20;  // the limit of a body, and the buffers of both sockets
+  net::ServerLimits limits;
+  limits.header_timeout = limits.idle_timeout = std::chrono::seconds(20);  // so that no timeout ends it
+  server->SetLimits(limits);
+  auto socket = Client();
+  size_t sent = 0;
+  ASSERT_TRUE(RunTask(loop, [](auto& to, const EndlessRequestCase& request, size_t* taken) -> net::Task<> {
+    std::string part = request.part;
+    while (part.size() < 65536) part += part;
+    net::Error error;
+    co_await asio::async_write(to, asio::buffer(request.start), net::Into(error));
+    while (!error && *taken <= kMaxTaken)
+      *taken += co_await asio::async_write(to, asio::buffer(part), net::Into(error));
+  }(*socket, GetParam(), &sent)));
+  EXPECT_LE(sent, kMaxTaken);
+  EXPECT_EQ(handler.requests_, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, EndlessRequestTest,
+    ::testing::Values(
+        EndlessRequestCase{"StartLine", "GET /", "aaaaaaaa"}, EndlessRequestCase{"Spaces", "", "  "},
+        EndlessRequestCase{"HeaderLine", "GET / HTTP/1.1\r\nX: ", "aaaaaaaa"},
+        EndlessRequestCase{"Headers", "GET / HTTP/1.1\r\n", "X: a\r\n"},
+        EndlessRequestCase{"Body", kPost + "Transfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n"},
+        EndlessRequestCase{"ChunkSize", kPost + "Transfer-Encoding: chunked\r\n\r\n", "0000"},
+        EndlessRequestCase{"ChunkExtension", kPost + "Transfer-Encoding: chunked\r\n\r\n2;x=", "aaaa"},
+        EndlessRequestCase{"TrailerLine", kPost + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", "aaaa"},
+        EndlessRequestCase{"Trailers", kPost + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against work that goes on for a client that has disconnected: the server must detect it within 200
 // ms.
 TEST_F(HttpServerTest, NoticesThatTheClientLeft) {
