Serve connections and requests that a stopping server has already been given

Callers saw connections reset, without an answer, in a planned stop: those that the kernel had established and the VM not yet accepted, and a kept one whose next request had been read when the VM closed it as idle.

Cause: closing the listener resets the connections in its queue, also those whose request has arrived. And a session counted as idle until the step after the read of a request's first bytes.

Change: the server accepts what waits before it closes its listener; such a connection has 200 ms for its first request. An idle session is ended by cancelling its read, which a read that has already taken bytes survives.

--- a/libs/net/internal/http_server.cc
+++ b/libs/net/internal/http_server.cc
@@ -32,24 +32,39 @@
     Error error;
     Tcp::socket socket(loop_);
     co_await acceptor_.async_accept(socket, Into(error));
-    if (stopped_) co_return;
-    if (error) {
+    if (!error) {
+      OpenSession(std::move(socket));
+    } else if (!stopped_) {
       base::LogEvent("accept_failed").Text("error", error.message());
       co_await Sleep(loop_, kAcceptRetryDelay);
-      continue;
     }
-    if (SessionCount() >= limits_.connections) {
-      base::LogEvent("connection_refused").Number("open", static_cast<int64_t>(SessionCount()));
-      continue;
-    }
-    Spawn(loop_, "session", HttpSession::Run(std::make_shared<HttpSession>(*this, std::move(socket))));
   }
 }
 
+void HttpServer::OpenSession(Tcp::socket socket) {
+  if (SessionCount() >= limits_.connections) {
+    base::LogEvent("connection_refused").Number("open", static_cast<int64_t>(SessionCount()));
+    return;
+  }
+  Spawn(loop_, "session", HttpSession::Run(std::make_shared<HttpSession>(*this, std::move(socket))));
+}
+
+void HttpServer::AcceptWaiting() {
+  Error error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) OpenSession(std::move(socket));
+  }
+  if (error != asio::error::would_block) base::LogEvent("accept_failed").Text("error", error.message());
+}
+
 void HttpServer::StopAccepting() {
   if (stopped_) return;
   stopped_ = true;
-  Error ignored;  // the acceptor may be closed already
+  AcceptWaiting();  // the kernel would reset these connections
+  Error ignored;    // the acceptor may be closed already
   acceptor_.close(ignored);
   for (HttpSession* session : registry_->sessions) session->CloseIfIdle();
 }
--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -104,6 +104,10 @@
   HttpServer(asio::io_context& loop, RequestHandler& handler);
   /// Accepts connections until `StopAccepting`.
   Task<> Accept();
+  /// Accepts the connections that the kernel has established already.
+  void AcceptWaiting();
+  /// Serves a new connection, or closes it when there are too many.
+  void OpenSession(Tcp::socket socket);
 
   asio::io_context& loop_;
   RequestHandler& handler_;
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -16,6 +16,9 @@
 // Bytes or keep-alive probes that a client doesn't acknowledge for this long end its connection
 // (TCP_USER_TIMEOUT).
 constexpr std::chrono::milliseconds kClientUserTimeout{6000};
+// How long a connection that was accepted while the server stopped waits for its request, which its client is
+// about to send.
+constexpr std::chrono::milliseconds kLastRequestWait{200};
 // Receive buffers above this size are released after their request, since most connections are idle most of
 // the time.
 constexpr size_t kMaxIdleBufferBytes = 4096;
@@ -50,7 +53,8 @@
   if (!idle_) return;
   char byte;
   const ssize_t size = recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (size <= 0) Close();
+  // A read that has taken the first bytes of a request already ends with them all the same.
+  if (size <= 0) stream_.cancel();
 }
 
 void HttpSession::Close() {
@@ -82,7 +86,7 @@
 Task<bool> HttpSession::AwaitRequest() {
   if (buffer_.size() > 0) co_return true;
   std::array<char, 512> first;  // small, so that an idle connection doesn't hold a large buffer
-  stream_.expires_after(server_.limits_.idle_timeout);
+  stream_.expires_after(server_.stopped_ ? kLastRequestWait : server_.limits_.idle_timeout);
   Error error;
   const size_t size = co_await stream_.async_read_some(asio::buffer(first), Into(error));
   if (error || size == 0) co_return false;
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -223,6 +223,52 @@
   EXPECT_TRUE(second.starts_with("HTTP/1.1 200")) << second;
 }
 
+// Guards against a shutdown that resets connections which clients have opened, and sent their request on, but
+// which the server has not accepted yet.
+TEST_F(HttpServerTest, StopsWithoutResettingConnectionsThatWaitToBeAccepted) {
+  std::vector<std::shared_ptr<net::Tcp::socket>> clients;
+  for (int i = 0; i < 20; ++i) {
+    clients.push_back(Client());
+    asio::write(*clients.back(), asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+  }
+  server->AnnounceClose();
+  server->StopAccepting();
+  RunFor(loop, std::chrono::milliseconds(60));
+  for (const auto& client : clients) {
+    const std::string answer = testing::ReadAvailable(*client);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  }
+}
+
+// Guards against a shutdown that closes a connection between the read of a request's first bytes and the next
+// step of its session.
+TEST_F(HttpServerTest, StopsAtAnyStepWithoutDroppingARequestThatWasRead) {
+  constexpr int kMaxSteps = 40;  // more than the loop takes for the first answer and the second request
+  for (int steps = 0; steps < kMaxSteps; ++steps) {
+    asio::io_context own_loop{1};
+    EchoHandler own_handler(own_loop);
+    net::Error error;
+    const auto own_server = net::HttpServer::Listen(own_loop, testing::Loopback(), own_handler, &error);
+    ASSERT_TRUE(own_server) << error.message();
+    net::Tcp::socket socket(own_loop);
+    socket.connect(testing::Loopback(own_server->Port()));
+    own_handler.hold_ = true;
+    asio::write(socket, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+    for (int i = 0; i < 1000 && own_handler.requests_ == 0; ++i) {
+      own_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    asio::write(socket, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+    own_handler.hold_ = false;
+    for (int i = 0; i < steps; ++i) own_loop.run_one_for(std::chrono::milliseconds(10));
+    const bool first_served = own_server->ActiveSessionCount() == 0;
+    own_server->StopAccepting();
+    RunFor(own_loop, std::chrono::milliseconds(20));
+    const std::string answers = testing::ReadAvailable(socket);
+    const bool second_served = answers.find("HTTP/1.1 200", 1) != std::string::npos;
+    EXPECT_TRUE(second_served || !first_served) << "after " << steps << " steps";
+  }
+}
+
 // Guards against a shutdown that cuts off a response in progress or leaves idle connections open.
 TEST_F(HttpServerTest, StopsWithoutCuttingAnAnswer) {
   handler.hold_ = true;
