Bound the responses that cornelplank-gateway keeps

A replica, an engine or the platform could take the gateway's memory by a body or trailers without end: nothing bounded a body that is kept whole, nor what a response's header lines add up to.

Change: ClientRequest::max_body_bytes, 16 MB unless the caller passes the body on as it arrives; 256 KB for all header and trailer lines of a response; 64 KB for the body of an engine's error.

--- a/libs/gateway/internal/local_attempt.cc
+++ b/libs/gateway/internal/local_attempt.cc
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kReclaimCheckInterval{100};  // how often a borrowed slot is checked for reclaim
+constexpr size_t kMaxErrorBodyBytes = 64 << 10;     // of an engine's response that is no stream
 constexpr milliseconds kCancelTimeout{500};         // for the request that cancels an attempt at its engine
 // An engine that has sent no response header after the longer of twice the progress limit and four times the
 // estimated time to the first token counts as silent. Nothing else distinguishes a connection that was lost
@@ -36,6 +37,7 @@
   const auto estimate = std::chrono::duration_cast<milliseconds>(target.first_token);
   http_request.head_timeout =
       std::max(kHeadProgressLimits * shared.settings.progress_limit, kHeadEstimates * estimate);
+  http_request.max_body_bytes = 0;  // the stream is passed on as it arrives
   // A reused connection may have been lost without notice while it was idle. At 51 requests/s a new
   // connection for each request costs little.
   http_request.single_use_connection = true;
@@ -115,7 +117,10 @@
     case http::ExchangeEvent::Kind::kData:
       if (error_status_ != 0) {
         error_body_ += event.data;
-        return {};
+        if (error_body_.size() <= kMaxErrorBodyBytes) return {};
+        return Fail(TransportFailure({http::HttpErrorCode::kBroken, "the error's body is too long"},
+                                     exchange_->state()),
+                    true);
       }
       return {AttemptEvent::Kind::kData, 0, {}, std::move(event.data)};
     case http::ExchangeEvent::Kind::kEnd:
--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -18,6 +18,8 @@
 // Longest wait for one event in `Client::Send`, which goes on waiting until the request's own limits end it.
 constexpr std::chrono::milliseconds kEventWait{1000};
 constexpr size_t kMaxIdleTransfersPerHost = 32;
+// Greatest size of all header and trailer lines of a response together, with its interim responses.
+constexpr size_t kMaxHeadBytes = 256 << 10;
 
 std::string_view Trim(std::string_view text) {
   const size_t first = text.find_first_not_of(" \t\r\n");
@@ -51,6 +53,11 @@
   static size_t OnBody(char* data, size_t size, size_t count, void* self);
 
   void SetOptions();
+  /// Records the reason for which the transfer fails. Returns the number that makes libcurl end it.
+  size_t StopReceiving(const char* problem) {
+    problem_ = problem;
+    return 0;
+  }
   /// Queues the head of the response, unless it is interim.
   void DeliverHead();
   /// Sends and receives what is possible without blocking, and queues the event for the end.
@@ -66,6 +73,9 @@
   bool attached_ = false;
   Headers headers_;
   std::deque<ExchangeEvent> events_;
+  size_t head_bytes_ = 0;
+  size_t body_bytes_ = 0;
+  const char* problem_ = nullptr;  // why this class has ended the transfer, if it has
   bool head_received_ = false;
   bool finished_ = false;
   bool complete_ = false;
@@ -76,6 +86,8 @@
 size_t Transfer::OnHeader(char* data, size_t size, size_t count, void* self) {
   auto* transfer = static_cast<Transfer*>(self);
   const std::string_view line(data, size * count);
+  transfer->head_bytes_ += line.size();
+  if (transfer->head_bytes_ > kMaxHeadBytes) return transfer->StopReceiving("the head is too long");
   const size_t colon = line.find(':');
   if (line.starts_with("HTTP/")) {
     transfer->headers_.clear();  // drops the headers of an interim response
@@ -101,6 +113,9 @@
 
 size_t Transfer::OnBody(char* data, size_t size, size_t count, void* self) {
   auto* transfer = static_cast<Transfer*>(self);
+  const size_t limit = transfer->request_.max_body_bytes;
+  transfer->body_bytes_ += size * count;
+  if (limit > 0 && transfer->body_bytes_ > limit) return transfer->StopReceiving("the body is too long");
   transfer->last_byte_ = std::chrono::steady_clock::now();
   auto& events = transfer->events_;
   if (events.empty() || events.back().kind != ExchangeEvent::Kind::kData) {
@@ -114,6 +129,8 @@
   request_ = std::move(request);
   headers_.clear();
   events_.clear();
+  head_bytes_ = body_bytes_ = 0;
+  problem_ = nullptr;
   head_received_ = finished_ = complete_ = false;
   begun_ = std::chrono::steady_clock::now();
   last_byte_ = {};
@@ -178,7 +195,7 @@
     curl_easy_getinfo(easy_, CURLINFO_PRETRANSFER_TIME_T, &connect_time);
     http_code = connect_time == 0 ? HttpErrorCode::kConnect : HttpErrorCode::kTimeout;
   }
-  return {http_code, curl_easy_strerror(code)};
+  return {http_code, problem_ != nullptr ? problem_ : curl_easy_strerror(code)};
 }
 
 void Transfer::Perform() {
--- a/libs/http/internal/client.h
+++ b/libs/http/internal/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +21,9 @@
   std::chrono::milliseconds timeout{30000};       // until the response is complete
   std::chrono::milliseconds head_timeout{0};      // until the head of the response arrives; 0 is no limit
   std::chrono::milliseconds progress_timeout{0};  // longest time between bytes of the body; 0 is no limit
+  /// Greatest size of the response's body; a longer one fails. 0 is no limit, for a body that the caller does
+  /// not keep, such as a stream of events.
+  size_t max_body_bytes = 16 << 20;
   /// Uses a new connection and closes it afterwards. Required for requests that must not be sent twice,
   /// because libcurl resends a request when a reused connection turns out to be closed.
   bool single_use_connection = false;
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <thread>
 
 #include "libs/http/http.h"
@@ -166,6 +167,81 @@
                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r"));
 
+/// Accepts one connection, reads from it, and sends `start` and then `part` again and again until the peer
+/// closes the connection or has taken `limit` bytes.
+class EndlessServer {
+ public:
+  EndlessServer(std::string start, std::string part, size_t limit) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (bind(listener_, generic, size) != 0 || listen(listener_, 1) != 0) return;
+    getsockname(listener_, generic, &size);
+    port_ = ntohs(address.sin_port);
+    while (part.size() < 16384) part += part;
+    thread_ = std::thread([this, start = std::move(start), part = std::move(part), limit] {
+      const int connection = accept(listener_, nullptr, nullptr);
+      char request[4096];
+      ssize_t written = recv(connection, request, sizeof request, 0);
+      if (written > 0) written = send(connection, start.data(), start.size(), MSG_NOSIGNAL);
+      while (written > 0 && sent_ <= limit) {
+        written = send(connection, part.data(), part.size(), MSG_NOSIGNAL);
+        if (written > 0) sent_ += static_cast<size_t>(written);
+      }
+      close(connection);
+    });
+  }
+  ~EndlessServer() {
+    if (thread_.joinable()) thread_.join();
+    close(listener_);
+  }
+  uint16_t port() const { return port_; }
+  size_t sent() const { return sent_; }
+
+ private:
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  std::atomic<size_t> sent_{0};
+  std::thread thread_;
+};
+
+struct EndlessResponseCase {
+  const char* name;
+  std::string start;
+  std::string part;
+};
+class EndlessResponseTest : public testing::TestWithParam<EndlessResponseCase> {};
+
+// Guards against a server that uses up this process's memory by a response without end.
+TEST_P(EndlessResponseTest, IsGivenUp) {
+  constexpr size_t kMaxTaken = 32 << 20;  // the greatest limit, and the buffers of both sockets
+  const EndlessServer server(GetParam().start, GetParam().part, kMaxTaken);
+  ASSERT_NE(server.port(), 0);
+  HttpReason reason;
+  const auto response = Client::Create()->Send(
+      {.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/"}, &reason, nullptr);
+  EXPECT_FALSE(response);
+  EXPECT_EQ(reason.code, HttpErrorCode::kBroken) << reason.detail;
+  EXPECT_LE(server.sent(), kMaxTaken);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Responses, EndlessResponseTest,
+    testing::Values(
+        EndlessResponseCase{"HeaderLine", "HTTP/1.1 200 OK\r\nX: ", "aaaa"},
+        EndlessResponseCase{"Headers", "HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+        EndlessResponseCase{"InterimHeads", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+        EndlessResponseCase{"Body", "HTTP/1.1 200 OK\r\n\r\n", "aaaa"},
+        EndlessResponseCase{"Chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                            "10\r\naaaaaaaaaaaaaaaa\r\n"},
+        EndlessResponseCase{"TrailerLine",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "aaaa"},
+        EndlessResponseCase{"Trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                            "X: a\r\n"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // Guards against a refused connection that is reported as if bytes of the request had been sent.
 TEST_F(ExchangeTest, ReportsThatNothingWasSentWhenTheConnectionIsRefused) {
   const std::string url = Url("/echo");
