Keep the housekeeping running when the settings file is gone

Callers never got the addresses of a VM whose settings file was removed, or was being replaced, just after the VM had read it: it answered its own readiness check, but never told the others that it was ready, and did none of its periodic work, such as ageing replicas and reading its settings again.

Cause: the periodic task asked for the file's time of change first, by a call that throws, and ended.

Change: the time is taken with the settings, just before they are read, so that a change after that is also seen. A file that is gone has the least time.

Result: BecomesReadyWithoutItsSettingsFile fails on (task_failed task=housekeeping) and passes now. The test's processes no longer inherit the sockets of the test.

--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -63,8 +63,10 @@
 
 std::optional<EntrySettings> LoadEntrySettings(const std::string& path,
                                                std::vector<base::SettingsFault>* faults) {
-  base::Settings settings = base::Settings::Load(path);
   EntrySettings out;
+  std::error_code ignored;  // reading the file reports that it is missing
+  out.modified_at = std::filesystem::last_write_time(path, ignored);
+  base::Settings settings = base::Settings::Load(path);
   out.name = settings.RequiredText("vm", "name");
   const std::string ip = settings.RequiredText("vm", "ip");
   if (const auto parsed = ParseIp(ip)) {
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <filesystem>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
   std::vector<fleet::VmAddress> seeds;              // VMs to contact as long as no others are known
   int64_t descriptors = 1024;                       // file descriptors that the process may open
 
+  // Of the file, from just before it was read; the least time when the file is gone.
+  std::filesystem::file_time_type modified_at = std::filesystem::file_time_type::min();
+
   // Addresses to listen on, by the kind of connection:
   net::Tcp::endpoint clients;
   net::Tcp::endpoint readiness;
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -219,7 +219,7 @@
 }
 
 net::Task<> EntryVm::RunHousekeeping() {
-  auto last_modified = std::filesystem::last_write_time(settings_path_);
+  auto last_modified = settings_.modified_at;
   for (int tick = 1;; ++tick) {
     co_await net::Sleep(loop_, kTickInterval);
     registry_.Tick(clock_.Now());
--- a/tests/platform/entry_process.h
+++ b/tests/platform/entry_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <linux/close_range.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -54,6 +55,8 @@
   void Start(const std::string& settings) {
     const std::string path = folder_ + "/vm.ini";
     std::ofstream(path) << settings;
+    // Asio's sockets have no close-on-exec flag, and the process would hold those of the test.
+    ASSERT_EQ(close_range(3, ~0U, CLOSE_RANGE_CLOEXEC), 0);
     process_ = Process::Start(folder_, "entry", "cornelplank-entry", {"--settings", path});
     ASSERT_NE(process_, nullptr);
   }
--- /dev/null
+++ b/tests/platform/start_test.cc
@@ -0,0 +1,30 @@
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include "tests/platform/entry_process.h"
+
+namespace cornelplank {
+namespace {
+
+namespace asio = net::asio;
+using testing::EntryProcessTest;
+using testing::RunFor;
+
+// Guards against a VM that never becomes ready, since its settings file was removed, or is being replaced,
+// just after it was read.
+TEST_F(EntryProcessTest, BecomesReadyWithoutItsSettingsFile) {
+  const std::string path = folder_ + "/vm.ini";
+  ASSERT_EQ(mkfifo(path.c_str(), S_IRUSR | S_IWUSR), 0);
+  StartStore();
+  process_ = testing::Process::Start(folder_, "entry", "cornelplank-entry", {"--settings", path});
+  ASSERT_NE(process_, nullptr);
+  std::ofstream settings(path);  // opens once the VM reads
+  settings << Settings() << std::flush;
+  std::filesystem::remove(path);
+  settings.close();  // ends the VM's read
+  EXPECT_TRUE(WaitUntil([this] { return process_->Output().find("event=ready") != std::string::npos; }))
+      << process_->Output() << process_->Errors();
+}
+
+}  // namespace
+}  // namespace cornelplank
