--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -6,7 +6,8 @@
 namespace {
 
 // Greatest values that the settings accept.
-constexpr int64_t kMaxDescriptors = 1'000'000;
+constexpr double kMaxMemoryMb = 1e6;
+constexpr double kMaxDescriptors = 1e6;
 constexpr double kMaxSecondSendBurst = 100'000;
 constexpr std::chrono::milliseconds kMaxGrace{600'000};
 constexpr std::chrono::milliseconds kMaxChangeBound{600'000};
@@ -83,8 +84,9 @@
       settings.AddFault("vm", "seeds", "'" + seed + "' is not IP:PORT");
     }
   }
-  settings.Integer("vm", "memory_mb", 0, 0, kMaxDescriptors);  // only checked; the value is not used
-  out.descriptors = settings.Integer("vm", "descriptors", out.descriptors, 64, kMaxDescriptors);
+  settings.Number("vm", "memory_mb", 0, 0, kMaxMemoryMb);  // only checked; the value is not used
+  out.descriptors = static_cast<int64_t>(
+      settings.Number("vm", "descriptors", static_cast<double>(out.descriptors), 64, kMaxDescriptors));
   out.clients = RequiredEndpoint(settings, "listen", "clients");
   out.readiness = RequiredEndpoint(settings, "listen", "readiness");
   out.directory = RequiredEndpoint(settings, "listen", "directory");
--- a/libs/base/internal/settings.cc
+++ b/libs/base/internal/settings.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -173,17 +174,16 @@
                                          std::chrono::milliseconds fallback, std::chrono::milliseconds high) {
   const Entry* entry = Find(section, key);
   if (entry == nullptr) return fallback;
-  const size_t digits = std::min(entry->value.find_first_not_of("0123456789"), entry->value.size());
+  const size_t digits = std::min(entry->value.find_first_not_of("0123456789."), entry->value.size());
   const std::string unit = Trim(entry->value.substr(digits));
-  const auto count = ParseNumber<int64_t>(std::string_view(entry->value).substr(0, digits));
-  const int64_t factor = unit == "ms" ? 1 : unit == "s" ? 1000 : unit == "min" ? 60000 : 0;
-  if (!count || factor == 0 || *count > high.count() / factor) {
-    AddFault(
-        section, key,
-        "must be a whole number with the unit ms, s or min, at most " + std::to_string(high.count()) + "ms");
+  const auto count = ParseNumber<double>(std::string_view(entry->value).substr(0, digits));
+  const int factor = unit == "ms" ? 1 : unit == "s" ? 1000 : unit == "min" ? 60000 : 0;
+  if (!count || factor == 0 || *count * factor > static_cast<double>(high.count())) {
+    AddFault(section, key,
+             "must be a number with the unit ms, s or min, at most " + std::to_string(high.count()) + "ms");
     return fallback;
   }
-  return std::chrono::milliseconds{*count * factor};
+  return std::chrono::milliseconds{std::llround(*count * factor)};
 }
 
 std::string Settings::Address(const std::string& section, const std::string& key,
--- a/libs/base/internal/settings.h
+++ b/libs/base/internal/settings.h
@@ -43,7 +43,8 @@
   double Number(const std::string& section, const std::string& key, double fallback, double low, double high);
   /// "true" or "false".
   bool Flag(const std::string& section, const std::string& key, bool fallback);
-  /// A whole number with one of the units ms, s, min (for example "250ms"), at most `high`.
+  /// A number with one of the units ms, s, min (for example "250ms" or "1.5s"), at most `high`; rounded to
+  /// milliseconds.
   std::chrono::milliseconds Time(const std::string& section, const std::string& key,
                                  std::chrono::milliseconds fallback, std::chrono::milliseconds high);
   /// "IP:PORT" with an IPv4 address; port 0 means any free port. Returns the text of the file even when it is
--- a/tests/platform/start_test.cc
+++ b/tests/platform/start_test.cc
@@ -10,6 +10,19 @@
 using testing::EntryProcessTest;
 using testing::RunFor;
 
+// Guards against a VM that doesn't start, since the platform writes its limits and bounds as fractions.
+TEST_F(EntryProcessTest, StartsWithFractionsInItsSettings) {
+  std::string settings = Settings();
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    settings.replace(settings.find(from), from.size(), to);
+  };
+  replace("[listen]\n", "memory_mb=260.5\ndescriptors=4100.0\n[listen]\n");
+  replace("grace=3s\n", "grace=2.5s\nchange_bound=4000.0ms\ndrain_bound=3999.5ms\n");
+  StartStore();
+  Start(settings);
+  EXPECT_TRUE(WaitUntilReady()) << process_->Errors();
+}
+
 // Guards against a VM that never becomes ready, since its settings file was removed, or is being replaced,
 // just after it was read.
 TEST_F(EntryProcessTest, BecomesReadyWithoutItsSettingsFile) {
