Read the settings again when they are incomplete at the start

A VM that started while the platform was still writing its settings file ended with a list of faults.

Result: both cases of IncompleteSettingsTest fail on (exit code 2) and pass now.

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -1,7 +1,9 @@
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 #include "apps/entry/entry_vm.h"
 
@@ -12,6 +14,27 @@
 constexpr int kUsageError = 2;
 // Environment variable with the path of the settings file; used when `--settings` is not given.
 constexpr char kSettingsVariable[] = "CORNELPLANK_NODE_FILE";
+// For so long settings that are faulty or missing are read again: the platform may be writing the file.
+constexpr std::chrono::seconds kSettingsTime{2};
+constexpr std::chrono::milliseconds kRetryInterval{100};
+
+using cornelplank::entry::EntrySettings;
+
+/// Loads the settings. Returns no value, after the faults have been printed, when they stay faulty until
+/// `limit`.
+std::optional<EntrySettings> LoadSettings(const std::string& path,
+                                          std::chrono::steady_clock::time_point limit) {
+  while (true) {
+    std::vector<cornelplank::base::SettingsFault> faults;
+    auto settings = cornelplank::entry::LoadEntrySettings(path, &faults);
+    if (settings) return settings;
+    if (std::chrono::steady_clock::now() >= limit) {
+      for (const auto& fault : faults) std::cerr << fault.Text() << "\n";
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(kRetryInterval);
+  }
+}
 
 }  // namespace
 
@@ -42,13 +65,11 @@
     return kUsageError;
   }
   const std::string path = values.count("settings") > 0 ? values["settings"].as<std::string>() : variable;
-  std::vector<cornelplank::base::SettingsFault> faults;
-  const auto settings = cornelplank::entry::LoadEntrySettings(path, &faults);
-  if (!settings) {
-    for (const auto& fault : faults) std::cerr << fault.Text() << "\n";
-    return kUsageError;
-  }
-  if (values.count("check") > 0) {
+  const bool check = values.count("check") > 0;
+  const auto now = std::chrono::steady_clock::now();
+  const auto settings = LoadSettings(path, check ? now : now + kSettingsTime);
+  if (!settings) return kUsageError;
+  if (check) {
     std::cout << "the settings are valid\n";
     return 0;
   }
@@ -65,3 +86,4 @@
   // Suspended coroutines may still hold connections; the process exits without destroying them.
   std::_Exit(0);
 }
+
--- a/tests/platform/start_test.cc
+++ b/tests/platform/start_test.cc
@@ -10,6 +10,27 @@
 using testing::EntryProcessTest;
 using testing::RunFor;
 
+struct IncompleteSettingsCase {
+  const char* name;
+  size_t bytes;  // of the settings that the VM finds when it starts
+};
+class IncompleteSettingsTest : public EntryProcessTest,
+                               public ::testing::WithParamInterface<IncompleteSettingsCase> {};
+
+// Guards against a VM that ends since the platform has not yet written all of its settings file.
+TEST_P(IncompleteSettingsTest, AreReadAgain) {
+  StartStore();
+  Start(Settings().substr(0, GetParam().bytes));
+  RunFor(loop_, std::chrono::milliseconds(500));
+  std::ofstream(folder_ + "/vm.ini") << Settings();
+  EXPECT_TRUE(WaitUntilReady()) << process_->Errors();
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, IncompleteSettingsTest,
+                         ::testing::Values(IncompleteSettingsCase{"Empty", 0},
+                                           IncompleteSettingsCase{"FirstLines", 60}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against a VM that doesn't start, since the platform writes its limits and bounds as fractions.
 TEST_F(EntryProcessTest, StartsWithFractionsInItsSettings) {
   std::string settings = Settings();
