Wait for an address that is in use at the start

A VM that was started while the process before it still held one of its ports, or before the machine had its address, ended at once.

Change: the listeners are tried again for five seconds, with a log line each time (start_delayed).

Result: the four cases of StartTest fail on (exit code 1) and pass now; NamesTheAddressThatStaysInUse shows that an address which stays in use still ends the program, with its name.

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -14,11 +14,16 @@
 constexpr int kUsageError = 2;
 // Environment variable with the path of the settings file; used when `--settings` is not given.
 constexpr char kSettingsVariable[] = "CORNELPLANK_NODE_FILE";
+// For so long the VM tries to bind its addresses: the process before it may still hold them, and the address
+// of a machine that has just booted may not be configured yet.
+constexpr std::chrono::seconds kBindTime{5};
 // For so long settings that are faulty or missing are read again: the platform may be writing the file.
 constexpr std::chrono::seconds kSettingsTime{2};
 constexpr std::chrono::milliseconds kRetryInterval{100};
 
+namespace net = cornelplank::net;
 using cornelplank::entry::EntrySettings;
+using cornelplank::entry::EntryVm;
 
 /// Loads the settings. Returns no value, after the faults have been printed, when they stay faulty until
 /// `limit`.
@@ -36,9 +41,31 @@
   }
 }
 
+/// Runs the VM until it stops. Returns the exit status.
+int RunVm(const std::string& settings_path, const EntrySettings& settings) {
+  const auto limit = std::chrono::steady_clock::now() + kBindTime;
+  while (true) {
+    net::asio::io_context loop(1);
+    std::string problem;
+    const auto vm = EntryVm::Start(loop, settings_path, settings, &problem);
+    if (vm) {
+      loop.run();
+      // Suspended coroutines may still hold connections; the process exits without destroying them.
+      std::_Exit(0);
+    }
+    if (std::chrono::steady_clock::now() >= limit) {
+      std::cerr << problem << "\n";
+      return 1;
+    }
+    cornelplank::base::LogEvent("start_delayed").Text("problem", problem);
+    std::this_thread::sleep_for(kRetryInterval);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
   po::options_description options("cornelplank-entry [--settings FILE]");
   options.add_options()("help", "print this text")("version", "print the version")(
       "check", "check the settings and exit")("settings", po::value<std::string>(),
@@ -74,16 +101,5 @@
     return 0;
   }
   cornelplank::base::InitEventLog();
-  std::signal(SIGPIPE, SIG_IGN);
-  cornelplank::net::asio::io_context loop(1);
-  std::string problem;
-  const auto vm = cornelplank::entry::EntryVm::Start(loop, path, *settings, &problem);
-  if (!vm) {
-    std::cerr << problem << "\n";
-    return 1;
-  }
-  loop.run();
-  // Suspended coroutines may still hold connections; the process exits without destroying them.
-  std::_Exit(0);
+  return RunVm(path, *settings);
 }
-
--- a/tests/platform/start_test.cc
+++ b/tests/platform/start_test.cc
@@ -10,6 +10,38 @@
 using testing::EntryProcessTest;
 using testing::RunFor;
 
+class StartTest : public EntryProcessTest, public ::testing::WithParamInterface<const char*> {};
+
+// Guards against a VM that ends at once when the process before it still holds one of its addresses.
+TEST_P(StartTest, WaitsForAnAddressThatIsInUse) {
+  std::optional<net::Tcp::acceptor> holder;
+  std::optional<asio::ip::udp::socket> udp_holder;
+  const auto endpoint = EndpointOf(GetParam());
+  if (std::string(GetParam()) == "beats") {
+    udp_holder.emplace(loop_, asio::ip::udp::endpoint(endpoint.address(), endpoint.port()));
+  } else {
+    holder.emplace(loop_, endpoint);
+  }
+  StartStore();
+  Start(Settings());
+  RunFor(loop_, std::chrono::milliseconds(800));
+  EXPECT_TRUE(process_->running()) << process_->Errors();
+  holder.reset();
+  udp_holder.reset();
+  EXPECT_TRUE(WaitUntilReady()) << process_->Errors();
+}
+
+INSTANTIATE_TEST_SUITE_P(Listeners, StartTest, ::testing::Values("clients", "hops", "metrics", "beats"),
+                         [](const auto& info) { return std::string(info.param); });
+
+// Guards against a VM that waits for an address for good, or ends without a word on the reason.
+TEST_F(EntryProcessTest, NamesTheAddressThatStaysInUse) {
+  const net::Tcp::acceptor holder(loop_, EndpointOf("directory"));
+  Start(Settings());
+  EXPECT_EQ(process_->WaitForExit(kTimeout), 1);
+  EXPECT_NE(process_->Errors().find("can't listen for directory"), std::string::npos) << process_->Errors();
+}
+
 struct IncompleteSettingsCase {
   const char* name;
   size_t bytes;  // of the settings that the VM finds when it starts
