Don't end when a log file is full, or at a reload signal during the start

The signal for a file that has reached the limit of its size ended a VM whose output goes to such a file. A SIGHUP between the start of main and the VM's own handler did so too.

Change: both are ignored from the first instruction of main. A log line that can't be written is dropped and counted, as before. The settings are read after that, so that no change is missed.

Result: ServesOnWhenItsLogFileIsFull fails on (ended by SIGXFSZ) and passes now. A SIGHUP before main, while libraries are loaded, still ends the process.

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -66,6 +66,8 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);  // a log file that has reached the limit of its size costs lines only
+  std::signal(SIGHUP, SIG_IGN);   // until the VM handles it; the settings are read after this
   po::options_description options("cornelplank-entry [--settings FILE]");
   options.add_options()("help", "print this text")("version", "print the version")(
       "check", "check the settings and exit")("settings", po::value<std::string>(),
--- a/tests/platform/start_test.cc
+++ b/tests/platform/start_test.cc
@@ -92,5 +92,27 @@
       << process_->Output() << process_->Errors();
 }
 
+// Guards against a VM that is ended by the signal for a file which has reached the limit of its size.
+TEST_F(EntryProcessTest, ServesOnWhenItsLogFileIsFull) {
+  constexpr rlim_t kMaxLogBytes = 8192;
+  rlimit limit{};
+  ASSERT_EQ(getrlimit(RLIMIT_FSIZE, &limit), 0);
+  const rlimit low{kMaxLogBytes, limit.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &low), 0);
+  Start(Settings());
+  ASSERT_EQ(setrlimit(RLIMIT_FSIZE, &limit), 0);
+  StartStore();
+  ASSERT_TRUE(WaitUntilReady());
+  const bool full =
+      WaitUntil([this] {  // the store has no replica, so each request is refused with a log line
+        SendRequest("clients", "/a/x");
+        return !process_->running() || process_->Output().size() + 400 > kMaxLogBytes;
+      });
+  EXPECT_TRUE(full);
+  for (int i = 0; i < 5; ++i) SendRequest("clients", "/a/x");
+  EXPECT_TRUE(SendRequest("clients", "/a/x").starts_with("HTTP/1.1 503"));
+  EXPECT_TRUE(process_->running());
+}
+
 }  // namespace
 }  // namespace cornelplank
