Soak with bytes without end, cut answers, long bodies and a limit of memory

Change: two kinds of replica trouble, endless requests of clients, bodies of 1.5 MB, settings files that are missing for a time, 3,900 descriptors, and a check of each VM's resident memory against 260 MB.

--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -9,6 +9,9 @@
 // Late arrivals of requests are looked for among this many. At 300 requests a second they span over a minute,
 // and no request lives longer than a few seconds.
 constexpr size_t kKeptRequests = 20000;
+// One in so many requests has a body that is larger than the buffers of a connection.
+constexpr uint64_t kRequestsPerLongBody = 40;
+constexpr size_t kLongBodyBytes = 1'500'000;
 
 std::string Pattern(const std::string& id, size_t size) {
   std::string text;
@@ -29,7 +32,10 @@
 
 }  // namespace
 
-std::string RequestBody(const std::string& id) { return Pattern(id, base::Hash64(id, 1) % 3000); }
+std::string RequestBody(const std::string& id) {
+  const bool is_long = base::Hash64(id, 4) % kRequestsPerLongBody == 0;
+  return Pattern(id, is_long ? kLongBodyBytes : base::Hash64(id, 1) % 3000);
+}
 std::string ResponseBody(const std::string& id) { return Pattern("r" + id, base::Hash64(id, 2) % 9000); }
 uint64_t EventCount(const std::string& id) { return 2 + base::Hash64(id, 3) % 18; }
 std::string EventText(const std::string& id, uint64_t number) {
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -1,7 +1,11 @@
 #include "tests/soak/replica.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/beast/http.hpp>
 
+#include "tests/soak/endless.h"
+
 namespace cornelplank::soak {
 namespace {
 
@@ -10,17 +14,24 @@
 namespace wire = testing::wire;
 
 constexpr int kSlots = 16;
+constexpr uint64_t kMaxBodyBytes = 4 << 20;
+// Small buffers and the segments of an Ethernet link, so that a long body waits in the VM while it is not
+// read.
+constexpr int kReceiveBufferBytes = 65536;
+constexpr int kSegmentBytes = 1460;
 
 }  // namespace
 
 void Replica::Start(const std::string& id) {
   id_ = id;
-  leaving_ = false;
+  leaving_ = endless_ = cutting_ = false;
   push_back_.reset();
   ledger_.OnReplicaStart(id);
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   born_ = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
   acceptor_.emplace(loop_, address_);
+  acceptor_->set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+  acceptor_->set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(kSegmentBytes));
   address_ = acceptor_->local_endpoint();  // keeps the port for the next start
   net::Spawn(loop_, "replica", Accept(++generation_));
   Publish(false);
@@ -89,11 +100,22 @@
   bool open = true;
   bool kept = false;  // the connection has carried another request
   while (open && generation == generation_) {
-    http::request<http::string_body> request;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMaxBodyBytes);
     net::Error error;
-    co_await http::async_read(*socket, buffer, request, net::Into(error));
+    co_await http::async_read_header(*socket, buffer, parser, net::Into(error));
     if (error || generation != generation_) break;
+    const auto& request = parser.get();
     const std::string id(request[wire::kRequestId]);
+    const bool cut = cutting_ && request[wire::kExpectedReplica] == id_ && random_.Below(4) == 0;
+    if (cut) {
+      ledger_.OnArrival(id, id_, region_);
+      ledger_.OnRun(id, std::string(request.target()), RequestBody(id), service_, region_);
+      co_await CutAnswer(socket, id);
+      break;
+    }
+    co_await http::async_read(*socket, buffer, parser, net::Into(error));
+    if (error || generation != generation_) break;
     ledger_.OnArrival(id, id_, region_);
     const auto expected = request[wire::kExpectedReplica];
     const bool other_replica = !expected.empty() && expected != id_;
@@ -113,6 +135,12 @@
       continue;
     }
     ledger_.OnRun(id, std::string(request.target()), request.body(), service_, region_);
+    if (endless_ && random_.Below(4) == 0) {
+      ledger_.OnReplicaFailed(id);
+      const std::string framing = std::string(wire::kSignature) + ": " + Signature(id, id_) + "\r\n";
+      co_await SendEndless(loop_, socket, MakeEndless(random_, Head(id, 200, framing)));
+      break;
+    }
     if (random_.Below(150) == 0) {
       // An answer to no request that arrives where the next answer is due.
       ledger_.OnReplicaFailed(id);
@@ -136,6 +164,18 @@
   socket->close(ignored);
 }
 
+net::Task<> Replica::CutAnswer(Socket socket, std::string id) {
+  const std::string body = ResponseBody(id);
+  const std::string framing =
+      std::string(wire::kSignature) + ": " + Signature(id, id_) + "\r\nConnection: close\r\n\r\n";
+  ledger_.OnReplicaFailed(id);
+  ledger_.OnReplicaStatus(id, 200);
+  co_await Write(socket, Head(id, 200, framing) + body.substr(0, body.size() / 2));
+  co_await net::Sleep(loop_, std::chrono::milliseconds(50));
+  net::Error ignored;  // the VM may have closed first
+  socket->set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 net::Task<bool> Replica::WriteStray(Socket socket, bool kept) {
   if (random_.Below(2) == 0) {
     const std::string refusal = std::string(wire::kNotRun) + ": 1\r\nContent-Length: 0\r\n\r\n";
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -36,6 +36,11 @@
   void SetPushBack(std::optional<Duration> time) { push_back_ = time; }
   void Unregister() { store_.Remove(testing::wire::ReplicaKey(id_)); }
 
+  /// Answers a quarter of the requests with bytes without end.
+  void SetEndless(bool endless) { endless_ = endless; }
+  /// Answers a quarter of the requests, before it has read their bodies, with the first half of an answer
+  /// without a length, and then resets the connection.
+  void SetCutting(bool cutting) { cutting_ = cutting; }
   /// States a limit of so many requests a second in all responses, until the next start; none: no longer.
   void SetLimit(std::optional<double> per_second);
 
@@ -56,6 +61,8 @@
   /// Answer one request. Return false when the connection must be closed.
   net::Task<bool> AnswerSimple(Socket socket, std::string id);
   net::Task<bool> AnswerStream(Socket socket, std::string id, uint64_t first_event);
+  /// Does what `SetCutting` says.
+  net::Task<> CutAnswer(Socket socket, std::string id);
   /// Sends an answer that belongs to no request: one with the id of another request, or the refusal of an
   /// earlier request without an id, which only a `kept` connection can have carried.
   net::Task<bool> WriteStray(Socket socket, bool kept);
@@ -74,6 +81,8 @@
   uint64_t born_ = 0;
   std::optional<double> limit_;  // requests a second
   bool leaving_ = false;
+  bool endless_ = false;
+  bool cutting_ = false;
   std::optional<Duration> push_back_;
   int generation_ = 0;  // grows with each start and crash
   std::optional<net::Tcp::acceptor> acceptor_;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "tests/soak/client.h"
+#include "tests/soak/endless.h"
 #include "tests/soak/replica.h"
 
 namespace cornelplank::soak {
@@ -83,6 +84,10 @@
   net::Task<> DrainReplica(Replica& replica, Duration pause, bool announced);
   /// All replicas that share the load with `like` state a limit of requests a second.
   net::Task<> LimitReplicas(const Replica& like, double per_second, Duration time);
+  /// The replica sends bytes without end, or cuts its answers, for `time`.
+  net::Task<> MisbehaveAtReplica(Replica& replica, bool endless, Duration time);
+  /// Sends requests without end to a VM, on several connections.
+  net::Task<> FloodVm(const VmFleet::Vm& vm);
   net::Task<> PushBackAtReplica(Replica& replica, Duration retry_after, Duration time);
   net::Task<> DisturbStore(Mode mode, Duration time);
   net::Task<> EvacuateZone(std::string zone, Duration time);
@@ -251,6 +256,24 @@
   if (replica.id() == id) replica.SetPushBack(std::nullopt);
 }
 
+net::Task<> Soak::MisbehaveAtReplica(Replica& replica, bool endless, Duration time) {
+  const std::string id = replica.id();
+  endless ? replica.SetEndless(true) : replica.SetCutting(true);
+  co_await net::Sleep(loop_, time);
+  if (replica.id() == id) endless ? replica.SetEndless(false) : replica.SetCutting(false);
+}
+
+net::Task<> Soak::FloodVm(const VmFleet::Vm& vm) {
+  constexpr int kConnections = 4;
+  for (int i = 0; i < kConnections; ++i) {
+    auto socket = std::make_shared<net::Tcp::socket>(loop_);
+    net::Error error;
+    co_await socket->async_connect(fleet_.EndpointOf(vm, "clients"), net::Into(error));
+    const std::string head = "POST /s0/flood HTTP/1.1\r\nHost: h.example\r\n";
+    if (!error) net::Spawn(loop_, "flood", SendEndless(loop_, socket, MakeEndless(event_random_, head)));
+  }
+}
+
 net::Task<> Soak::DisturbStore(Mode mode, Duration time) {
   store_disturbed_ = true;
   if (mode != Mode::kHistoryGone) fleet_.SetStoreServing(false);
@@ -280,7 +303,7 @@
   // At least half of the VMs stay up, so that the checks see traffic.
   if (vm.state != VmFleet::State::kUp || fleet_.CountUp() * 2 <= fleet_.vms().size()) return;
   const Duration pause = Between(event_random_, 0, 3000);
-  switch (event_random_.Below(8)) {
+  switch (event_random_.Below(9)) {
     case 0:
     case 1:
     case 2:
@@ -293,6 +316,10 @@
     case 5:
       ledger_.Count("event_freeze");
       return net::Spawn(loop_, "freeze", Tracked(fleet_.Freeze(vm.index, Between(event_random_, 500, 6000))));
+    case 6:
+      ledger_.Count("event_settings_replaced");
+      return net::Spawn(loop_, "settings",
+                        Tracked(fleet_.ReplaceSettings(vm.index, Between(event_random_, 0, 2000))));
     default:
       ledger_.Count("event_sighup");
       return fleet_.Reload(vm, 20 + static_cast<int>(event_random_.Below(200)), Chance(event_random_, 70));
@@ -303,7 +330,7 @@
   Replica& replica = *replicas_[event_random_.Below(replicas_.size())];
   const bool steady = !leaving_.contains(&replica);
   const std::string zone = Zones()[event_random_.Below(Zones().size())].name;
-  const uint64_t kind = event_random_.Below(21);
+  const uint64_t kind = event_random_.Below(25);
   if (kind < 11) {
     StartVmEvent();
   } else if (kind < 14 && steady) {
@@ -328,6 +355,14 @@
     net::Spawn(loop_, "push_back",
                Tracked(PushBackAtReplica(replica, Between(event_random_, 500, 3000),
                                          Between(event_random_, 4000, 8000))));
+  } else if (kind >= 21 && kind < 24 && steady) {
+    const bool endless = kind == 21;
+    ledger_.Count(endless ? "event_endless_answers" : "event_cut_answers");
+    net::Spawn(loop_, "misbehave",
+               Tracked(MisbehaveAtReplica(replica, endless, Between(event_random_, 1000, 4000))));
+  } else if (kind == 24) {
+    ledger_.Count("event_endless_requests");
+    net::Spawn(loop_, "flood", FloodVm(fleet_.vms()[event_random_.Below(fleet_.vms().size())]));
   } else if (kind == 19) {
     ledger_.Count("event_limit");
     const double per_second = static_cast<double>(5 + event_random_.Below(80)) / 10;
@@ -408,7 +443,8 @@
             << " ms\nlongest time until a version was in force at a VM without trouble of its own: "
             << std::chrono::duration_cast<milliseconds>(fleet_.config_lag().max_lag()).count()
             << " ms\nmost requests that a replica with a limit got in 4 s: " << ledger_.rates().max_part()
-            << " of what is tolerated" << std::endl;
+            << " of what is tolerated\nmost memory of a VM: " << fleet_.peak_memory() / 1000 << " kB"
+            << std::endl;
   if (ledger_.failures() > 0) {
     std::cout << "the VMs' logs are in " << folder_ << std::endl;
   } else {
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -1,6 +1,7 @@
 #include "tests/soak/vm_fleet.h"
 
 #include <linux/close_range.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -15,8 +16,20 @@
 constexpr std::chrono::seconds kGrace{6};
 constexpr int kDefaultSecondSends = 100;
 constexpr size_t kMaxSeeds = 3;
+// Limits of a VM, as in the deployments; the descriptors are those that are left for sockets.
+constexpr size_t kMemoryMb = 260;
+constexpr rlim_t kDescriptors = 3900;
 const char* const kListeners[] = {"clients", "readiness", "directory", "beats", "hops", "metrics"};
 
+/// Resident memory of the process; 0 when it has ended.
+size_t ResidentBytes(pid_t pid) {
+  std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
+  size_t all = 0;
+  size_t resident = 0;
+  statm >> all >> resident;
+  return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace
 
 VmFleet::VmFleet(net::asio::io_context& loop, int vms, const net::asio::ip::address_v4& base,
@@ -51,8 +64,9 @@
 void VmFleet::WriteSettings(const Vm& vm, int second_sends, bool valid) const {
   const std::string path = SettingsPath(vm);
   std::ofstream file(path + ".new");
-  file << "[vm]\nname=" << (valid ? "vm-" + std::to_string(vm.index) : "")
-       << "\nip=" << vm.address.to_string() << "\nzone=" << vm.zone.name << "\nzones=";
+  file << "[vm]\nname=" << (valid ? "vm-" + std::to_string(vm.index) : "") << "\nmemory_mb=" << kMemoryMb
+       << "\ndescriptors=" << kDescriptors << "\nip=" << vm.address.to_string() << "\nzone=" << vm.zone.name
+       << "\nzones=";
   for (size_t i = 0; i < Zones().size(); ++i) {
     file << (i > 0 ? "," : "") << Zones()[i].name << ":" << Zones()[i].region;
   }
@@ -80,6 +94,10 @@
   // listeners open that this program has closed.
   if (close_range(3, ~0U, CLOSE_RANGE_CLOEXEC) != 0) throw std::runtime_error("close_range failed");
   vm.process = harness::Process::Start(folder_, name, "cornelplank-entry", {"--settings", SettingsPath(vm)});
+  const rlimit descriptors{kDescriptors, kDescriptors};
+  if (vm.process && prlimit(vm.process->pid(), RLIMIT_NOFILE, &descriptors, nullptr) != 0) {
+    throw std::runtime_error("prlimit failed");
+  }
   vm.state = State::kStarting;
   vm.started = Now();
   vm.terminated = {};
@@ -148,11 +166,27 @@
   vm.process->Signal(SIGHUP);
 }
 
+net::Task<> VmFleet::ReplaceSettings(int index, Duration time) {
+  Vm& vm = vms_[static_cast<size_t>(index)];
+  std::filesystem::remove(SettingsPath(vm));
+  vm.process->Signal(SIGHUP);
+  co_await net::Sleep(loop_, time);
+  WriteSettings(vm, kDefaultSecondSends, true);
+}
+
 net::Task<> VmFleet::Watch() {
   while (true) {
     co_await net::Sleep(loop_, kPollInterval);
     for (Vm& vm : vms_) {
-      if (vm.state != State::kUp || (vm.process && vm.process->running())) continue;
+      if (vm.state != State::kUp) continue;
+      if (vm.process && vm.process->running()) {
+        const size_t memory = ResidentBytes(vm.process->pid());
+        peak_memory_ = std::max(peak_memory_, memory);
+        if (memory <= kMemoryMb * 1'000'000) continue;
+        ledger_->Fail("memory", vm.process->name(), std::to_string(memory) + " bytes");
+        net::Spawn(loop_, "kill", KillAndRestart(vm.index, std::chrono::milliseconds(300)));
+        continue;
+      }
       const auto code = vm.process ? vm.process->WaitForExit(std::chrono::milliseconds(0)) : std::nullopt;
       ledger_->Fail("process_ended", "vm-" + std::to_string(vm.index),
                     "exit code " + std::to_string(code.value_or(-1)));
--- a/tests/soak/vm_fleet.h
+++ b/tests/soak/vm_fleet.h
@@ -62,8 +62,13 @@
   net::Task<> Freeze(int index, Duration time);
   /// Writes other settings (faulty ones without `valid`) and sends SIGHUP.
   void Reload(Vm& vm, int second_sends, bool valid);
-  /// Reports processes that have ended by themselves, and starts them again.
+  /// Removes the settings file, and writes it again after `time`.
+  net::Task<> ReplaceSettings(int index, Duration time);
+  /// Reports processes that have ended by themselves, and starts them again. Does the same with those that
+  /// use more memory than their settings allow.
   net::Task<> Watch();
+  /// Greatest resident memory of any process, in bytes.
+  size_t peak_memory() const { return peak_memory_; }
 
   void SetStoreServing(bool serving);
 
@@ -86,6 +91,7 @@
   std::vector<Vm> vms_;
   Ledger* ledger_ = nullptr;
   ConfigLag config_lag_;
+  size_t peak_memory_ = 0;
   bool store_serving_ = true;
   TimePoint store_back_;  // when the store began to serve again
 };
