Read settings lines of any length

A VM didn't start when a line of its settings was longer than 200 bytes, as with the planned number of zones.

Cause: the INI library reads into a buffer of 200 bytes, and its reader cut longer lines off without a word.

Change: a longer line is handed over in parts, which the library takes for continuations of the value, and joined again.

--- a/libs/base/internal/settings.cc
+++ b/libs/base/internal/settings.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -27,35 +28,74 @@
 struct ReaderState {
   std::istringstream text;
   std::vector<IniLine> lines;
+  std::string rest;  // of a line that is longer than inih's buffer
   int line = 0;
 };
 
-/// inih's reader, with the interface of fgets. A line longer than inih's buffer is cut off.
+std::string Trim(const std::string& text) {
+  const size_t first = text.find_first_not_of(" \t");
+  if (first == std::string::npos) return "";
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// The line without an inline comment, which begins with a blank and a semicolon.
+std::string WithoutInlineComment(const std::string& line) {
+  for (const char* start : {" ;", "\t;"}) {
+    const size_t comment = line.find(start);
+    if (comment != std::string::npos) return WithoutInlineComment(line.substr(0, comment));
+  }
+  return line;
+}
+
+/// The length of the first part of `line` that fits into `most` bytes. inih removes blanks at the ends of a
+/// part and takes one that begins with a comment character for a comment, so a line is not divided there.
+size_t PartLength(const std::string& line, size_t most) {
+  if (line.size() <= most) return line.size();
+  size_t length = most;
+  while (length > 1 &&
+         (std::strchr(" \t;#", line[length]) != nullptr || std::strchr(" \t", line[length - 1]) != nullptr)) {
+    --length;
+  }
+  return length > 1 ? length : most;
+}
+
+/// inih's reader, with the interface of fgets. A line longer than inih's buffer is handed over in parts, of
+/// which each but the first is indented: inih takes it for the continuation of the value before it.
 char* ReadLine(char* buffer, int size, void* stream) {
   auto* state = static_cast<ReaderState*>(stream);
   std::string line;
-  if (!std::getline(state->text, line)) return nullptr;
-  ++state->line;
-  const size_t length = std::min(line.size(), static_cast<size_t>(size) - 2);
+  const bool continued = !state->rest.empty();
+  if (continued) {
+    line = " " + std::exchange(state->rest, {});
+  } else if (std::getline(state->text, line)) {
+    ++state->line;
+    line = WithoutInlineComment(line);
+  } else {
+    return nullptr;
+  }
+  const size_t length = PartLength(line, static_cast<size_t>(size) - 2);
+  // Only values are continued, not comments, sections and lines that name no value.
+  const std::string start = Trim(line.substr(0, length));
+  const bool is_value = !start.empty() && std::strchr("[;#", start.front()) == nullptr &&
+                        start.find_first_of("=:") != std::string::npos;
+  if (continued || is_value) state->rest = line.substr(length);
   std::copy_n(line.begin(), length, buffer);
   buffer[length] = '\n';
   buffer[length + 1] = '\0';
   return buffer;
 }
 
-/// inih's handler for a key with its value. Returns 1 to go on.
+/// inih's handler for a key with its value, or with a further part of it. Returns 1 to go on.
 int OnValue(void* user, const char* section, const char* key, const char* value) {
   auto* state = static_cast<ReaderState*>(user);
-  state->lines.push_back({section, key, value, state->line});
+  if (!state->lines.empty() && state->lines.back().line == state->line) {
+    state->lines.back().value += value;
+  } else {
+    state->lines.push_back({section, key, value, state->line});
+  }
   return 1;
 }
 
-std::string Trim(const std::string& text) {
-  const size_t first = text.find_first_not_of(" \t");
-  if (first == std::string::npos) return "";
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 bool IsAddress(const std::string& text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos) return false;
@@ -91,7 +131,7 @@
 Settings Settings::Parse(const std::string& name, const std::string& text) {
   Settings settings;
   settings.file_ = name;
-  ReaderState state{std::istringstream(text), {}, 0};
+  ReaderState state{std::istringstream(text), {}, "", 0};
   ini_parse_stream(ReadLine, &state, OnValue, &state);
   // ini_parse_stream reports only the first malformed line, so all lines that are neither a section nor a key
   // are searched for here.
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -70,6 +70,24 @@
                     TimeCase{"4000.0ms", milliseconds{4000}}, TimeCase{"7.5s", milliseconds{7500}},
                     TimeCase{"0.1005 s", milliseconds{101}}, TimeCase{"10min", milliseconds{600000}}));
 
+// Guards against values that are cut where the INI library's buffer ends, and against parts of one that are
+// taken for a comment or lose their blanks.
+TEST(SettingsTest, ReadsLinesOfAnyLength) {
+  for (size_t length = 1; length < 2000; length += length < 450 ? 1 : 111) {
+    std::string value;
+    for (size_t i = 0; value.size() < length; ++i)
+      value += i % 7 == 3 ? "a b" : i % 5 == 2 ? "x;y#z" : "zone:r,";
+    value.resize(length, 'x');
+    value.back() = 'x';
+    const std::string comment(length, '=');
+    Settings settings = Settings::Parse("vm.ini", "; " + comment + "\n[vm]\nzones = " + value + " ; " +
+                                                      comment + "\n# a " + comment + "\nname = vm-1\n");
+    EXPECT_EQ(settings.RequiredText("vm", "zones"), value);
+    EXPECT_EQ(settings.RequiredText("vm", "name"), "vm-1");
+    EXPECT_TRUE(settings.Finish().empty());
+  }
+}
+
 // Guards against a missing required key that is not reported.
 TEST(SettingsTest, ReportsMissingRequiredKey) {
   Settings settings = Settings::Parse("vm.ini", "");
--- a/tests/platform/start_test.cc
+++ b/tests/platform/start_test.cc
@@ -76,6 +76,23 @@
   EXPECT_TRUE(WaitUntilReady()) << process_->Errors();
 }
 
+// Guards against a VM that doesn't start in a deployment of the planned size.
+TEST_F(EntryProcessTest, StartsWithManyZonesAndSeeds) {
+  std::string settings = Settings();
+  std::string zones = "zones=z:r";
+  for (int zone = 0; zone < 26; ++zone) {
+    const std::string number = std::to_string(zone);
+    zones += ",trondheim-availability-zone-" + number + ":trondheim-region-" + std::to_string(zone % 9);
+  }
+  std::string seeds = "seeds=" + AddressText("beats");
+  for (int vm = 0; vm < 370; ++vm) seeds += ",127.9.9." + std::to_string(vm % 250) + ":8144";
+  settings.replace(settings.find("zones=z:r"), 9, zones);
+  settings.replace(settings.find("seeds="), 6 + AddressText("beats").size(), seeds);
+  StartStore();
+  Start(settings);
+  EXPECT_TRUE(WaitUntilReady()) << process_->Errors();
+}
+
 // Guards against a VM that never becomes ready, since its settings file was removed, or is being replaced,
 // just after it was read.
 TEST_F(EntryProcessTest, BecomesReadyWithoutItsSettingsFile) {
