Check in the soak that sound requests are answered at any time

A request that a sound replica ran and that ended with a closed connection counted as lost only at a shutdown, and one that stayed without any answer was only counted.

Change: both fail a check unless the VM was killed or frozen.

--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -185,12 +185,14 @@
 }
 
 void Ledger::CheckLoss(const Request& request, const Result& result) {
+  const bool disturbed = faults_.Disturbed(request.vm, request.run_region, request.sent);
+  if (result.timed_out && !disturbed) {
+    Fail("unanswered", request.id, "route " + request.route + "; " + faults_.Describe(request.vm));
+  }
   if (result.timed_out || request.runs == 0 || request.replica_failed) return;
   if (Now() - request.sent >= kRouteTimeout) return Count("closed_at_route_timeout");
-  const bool faults = faults_.Disturbed(request.vm, request.run_region, request.sent);
-  Count(faults ? "closed_after_run_beside_fault" : "closed_after_run");
-  if (faults || !faults_.ShuttingDown(request.vm, request.incarnation)) return;
-  Fail("lost_at_shutdown", request.id,
+  if (disturbed) return Count("closed_after_run_beside_fault");
+  Fail(faults_.ShuttingDown(request.vm, request.incarnation) ? "lost_at_shutdown" : "lost", request.id,
        "route " + request.route + ", " + result.fault + "; " + faults_.Describe(request.vm));
 }
 
