Log why a start is delayed by the settings

Found by reading the diff: the settings were read again without a word. A line start_delayed now names the first fault. IncompleteSettingsTest passes as before.

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -37,6 +37,7 @@
       for (const auto& fault : faults) std::cerr << fault.Text() << "\n";
       return std::nullopt;
     }
+    cornelplank::base::LogEvent("start_delayed").Text("problem", faults.front().Text());
     std::this_thread::sleep_for(kRetryInterval);
   }
 }
