Don't end the connections to clients and replicas that are alive but don't read

Callers got 502 for a request that may not be repeated, or half of an answer, when a busy replica read a long body late or a client paused.

Cause: TCP_USER_TIMEOUT (2.5 s to replicas, 6 s to clients) also ends a connection whose peer acknowledges everything but has closed its window. On the kernel here a connection with 8 MB to send to a peer that doesn't read ended after 2.78 s.

Change: no such timeout to clients and replicas. Keep-alive probes find a peer that is gone after 5 s (three probes, set explicitly); what waits longer is bounded by the time of the request and of the write. Other VMs and the store, which always read, keep the timeout.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -60,6 +60,13 @@
   return servers;
 }
 
+net::PoolSettings ReplicaPoolSettings() {
+  net::PoolSettings pool;
+  // A busy replica may read a long body only when it begins to work on the request.
+  pool.tcp_user_timeout = std::chrono::milliseconds::zero();
+  return pool;
+}
+
 net::PoolSettings PeerPoolSettings() {
   net::PoolSettings pool;
   pool.connect_timeout = kHopConnectTimeout;
@@ -98,7 +105,7 @@
       hop_directory_(members_, clock_, settings.hops.port()),
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
       quarantine_(settings.ip, members_.own().incarnation),
-      replica_pool_(loop, clock_, {}),
+      replica_pool_(loop, clock_, ReplicaPoolSettings()),
       peer_pool_(loop, clock_, PeerPoolSettings()),
       metrics_([this] { return ReadGauges(); }),
       proxy_({loop, clock_, codec_, registry_, hop_directory_, placer_, replica_pool_, peer_pool_, &metrics_,
--- a/libs/net/internal/connection_pool.h
+++ b/libs/net/internal/connection_pool.h
@@ -28,7 +28,9 @@
 /// Limits of a connection pool.
 struct PoolSettings {
   std::chrono::milliseconds connect_timeout{300};
-  std::chrono::milliseconds tcp_user_timeout{2500};  // bytes unacknowledged for this long end the connection
+  // Bytes unacknowledged for this long end the connection, also if the peer is alive and reads nothing; 0:
+  // none.
+  std::chrono::milliseconds tcp_user_timeout{2500};
   std::chrono::milliseconds default_keep_alive{3000};  // for peers that announce no idle timeout
   size_t idle_per_endpoint = 16;
 };
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -13,9 +13,6 @@
 // A write that takes longer than this ends the connection. Clients give up on a silent stream sooner, so a
 // client that reads nothing for this long is gone.
 constexpr std::chrono::seconds kWriteTimeout{15};
-// Bytes or keep-alive probes that a client doesn't acknowledge for this long end its connection
-// (TCP_USER_TIMEOUT).
-constexpr std::chrono::milliseconds kClientUserTimeout{6000};
 // How long a connection that was accepted while the server stopped waits for its request, which its client is
 // about to send.
 constexpr std::chrono::milliseconds kLastRequestWait{200};
@@ -43,7 +40,7 @@
 
 HttpSession::HttpSession(HttpServer& server, Tcp::socket socket)
     : server_(server), registry_(server.registry_), stream_(std::move(socket)), watch_ended_(server.loop_) {
-  SetTcpOptions(stream_.socket(), kClientUserTimeout);
+  SetTcpOptions(stream_.socket(), std::chrono::milliseconds::zero());  // clients may pause
   registry_->sessions.insert(this);
 }
 
--- a/libs/net/internal/loop.cc
+++ b/libs/net/internal/loop.cc
@@ -11,10 +11,10 @@
 namespace cornelplank::net {
 namespace {
 
-// Keep-alive probes of an idle connection. Together with TCP_USER_TIMEOUT, which bounds the wait for their
-// acknowledgement, they detect a dead peer within a few seconds.
+// Keep-alive probes of an idle connection. They detect a dead peer within a few seconds.
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 3;
 
 }  // namespace
 
@@ -55,6 +55,7 @@
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof kKeepAliveIdleSeconds);
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
              sizeof kKeepAliveIntervalSeconds);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
 }
 
 std::optional<Tcp::endpoint> ParseEndpoint(std::string_view text) {
--- a/libs/net/internal/loop.h
+++ b/libs/net/internal/loop.h
@@ -53,8 +53,10 @@
   std::list<asio::steady_timer*> waiters_;
 };
 
-/// Sets the options of every connection: no Nagle delay, keep-alive probes, and `user_timeout` as the time
-/// after which unacknowledged bytes or probes end the connection (TCP_USER_TIMEOUT).
+/// Sets the options of every connection: no Nagle delay, and keep-alive probes, which end the connection to a
+/// peer that is gone after some 5 s. `user_timeout`: time after which unacknowledged bytes or probes end it
+/// (TCP_USER_TIMEOUT); 0 for none. It also ends the connection to a live peer that reads nothing for so long
+/// while bytes wait for it, so it only suits peers that always read.
 void SetTcpOptions(Tcp::socket& socket, std::chrono::milliseconds user_timeout);
 
 /// Parses an IPv4 address and port of the form "IP:PORT". Returns nothing when the text is anything else.
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -269,6 +269,31 @@
   }
 }
 
+// Guards against a response that is cut off, since its client is alive but reads nothing for some seconds.
+TEST_F(HttpServerTest, WaitsForAClientThatPauses) {
+  constexpr size_t kBodyBytes = 12 << 20;  // more than the buffers of both sockets
+  constexpr std::chrono::seconds kPause{9};
+  net::ServerLimits limits;
+  limits.body_bytes = kBodyBytes;
+  server->SetLimits(limits);
+  auto socket = Client();
+  ASSERT_TRUE(RunTask(loop, [](auto& to) -> net::Task<> {
+    net::Error error;
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+    co_await asio::async_write(to, asio::buffer(request + std::string(kBodyBytes, 'x')), net::Into(error));
+  }(*socket)));
+  RunFor(loop, kPause);
+  size_t received = 0;
+  ASSERT_TRUE(RunTask(loop, [](auto& from, size_t* size) -> net::Task<> {
+    std::string part(65536, '\0');
+    for (net::Error error; !error && *size < kBodyBytes;) {
+      *size += co_await from.async_read_some(asio::buffer(part), net::Into(error));
+    }
+  }(*socket, &received)));
+  EXPECT_GE(received, kBodyBytes);
+}
+
 // Guards against a shutdown that cuts off a response in progress or leaves idle connections open.
 TEST_F(HttpServerTest, StopsWithoutCuttingAnAnswer) {
   handler.hold_ = true;
