--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -142,7 +142,9 @@
 
 Task<bool> HttpCall::EndedInOrder() {
   // The write may have ended in the same round of the loop as the read, and its coroutine not yet have run.
-  if (writing_ && !write_error_) co_await asio::post(loop_, asio::use_awaitable);
+  if (writing_ && !write_error_) {
+    co_await asio::post(loop_, asio::use_awaitable);
+  }
   // The kernel reports a reset or a timeout of the connection to one call only. When that was the write, the
   // read gets an end of file as after an orderly close. EPIPE is what a reset after an orderly close gives.
   co_return !write_error_ || write_error_ == asio::error::broken_pipe;
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -75,8 +75,9 @@
 TEST(SettingsTest, ReadsLinesOfAnyLength) {
   for (size_t length = 1; length < 2000; length += length < 450 ? 1 : 111) {
     std::string value;
-    for (size_t i = 0; value.size() < length; ++i)
+    for (size_t i = 0; value.size() < length; ++i) {
       value += i % 7 == 3 ? "a b" : i % 5 == 2 ? "x;y#z" : "zone:r,";
+    }
     value.resize(length, 'x');
     value.back() = 'x';
     const std::string comment(length, '=');
