--- a/tests/platform/removal_order_test.cc
+++ b/tests/platform/removal_order_test.cc
@@ -114,7 +114,9 @@
       co_await net::Sleep(loop_, std::chrono::milliseconds(10));
       if (writer.ClientGone()) co_return;
     }
-    if (watch) co_await net::Sleep(loop_, std::chrono::milliseconds(100));
+    if (watch) {
+      co_await net::Sleep(loop_, std::chrono::milliseconds(100));
+    }
     std::string body =
         R"({"current_rev":)" + std::to_string(revision_) + (watch ? R"(,"events":[)" : R"(,"items":[)");
     const std::string after(platform::QueryValue(request.target, "after"));
@@ -127,7 +129,9 @@
     }
     body += "]}";
     if (!watch && operator_call) ++listings_;
-    if (!watch) co_await net::Sleep(loop_, listing_delay);
+    if (!watch) {
+      co_await net::Sleep(loop_, listing_delay);
+    }
     co_await writer.Send({200, {}}, body);
   }
 
