--- /dev/null
+++ b/libs/pace/internal/replica_pace.cc
@@ -0,0 +1,1 @@
+#include "libs/pace/internal/replica_pace.h"
--- /dev/null
+++ b/libs/pace/internal/replica_pace.h
@@ -0,0 +1,3 @@
+#pragma once
+
+namespace cornelplank::pace {}  // namespace cornelplank::pace
--- /dev/null
+++ b/libs/pace/pace.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "libs/pace/internal/replica_pace.h"
--- a/libs/serving/internal/routing_config.h
+++ b/libs/serving/internal/routing_config.h
@@ -3,11 +3,14 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "libs/tenancy/tenancy.h"
+
 namespace cornelplank::serving {
 
 /// How often a request may run.
@@ -36,6 +39,7 @@
   int priority = 0;                         // 0 is the most urgent
   uint32_t attempts = 1;                    // greatest number of replicas that a request is sent to
   bool resumable = false;                   // replicas can resume a stream after a given event
+  bool open_to_all = false;                 // needs no key of a tenant
   std::vector<std::string> home_regions;    // where its data may be processed; empty: anywhere
   std::vector<WeightedService> services;
 
@@ -80,6 +84,8 @@
   std::vector<RouteConfig> routes;
   std::map<std::string, ServiceConfig, std::less<>> services;  // by name
   ClientLimits limits;
+  /// Null when the configuration has no tenants: no keys are asked for.
+  std::shared_ptr<const tenancy::TenantDirectory> tenants;
 
   /// The route of `host` with the longest prefix of `path`; null when none matches.
   const RouteConfig* FindRoute(std::string_view host, std::string_view path) const;
--- /dev/null
+++ b/libs/tenancy/tenancy.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include "libs/tenancy/internal/tenant_directory.h"
