--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -23,6 +23,7 @@
   std::string id;  // chosen by the client, different for each of its attempts
   std::string host;
   std::string path;                         // without the query
+  std::string key;                          // of the client's tenant; empty when it states none
   std::optional<base::Duration> time_left;  // until the client gives up; none when it states no deadline
   std::optional<uint64_t> last_event_id;    // set when the client resumes a stream after this event
   std::vector<PromptPart> prompt_parts;     // in order; other requests may share all but the last
@@ -43,6 +44,9 @@
   std::string expected_replica;          // id; another replica that has taken over the address refuses
   int priority = 0;                      // 0 is the most urgent
   std::optional<uint64_t> resume_after;  // id of the last event that the client already has
+  // Name of the tenant; empty: the request is of no tenant. None when the configuration has no tenants: what
+  // the client sent under the names of tenants' headers is then passed on.
+  std::optional<std::string> tenant;
 };
 
 /// The load that a replica reports in the headers of a response, in requests.
@@ -71,7 +75,8 @@
 /// What an entry VM adds to a request when it forwards it to an entry VM of another region (a hop).
 struct HopParameters {
   std::string service;
-  base::Duration time_left{0};  // until the response must be complete
+  base::Duration time_left{0};        // until the response must be complete
+  std::optional<std::string> tenant;  // as in AttemptParameters; an empty one is decoded as none
 };
 
 /// Translates between the requests and responses on the wire and the structs above, so that the rest of the
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -84,6 +84,10 @@
       return "replicas_pushed_back";
     case RefusalReason::kStopping:
       return "stopping";
+    case RefusalReason::kUnknownKey:
+      return "unknown_key";
+    case RefusalReason::kKeysOutdated:
+      return "keys_outdated";
   }
   return "unknown";
 }
@@ -133,7 +137,7 @@
 std::optional<Placement> Placer::ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
                                              const ReplicaRegistry& registry, const HopDirectory& hops,
                                              base::TimePoint now, RefusalReason* reason) {
-  const int priority = std::clamp(query.route->priority, 0, kLeastUrgentPriority);
+  const int priority = std::clamp(query.Priority(), 0, kLeastUrgentPriority);
   std::array<Owner, 2> owners;  // by weight
   SendGate gate(registry, hops, own_id_, now);
   std::vector<Candidate> candidates;
@@ -179,7 +183,7 @@
 Placement Placer::Price(const Candidate& candidate, const PlacementQuery& query, const ServiceConfig& service,
                         const ReplicaRegistry& registry, double cached_share, base::TimePoint now) {
   const TrackedReplica& replica = *candidate.replica;
-  const int priority = std::clamp(query.route->priority, 0, kLeastUrgentPriority);
+  const int priority = std::clamp(query.Priority(), 0, kLeastUrgentPriority);
   const OutstandingWork work = replica.TotalWork(now);
   const uint32_t slots = std::max<uint32_t>(1, replica.published.slots);
   const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
@@ -210,20 +214,18 @@
     return std::nullopt;
   }
   std::optional<Placement> best;
-  if (!query.config_fresh && query.Bound()) {
+  if (query.residency.Unknown()) {
     *reason = RefusalReason::kConfigOutdated;
     return std::nullopt;
   }
-  if (query.AllowsRegion(own_region_)) {
+  if (query.residency.Allows(own_region_)) {
     best = ChooseLocal(query, *service, registry, hops, now, reason);
   } else {
     *reason = RefusalReason::kNotAllowed;
   }
   if (!query.may_hop) return best;
   for (const RemoteRegion& remote : hops.RemoteRegions(query.service)) {
-    if (!query.AllowsRegion(remote.region) || Contains(query.excluded_regions, remote.region)) {
-      continue;
-    }
+    if (!query.residency.Allows(remote.region) || Contains(query.excluded_regions, remote.region)) continue;
     base::Duration expected = remote.wait + remote.round_trip + settings_.hop_cost;
     if (service->engine) expected += EstimatePrefillTime(query.prompt_tokens);
     if (best && best->cost <= expected) continue;
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "libs/serving/internal/data_residency.h"
 #include "libs/serving/internal/hop_directory.h"
 #include "libs/serving/internal/replica_registry.h"
 #include "libs/serving/internal/send_gate.h"
@@ -14,10 +15,8 @@
 /// The request to place, with the replicas and regions that it must not go to again.
 struct PlacementQuery {
   const RouteConfig* route = nullptr;
-  // The request's route in the configuration that is in force now. Null when it is gone, or the same as
-  // `route`.
-  const RouteConfig* newest_route = nullptr;
-  bool config_fresh = true;  // the configuration in force may be used for data that is bound to regions
+  std::optional<int> priority;  // of the request's tenant; none: that of the route
+  DataResidency residency;
   std::string service;
   uint32_t prompt_tokens = 0;
   uint32_t prefix_tokens = 0;  // of the prompt's shared prefix
@@ -27,15 +26,7 @@
   std::vector<std::string> excluded_replicas;  // ids; tried before
   std::vector<std::string> excluded_regions;   // tried before
 
-  /// Whether the request's data is bound to regions.
-  bool Bound() const {
-    return !route->home_regions.empty() || (newest_route != nullptr && !newest_route->home_regions.empty());
-  }
-  /// Whether the request's data may be processed in the region, by both versions of its route.
-  bool AllowsRegion(std::string_view region) const {
-    return (config_fresh || !Bound()) && route->AllowsRegion(region) &&
-           (newest_route == nullptr || newest_route->AllowsRegion(region));
-  }
+  int Priority() const { return priority.value_or(route->priority); }
 };
 
 /// Why a request is refused.
@@ -45,7 +36,7 @@
   kNoReplica,       // none is known, or all were tried, are leaving or are in evacuated zones
   kConfigOutdated,  // the data is bound to regions, and the configuration may have been replaced by a newer
                     // one
-  kNotAllowed,      // the route's data may not be processed here, and no region where it may is available
+  kNotAllowed,      // its data may not be processed here, and no region where it may is available
   kNoTime,          // the first byte is expected after the request's deadline
   kOverloaded,      // refused by admission control: too many responses miss their target latency
   kCrashingPrompt,  // a part of its prompt crashes replicas; see PromptQuarantine
@@ -53,6 +44,8 @@
   kCold,            // only cold replicas are left, and this VM may send them nothing now
   kPushedBack,      // only replicas are left that want no requests from this VM for a time
   kStopping,        // this VM is about to exit, and the request is not expected to end before
+  kUnknownKey,      // its key has been removed from the configuration since it was accepted
+  kKeysOutdated,    // it has a key, and the configuration may have been replaced by a newer one
 };
 
 /// The reason's name in log lines and metrics.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -25,13 +25,6 @@
 // A replica with outstanding work counts as silent when no response of it makes progress for this long. Busy
 // engines produce a token for each running request every few tens of milliseconds.
 constexpr std::chrono::milliseconds kReplicaSilence{700};
-// Bounds of Retry-After for refused requests, except those that admission control refuses.
-constexpr std::chrono::milliseconds kMinRetryAfter{200};
-constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
-// Greatest random addition to Retry-After for requests that replicas leave no room for at present.
-constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
-// Retry-After while this VM stops: other VMs take the request at once.
-constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
 
 }  // namespace
 
@@ -51,7 +44,10 @@
       hop_(std::move(hop)),
       received_at_(received_at),
       last_event_id_(info.last_event_id),
-      shared_parts_(info.SharedParts()) {
+      shared_parts_(info.SharedParts()),
+      identity_(Identify(*config_, route_)),
+      priority_(identity_.tenant == nullptr ? route_.priority
+                                            : identity_.tenant->priority.value_or(route_.priority)) {
   base::Duration limit = route_.timeout.count() > 0 ? base::Duration(route_.timeout) : kDefaultTimeout;
   if (request_info_.time_left) {
     limit = std::min<base::Duration>(limit, *request_info_.time_left - kResponseMargin);
@@ -69,11 +65,8 @@
 PlacementQuery ProxiedRequest::MakePlacementQuery() const {
   PlacementQuery query;
   query.route = &route_;
-  const RoutingConfig* newest = deps_.registry.config();
-  if (newest != nullptr && newest != config_.get()) {
-    query.newest_route = newest->FindRoute(request_info_.host, request_info_.path);
-  }
-  query.config_fresh = deps_.registry.config_freshness().MayPlaceBoundRequests(deps_.clock.Now());
+  query.priority = priority_;
+  query.residency = Residency();
   query.service = service_;
   query.prompt_tokens = request_info_.prompt_tokens;
   query.prefix_tokens = request_info_.SharedPrefixTokens();
@@ -85,6 +78,53 @@
   return query;
 }
 
+RequestIdentity ProxiedRequest::Identify(const RoutingConfig& config, const RouteConfig& route) const {
+  if (hop_) return IdentifyByName(config, route, hop_->tenant.value_or(""));
+  return IdentifyByKey(config, route, request_info_.key);
+}
+
+RequestIdentity ProxiedRequest::NewestIdentity() const {
+  const RoutingConfig* newest = deps_.registry.config();
+  if (newest == nullptr || newest == config_.get()) return identity_;
+  const RouteConfig* route = newest->FindRoute(request_info_.host, request_info_.path);
+  return Identify(*newest, route == nullptr ? route_ : *route);
+}
+
+DataResidency ProxiedRequest::Residency() const {
+  DataResidency residency;
+  residency.SetConfigFresh(deps_.registry.config_freshness().MayPlaceBoundRequests(deps_.clock.Now()));
+  residency.Restrict(route_.home_regions);
+  if (identity_.tenant != nullptr) residency.Restrict(identity_.tenant->home_regions);
+  const RoutingConfig* newest = deps_.registry.config();
+  if (newest == nullptr || newest == config_.get()) return residency;
+  const RouteConfig* route = newest->FindRoute(request_info_.host, request_info_.path);
+  if (route != nullptr) residency.Restrict(route->home_regions);
+  const RequestIdentity identity = NewestIdentity();
+  if (identity.tenant != nullptr) residency.Restrict(identity.tenant->home_regions);
+  return residency;
+}
+
+bool ProxiedRequest::CheckIdentity() {
+  const RequestIdentity identity = NewestIdentity();
+  if (!identity.allowed) {
+    refusal_reason_ = RefusalReason::kUnknownKey;
+    return false;
+  }
+  // A VM that forwards a request has checked its key.
+  if (identity.tenant != nullptr && !hop_ && !proxy_.MayAcceptKeys(deps_.clock.Now())) {
+    refusal_reason_ = RefusalReason::kKeysOutdated;
+    return false;
+  }
+  tenant_name_ = identity.tenant == nullptr ? "" : identity.tenant->name;
+  return true;
+}
+
+std::optional<std::string> ProxiedRequest::TenantToSend() const {
+  const RoutingConfig* newest = deps_.registry.config();
+  if (!config_->tenants && (newest == nullptr || !newest->tenants)) return std::nullopt;
+  return tenant_name_;
+}
+
 OutstandingWork ProxiedRequest::EstimateWork(const Placement& placement) const {
   OutstandingWork work;
   work.requests = 1;
@@ -114,7 +154,7 @@
   // The attempt is cancelled only if another one can replace it: a late response is better than none.
   auto& budget = proxy_.RetryBudget(service_);
   RefusalReason reason = RefusalReason::kNone;
-  if (!budget.CanTake() ||
+  if (!budget.CanTake() || !CheckIdentity() ||
       !deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, now, &reason)) {
     return;
   }
@@ -164,7 +204,7 @@
 bool ProxiedRequest::TryAdmit() {
   const ServiceConfig* service = config_->FindService(service_);
   if (hop_ || service == nullptr || !service->engine) return true;
-  if (!proxy_.Admission(service_, route_.priority).Admits(proxy_.random_.Unit())) return false;
+  if (!proxy_.Admission(service_, priority_).Admits(proxy_.random_.Unit())) return false;
   timeliness_pending_ = true;
   return true;
 }
@@ -172,7 +212,7 @@
 void ProxiedRequest::ReportTimeliness(bool in_time) {
   if (!timeliness_pending_) return;
   timeliness_pending_ = false;
-  proxy_.Admission(service_, route_.priority).Observe(in_time);
+  proxy_.Admission(service_, priority_).Observe(in_time);
 }
 
 void ProxiedRequest::ReportMissedTarget() {
@@ -193,7 +233,7 @@
       co_return;
     }
     std::optional<Placement> placement;
-    if (!IsQuarantined()) {
+    if (CheckIdentity() && !IsQuarantined()) {
       placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
                                       &refusal_reason_);
     }
@@ -266,7 +306,7 @@
     replica_ = placement.replica;
     work_ = EstimateWork(placement);
     deps_.registry.BeginAttempt(*replica_, work_, request_info_.SharedPrefixKey(), deps_.clock.Now());
-    replica_->limit.OnSend(route_.priority, deps_.clock.Now());
+    replica_->limit.OnSend(priority_, deps_.clock.Now());
   }
   prefill_done_ = false;
   withheld_ = false;
@@ -281,7 +321,7 @@
           endpoint, repeatable ? base::Duration(kMaxIdleRepeatable) : base::Duration(kMaxIdleUnrepeatable))) {
     // The configuration may have changed while the connection was established.
     const std::string region = hop ? placement.region : placement.replica->published.region;
-    withheld_ = !MakePlacementQuery().AllowsRegion(region);
+    withheld_ = !CheckIdentity() || !Residency().Allows(region);
     // So may the replica's state; its connection may have taken as long as the replica lets requests pass.
     if (replica_ && !SendGate::CheckStanding(*replica_, deps_.registry, deps_.clock.Now()).allowed()) {
       withheld_ = true;
@@ -345,122 +385,4 @@
   replica_.reset();
 }
 
-base::Duration ProxiedRequest::RetryAfter() const {
-  if (refusal_reason_ == RefusalReason::kOverloaded) {
-    return AdaptiveAdmission::RetryAfter(proxy_.random_.Unit());
-  }
-  if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
-  if (refusal_reason_ == RefusalReason::kConfigOutdated) return ConfigFreshness::kRetryAfter;
-  if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
-  const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
-  if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
-    const auto wait = deps_.placer.TimeToBlockedReplica(service_, route_.priority, deps_.registry, deps_.hops,
-                                                        deps_.clock.Now());
-    // The spread keeps clients from returning at the same time.
-    const base::Duration time =
-        wait.value_or(base::Duration::zero()) +
-        std::chrono::duration_cast<base::Duration>(kBlockedRetrySpread * proxy_.random_.Unit());
-    // The replicas push back every VM, while another VM may have a part of a limit when this one has none.
-    const base::Duration most = pushed_back ? time : base::Duration(kMaxRetryAfter);
-    return std::clamp<base::Duration>(time, kMinRetryAfter, std::max<base::Duration>(most, kMinRetryAfter));
-  }
-  const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
-  return std::min<base::Duration>(wait, kMaxRetryAfter);
-}
-
-net::Task<> ProxiedRequest::SendLocalResponse(unsigned status, bool not_run) {
-  std::optional<base::Duration> retry_after;
-  if (status == 503) retry_after = RetryAfter();
-  auto head = deps_.codec.MakeLocalResponse(status, request_info_.id, retry_after);
-  if (hop_ && not_run) deps_.codec.MarkNotRun(&head);
-  co_await writer_.Send(head, "");
-}
-
-net::Task<> ProxiedRequest::Finish(NextStep step) {
-  ReportMissedTarget();
-  switch (step) {
-    case NextStep::kDone:
-      ++proxy_.counters_.answered;
-      proxy_.completion_times_.Observe(route_.name, deps_.clock.Now() - received_at_);
-      NotifyObserver("answered");
-      if (base::AllowRoutineLogLine()) LogRequestEnd("answered", 200);
-      break;
-    case NextStep::kForwardErrorResponse:
-      ++proxy_.counters_.answered;
-      NotifyObserver("answered");
-      if (base::AllowRoutineLogLine()) LogRequestEnd("answered", held_error_->head.status);
-      co_await writer_.Send(held_error_->head, held_error_->body);
-      break;
-    case NextStep::kRefuse:
-      ++proxy_.counters_.refused;
-      LogRequestEnd("refused", 503);
-      NotifyObserver("refused");
-      co_await SendLocalResponse(503, true);
-      break;
-    case NextStep::kFail:
-      ++proxy_.counters_.failed;
-      LogRequestEnd("failed", 502);
-      NotifyObserver("failed");
-      co_await SendLocalResponse(502, false);
-      break;
-    case NextStep::kTimeOut:
-      ++proxy_.counters_.failed;
-      LogRequestEnd("timed_out", 504);
-      NotifyObserver("timed_out");
-      co_await SendLocalResponse(504, false);
-      break;
-    case NextStep::kAbortResponse:
-    case NextStep::kRetry:
-      ++proxy_.counters_.failed;
-      LogRequestEnd("broken_off", 0);
-      NotifyObserver("broken_off");
-      break;
-  }
-}
-
-void ProxiedRequest::LogAttempt(const Placement& placement, AttemptOutcome outcome,
-                                const net::HttpCall& call) const {
-  base::LogEvent("attempt_ended")
-      .Text("request", request_info_.id)
-      .Text(placement.replica ? "replica" : "region", served_by_)
-      .Text("end", AttemptOutcomeName(outcome))
-      .Text("fault", net::CallFaultName(call.fault()))
-      .Text("detail", call.detail())
-      .Number("sends", progress_.sends)
-      .Number("answer_begun", prefill_done_ ? 1 : 0)
-      .Time("after_ms", deps_.clock.Now() - received_at_);
-}
-
-void ProxiedRequest::LogRequestEnd(const char* outcome, unsigned status) const {
-  base::LogEvent line(outcome);
-  line.Text("request", request_info_.id)
-      .Text("route", route_.name)
-      .Text("service", service_)
-      .Text("by", served_by_)
-      .Number("status", status)
-      .Number("sends", progress_.sends)
-      .Number("config", static_cast<int64_t>(config_->version))
-      .Time("expected_ms", expected_first_byte_)
-      .Time("total_ms", deps_.clock.Now() - received_at_);
-  if (first_byte_at_ != base::TimePoint{}) line.Time("first_ms", first_byte_at_ - received_at_);
-  if (refusal_reason_ != RefusalReason::kNone && status == 503) {
-    line.Text("reason", RefusalReasonName(refusal_reason_));
-  }
-  if (hop_) line.Number("hop", 1);
-}
-
-void ProxiedRequest::NotifyObserver(const char* outcome) const {
-  if (deps_.observer == nullptr) return;
-  const base::TimePoint now = deps_.clock.Now();
-  RequestSummary summary;
-  summary.outcome = outcome;
-  if (summary.outcome == "refused") summary.reason = RefusalReasonName(refusal_reason_);
-  summary.priority = route_.priority;
-  summary.hop = hop_.has_value();
-  summary.sends = progress_.sends;
-  if (first_byte_at_ != base::TimePoint{}) summary.first_byte = first_byte_at_ - received_at_;
-  summary.total = now - received_at_;
-  deps_.observer->OnRequestEnd(summary);
-}
-
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "libs/serving/internal/attempt_policy.h"
+#include "libs/serving/internal/request_identity.h"
 #include "libs/serving/internal/request_proxy.h"
 #include "libs/serving/internal/sse_event_splitter.h"
 
@@ -41,6 +42,18 @@
   };
 
   PlacementQuery MakePlacementQuery() const;
+  /// Whom the request belongs to by `config`, of which `route` need not be a part.
+  RequestIdentity Identify(const RoutingConfig& config, const RouteConfig& route) const;
+  /// By the configuration in force now.
+  RequestIdentity NewestIdentity() const;
+  /// Where the data may be processed, by the request's configuration and by the one in force now. Valid until
+  /// the next configuration comes into force.
+  DataResidency Residency() const;
+  /// Whether the configuration in force now lets the request be sent for its tenant, whom it sets. Sets the
+  /// reason otherwise. To be called before each send, as keys may be removed while a request waits.
+  bool CheckIdentity();
+  /// Value for AttemptParameters and HopParameters.
+  std::optional<std::string> TenantToSend() const;
   base::Duration TimeLeft() const { return deadline_ - deps_.clock.Now(); }
   /// The work that the request adds to the replica of `placement`.
   OutstandingWork EstimateWork(const Placement& placement) const;
@@ -77,6 +90,8 @@
   net::Task<bool> StartStream(const net::ResponseHead& head);
   /// Takes the final step: counts and logs the request and sends what is left to send.
   net::Task<> Finish(NextStep step);
+  /// Status of the response to a request that has not run.
+  unsigned RefusalStatus() const;
   net::Task<> SendLocalResponse(unsigned status, bool not_run);
   base::Duration RetryAfter() const;
   /// Updates the load and health of the attempt's replica.
@@ -122,6 +137,9 @@
   bool timeliness_pending_ = false;          // admitted, but not yet reported as in time or late
   std::optional<uint32_t> checked_sends_;    // number of sends at the last check of the quarantine
   std::vector<uint64_t> shared_parts_;       // ids of the prompt parts that other requests may have too
+  RequestIdentity identity_;                 // by `config_`
+  int priority_ = 0;                         // of the tenant or the route
+  std::string tenant_name_;                  // by the last CheckIdentity; empty: of no tenant
   base::Duration quarantine_left_{0};        // until a request with the prompt's condemned part may be tried
   RefusalReason refusal_reason_ = RefusalReason::kNone;
   base::Duration expected_first_byte_{0};  // estimate for the last placement, from the time of its choice
--- /dev/null
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -0,0 +1,150 @@
+#include <algorithm>
+
+#include "libs/serving/internal/proxied_request.h"
+
+namespace cornelplank::serving {
+namespace {
+
+// Bounds of Retry-After for refused requests, except those that admission control refuses.
+constexpr std::chrono::milliseconds kMinRetryAfter{200};
+constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
+// Greatest random addition to Retry-After for requests that replicas leave no room for at present.
+constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
+// Retry-After while this VM stops: other VMs take the request at once.
+constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
+
+}  // namespace
+
+base::Duration ProxiedRequest::RetryAfter() const {
+  if (refusal_reason_ == RefusalReason::kOverloaded) {
+    return AdaptiveAdmission::RetryAfter(proxy_.random_.Unit());
+  }
+  if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
+  if (refusal_reason_ == RefusalReason::kConfigOutdated || refusal_reason_ == RefusalReason::kKeysOutdated ||
+      refusal_reason_ == RefusalReason::kUnknownKey) {
+    return ConfigFreshness::kRetryAfter;
+  }
+  if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
+  const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
+  if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
+    const auto wait =
+        deps_.placer.TimeToBlockedReplica(service_, priority_, deps_.registry, deps_.hops, deps_.clock.Now());
+    // The spread keeps clients from returning at the same time.
+    const base::Duration time =
+        wait.value_or(base::Duration::zero()) +
+        std::chrono::duration_cast<base::Duration>(kBlockedRetrySpread * proxy_.random_.Unit());
+    // The replicas push back every VM, while another VM may have a part of a limit when this one has none.
+    const base::Duration most = pushed_back ? time : base::Duration(kMaxRetryAfter);
+    return std::clamp<base::Duration>(time, kMinRetryAfter, std::max<base::Duration>(most, kMinRetryAfter));
+  }
+  const base::Duration wait = std::max<base::Duration>(expected_first_byte_ / 2, kMinRetryAfter);
+  return std::min<base::Duration>(wait, kMaxRetryAfter);
+}
+
+unsigned ProxiedRequest::RefusalStatus() const {
+  const bool unknown_key = refusal_reason_ == RefusalReason::kUnknownKey;
+  // The VM that forwarded a request answers its client. Clients don't retry after 401.
+  if (unknown_key && !hop_ && deps_.registry.config_freshness().MayDeny(deps_.clock.Now())) return 401;
+  return 503;
+}
+
+net::Task<> ProxiedRequest::SendLocalResponse(unsigned status, bool not_run) {
+  std::optional<base::Duration> retry_after;
+  if (status == 503) retry_after = RetryAfter();
+  auto head = deps_.codec.MakeLocalResponse(status, request_info_.id, retry_after);
+  if (hop_ && not_run) deps_.codec.MarkNotRun(&head);
+  co_await writer_.Send(head, "");
+}
+
+net::Task<> ProxiedRequest::Finish(NextStep step) {
+  ReportMissedTarget();
+  switch (step) {
+    case NextStep::kDone:
+      ++proxy_.counters_.answered;
+      proxy_.completion_times_.Observe(route_.name, deps_.clock.Now() - received_at_);
+      NotifyObserver("answered");
+      if (base::AllowRoutineLogLine()) LogRequestEnd("answered", 200);
+      break;
+    case NextStep::kForwardErrorResponse:
+      ++proxy_.counters_.answered;
+      NotifyObserver("answered");
+      if (base::AllowRoutineLogLine()) LogRequestEnd("answered", held_error_->head.status);
+      co_await writer_.Send(held_error_->head, held_error_->body);
+      break;
+    case NextStep::kRefuse: {
+      const unsigned status = RefusalStatus();
+      ++(status == 401 ? proxy_.counters_.denied : proxy_.counters_.refused);
+      LogRequestEnd("refused", status);
+      NotifyObserver("refused");
+      co_await SendLocalResponse(status, true);
+      break;
+    }
+    case NextStep::kFail:
+      ++proxy_.counters_.failed;
+      LogRequestEnd("failed", 502);
+      NotifyObserver("failed");
+      co_await SendLocalResponse(502, false);
+      break;
+    case NextStep::kTimeOut:
+      ++proxy_.counters_.failed;
+      LogRequestEnd("timed_out", 504);
+      NotifyObserver("timed_out");
+      co_await SendLocalResponse(504, false);
+      break;
+    case NextStep::kAbortResponse:
+    case NextStep::kRetry:
+      ++proxy_.counters_.failed;
+      LogRequestEnd("broken_off", 0);
+      NotifyObserver("broken_off");
+      break;
+  }
+}
+
+void ProxiedRequest::LogAttempt(const Placement& placement, AttemptOutcome outcome,
+                                const net::HttpCall& call) const {
+  base::LogEvent("attempt_ended")
+      .Text("request", request_info_.id)
+      .Text(placement.replica ? "replica" : "region", served_by_)
+      .Text("end", AttemptOutcomeName(outcome))
+      .Text("fault", net::CallFaultName(call.fault()))
+      .Text("detail", call.detail())
+      .Number("sends", progress_.sends)
+      .Number("answer_begun", prefill_done_ ? 1 : 0)
+      .Time("after_ms", deps_.clock.Now() - received_at_);
+}
+
+void ProxiedRequest::LogRequestEnd(const char* outcome, unsigned status) const {
+  base::LogEvent line(outcome);
+  line.Text("request", request_info_.id)
+      .Text("route", route_.name)
+      .Text("service", service_)
+      .Text("by", served_by_)
+      .Number("status", status)
+      .Number("sends", progress_.sends)
+      .Number("config", static_cast<int64_t>(config_->version))
+      .Time("expected_ms", expected_first_byte_)
+      .Time("total_ms", deps_.clock.Now() - received_at_);
+  if (first_byte_at_ != base::TimePoint{}) line.Time("first_ms", first_byte_at_ - received_at_);
+  if (refusal_reason_ != RefusalReason::kNone && (status == 503 || status == 401)) {
+    line.Text("reason", RefusalReasonName(refusal_reason_));
+  }
+  if (!tenant_name_.empty()) line.Text("tenant", tenant_name_);
+  if (hop_) line.Number("hop", 1);
+}
+
+void ProxiedRequest::NotifyObserver(const char* outcome) const {
+  if (deps_.observer == nullptr) return;
+  const base::TimePoint now = deps_.clock.Now();
+  RequestSummary summary;
+  summary.outcome = outcome;
+  if (summary.outcome == "refused") summary.reason = RefusalReasonName(refusal_reason_);
+  summary.priority = priority_;
+  summary.tenant = tenant_name_;
+  summary.hop = hop_.has_value();
+  summary.sends = progress_.sends;
+  if (first_byte_at_ != base::TimePoint{}) summary.first_byte = first_byte_at_ - received_at_;
+  summary.total = now - received_at_;
+  deps_.observer->OnRequestEnd(summary);
+}
+
+}  // namespace cornelplank::serving
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -36,15 +36,17 @@
   if (left <= kMinAttemptTime) co_return AttemptOutcome::kNotSent;
   sent_at_ = deps_.clock.Now();
   ++progress_.sends;
+  const std::optional<std::string> tenant = TenantToSend();
   net::Request outgoing;
   if (placement.replica) {
-    AttemptParameters parameters{left, placement.replica->published.id, route_.priority, last_event_id_};
+    AttemptParameters parameters{left, placement.replica->published.id, priority_, last_event_id_, tenant};
     outgoing = deps_.codec.EncodeAttempt(request_, parameters);
   } else {
-    outgoing = deps_.codec.EncodeHop(request_, {service_, left});
+    const HopParameters hop{service_, left, tenant};
+    outgoing = deps_.codec.EncodeHop(request_, hop);
     if (last_event_id_ && last_event_id_ != request_info_.last_event_id) {
-      AttemptParameters parameters{left, "", route_.priority, last_event_id_};
-      outgoing = deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), {service_, left});
+      AttemptParameters parameters{left, "", priority_, last_event_id_, tenant};
+      outgoing = deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), hop);
     }
   }
   if (!co_await call.Send(outgoing)) co_return AttemptOutcome::kUnknown;
--- a/libs/serving/internal/request_observer.h
+++ b/libs/serving/internal/request_observer.h
@@ -11,7 +11,8 @@
 struct RequestSummary {
   std::string_view outcome;                  // event name of its last log line
   std::string_view reason;                   // why it was refused; empty for other outcomes
-  int priority = 0;                          // of its route
+  std::string_view tenant;                   // name; empty: of no tenant
+  int priority = 0;                          // of its tenant or route
   bool hop = false;                          // an entry VM of another region forwarded it to this one
   unsigned sends = 0;                        // attempts whose bytes may have reached a replica
   std::optional<base::Duration> first_byte;  // since its arrival; none when no response of a replica began
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libs/serving/internal/proxied_request.h"
+#include "libs/serving/internal/request_identity.h"
 
 namespace cornelplank::serving {
 namespace {
@@ -51,15 +52,23 @@
   }
 }
 
-net::Task<> RequestProxy::Deny(const RequestInfo& request, const RoutingConfig& config,
+bool RequestProxy::MayAcceptKeys(base::TimePoint now) const {
+  const ConfigFreshness& freshness = deps_.registry.config_freshness();
+  if (!freshness.MayPlaceBoundRequests(now)) return false;
+  if (!key_age_bound_) return true;
+  const auto age = freshness.Age(now);
+  return age && *age <= *key_age_bound_;
+}
+
+net::Task<> RequestProxy::Deny(const RequestInfo& request, const RoutingConfig& config, unsigned status,
                                net::ResponseWriter& writer) {
   const base::TimePoint now = deps_.clock.Now();
   const ConfigFreshness& freshness = deps_.registry.config_freshness();
   const base::Duration age = freshness.Age(now).value_or(base::Duration::zero());
   const bool final = freshness.MayDeny(now);
-  base::LogEvent("no_route")
+  base::LogEvent(status == 404 ? "no_route" : "unknown_key")
       .Text("request", request.id)
-      .Number("status", final ? 404 : 503)
+      .Number("status", final ? status : 503)
       .Number("config", static_cast<int64_t>(config.version))
       .Number("newest", static_cast<int64_t>(freshness.newest_heard()))
       .Text("state", ConfigStateName(freshness.Assess(now)))
@@ -68,7 +77,7 @@
   if (final) {
     ++counters_.denied;
     counters_.max_denial_age = std::max(counters_.max_denial_age, age);
-    co_await writer.Send(deps_.codec.MakeLocalResponse(404, request.id, std::nullopt), "");
+    co_await writer.Send(deps_.codec.MakeLocalResponse(status, request.id, std::nullopt), "");
   } else {
     ++counters_.refused;
     co_await writer.Send(deps_.codec.MakeLocalResponse(503, request.id, ConfigFreshness::kRetryAfter), "");
@@ -94,13 +103,14 @@
     co_return;
   }
   const RouteConfig* route = config->FindRoute(client->host, client->path);
-  if (route == nullptr) {
+  const auto allowed = [&] { return route && IdentifyByKey(*config, *route, client->key).allowed; };
+  if (!allowed()) {
     co_await AwaitFinalDenial(received_at, writer);
     config = deps_.registry.SharedConfig();
     route = config->FindRoute(client->host, client->path);
   }
-  if (route == nullptr) {
-    co_await Deny(*client, *config, writer);
+  if (!allowed()) {
+    co_await Deny(*client, *config, route == nullptr ? 404 : 401, writer);
     co_return;
   }
   const std::string service = route->PickService(base::Hash64(client->id));
@@ -135,12 +145,15 @@
   // one.
   const bool service_replaced = parameters && route != nullptr && !route->Offers(parameters->service) &&
                                 deps_.registry.config_freshness().MayDeny(deps_.clock.Now());
-  if (!parameters || route == nullptr || service_replaced) {
+  const bool unknown_tenant = parameters && route != nullptr &&
+                              !IdentifyByName(*config, *route, parameters->tenant.value_or("")).allowed;
+  if (!parameters || route == nullptr || service_replaced || unknown_tenant) {
     base::LogEvent("hop_refused")
         .Text("request", client ? client->id : "")
         .Text("reason", !parameters        ? "no_hop_terms"
                         : !client          ? problem
                         : service_replaced ? "service_replaced"
+                        : unknown_tenant   ? "unknown_tenant"
                                            : "no_route");
     auto head = deps_.codec.MakeLocalResponse(503, client ? client->id : "", kNoConfigRetryAfter);
     deps_.codec.MarkNotRun(&head);
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -23,12 +23,12 @@
 struct ProxyCounters {
   uint64_t requests = 0;  // received from clients
   uint64_t answered = 0;  // complete responses of replicas, error responses included
-  uint64_t refused = 0;   // local 503
+  uint64_t refused = 0;   // local responses to requests that have not run, except `denied`
   uint64_t failed = 0;    // local 502 and 504, and responses aborted after they had begun
   uint64_t client_gone = 0;
   uint64_t second_sends = 0;         // retries after an attempt whose bytes may have reached a replica
   uint64_t hops = 0;                 // attempts forwarded to another region
-  uint64_t denied = 0;               // local 404: no route matches
+  uint64_t denied = 0;               // local 404, no route matches, and local 401, no tenant has the key
   base::Duration max_denial_age{0};  // greatest age of a configuration that a request was denied by
 };
 
@@ -65,6 +65,9 @@
   /// Sets how many second sends (retries) of each service this VM may make in a burst. Beyond the burst they
   /// are limited to a fixed fraction of the requests.
   void SetSecondSendBurst(double burst);
+  /// Sets the age of the configuration beyond which requests with keys are refused; none: a VM that can't
+  /// reach the store accepts the keys of the configuration that it has.
+  void SetKeyAgeBound(std::optional<std::chrono::milliseconds> bound) { key_age_bound_ = bound; }
   /// From now on refuses requests, as not run, that are not expected to end before `end`, when the VM exits.
   void BeginStop(base::TimePoint end) { stops_at_ = end; }
   /// Ends all requests in progress: those without a response are answered with 502, or with 503 when they
@@ -84,9 +87,13 @@
   /// Waits a short time while a newer configuration, or the confirmation of the one in force, may be on its
   /// way.
   net::Task<> AwaitFinalDenial(base::TimePoint received_at, const net::ResponseWriter& writer);
-  /// Responds to a request that no route of `config` matches: with 404, or with 503 when a newer version may
-  /// have a route for it.
-  net::Task<> Deny(const RequestInfo& request, const RoutingConfig& config, net::ResponseWriter& writer);
+  /// Responds to a request that `config` has no route or no tenant for: with `status`, or with 503 when a
+  /// newer version may have one.
+  net::Task<> Deny(const RequestInfo& request, const RoutingConfig& config, unsigned status,
+                   net::ResponseWriter& writer);
+  /// Whether requests may be served because of their key: the configuration in force is the newest one as far
+  /// as that can be known, and not older than the bound if there is one.
+  bool MayAcceptKeys(base::TimePoint now) const;
   retry::ExtraAttemptBudget& RetryBudget(const std::string& service);
   AdaptiveAdmission& Admission(const std::string& service, int priority) {
     return admissions_[{service, priority}];
@@ -100,6 +107,7 @@
   bool ended_ = false;                       // EndRequests was called
   base::Random random_{base::EntropySeed()};
   double second_send_burst_ = 2;
+  std::optional<std::chrono::milliseconds> key_age_bound_;
   ProxyCounters counters_;
   // Shared, because coroutines that hold a ProxiedRequest may be destroyed after the proxy.
   std::shared_ptr<std::set<ProxiedRequest*>> active_requests_ = std::make_shared<std::set<ProxiedRequest*>>();
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -123,24 +124,30 @@
     }
   }
 
-  /// Puts a configuration in force at a VM in which the routes go to `service`.
-  static void MoveRoutes(ProxyVm& vm, const std::string& service) {
+  /// Puts the next version of the configuration in force at a VM, as `change` makes it.
+  static void ChangeConfig(ProxyVm& vm, const std::function<void(serving::RoutingConfig&)>& change) {
     auto config = std::make_shared<serving::RoutingConfig>(*vm.registry.config());
     ++config->version;
-    for (serving::RouteConfig& route : config->routes) route.services = {{service, 1}};
+    change(*config);
     vm.registry.SetConfig(config);
   }
 
+  /// Puts a configuration in force at a VM in which the routes go to `service`.
+  static void MoveRoutes(ProxyVm& vm, const std::string& service) {
+    ChangeConfig(vm, [&](serving::RoutingConfig& config) {
+      for (serving::RouteConfig& route : config.routes) route.services = {{service, 1}};
+    });
+  }
+
   /// Sends a request on a connection of its own and runs the loop for `time`, and on until the VM has closed
-  /// the connection after its response. Returns the bytes received.
+  /// the connection after its response. Returns the bytes received. `headers`: further lines of the request.
   std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time,
-                   const std::string& body = "hi") {
+                   const std::string& body = "hi", const std::string& headers = "") {
     net::Tcp::socket socket(loop);
     socket.connect(Loopback(entry->server->Port()));
     const std::string request =
-        "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
-        "\r\nDeadline-Ms: 2000\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body;
+        "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 2000\r\n" +
+        headers + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     net::Spawn(loop, "send", [](net::Tcp::socket& to, const std::string& bytes) -> net::Task<> {
       net::Error ignored;  // the VM may respond and close before it has read everything
       co_await asio::async_write(to, asio::buffer(bytes), net::Into(ignored));
--- a/tests/serving/placement_test.cc
+++ b/tests/serving/placement_test.cc
@@ -31,6 +31,7 @@
     config->routes.push_back(route);
     registry.SetConfig(config);
     query.route = &route;
+    query.residency.Restrict(route.home_regions);
     query.service = "llm";
   }
 
