--- a/libs/tenancy/internal/tenant_directory.h
+++ b/libs/tenancy/internal/tenant_directory.h
@@ -52,6 +52,8 @@
   /// Returns null when no tenant has the name.
   const Tenant* FindByName(std::string_view name) const;
   size_t size() const { return tenants_.size(); }
+  /// All tenants, by name.
+  const std::map<std::string, Tenant, std::less<>>& tenants() const { return tenants_; }
 
  private:
   using KeyDigest = std::array<uint64_t, 2>;
