--- a/libs/fleet/fleet.h
+++ b/libs/fleet/fleet.h
@@ -4,3 +4,4 @@
 #include "libs/fleet/internal/heartbeat_loop.h"
 #include "libs/fleet/internal/load_exchange.h"
 #include "libs/fleet/internal/member_table.h"
+#include "libs/fleet/internal/quota_client.h"
--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -82,3 +82,35 @@
   limits @8 :List(Limit);
   sum @9 :LoadSum;
 }
+
+# What a VM tells another about the quota of a tenant; tenancy::QuotaMessage explains the fields. Amounts are
+# in thousandths.
+struct Quota {
+  kind @0 :UInt8;
+  forwarded @1 :Bool;
+  tenant @2 :UInt64;       # hash of the name
+  sequence @3 :UInt64;
+  origin @4 :UInt32;
+  milliAmount @5 :UInt64;
+  milliExtra @6 :UInt64;
+  milliDemand @7 :UInt64;
+  retryMs @8 :UInt32;
+  regionVms @9 :UInt32;
+  elsewhere @10 :UInt32;
+}
+
+# A Beat with one more list. Datagrams without quotas have the layout of Beat, which has the same other fields,
+# so that they stay as short as before.
+struct QuotaBeat {
+  sender @0 :Member;
+  members @1 :List(Member);
+  offers @2 :List(Offer);
+  loads @3 :List(Load);
+  hasLoads @4 :Bool;
+  crashes @5 :List(Crash);
+  clearances @6 :List(Clearance);
+  verdicts @7 :List(Verdict);
+  limits @8 :List(Limit);
+  sum @9 :LoadSum;
+  quotas @10 :List(Quota);
+}
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -26,6 +26,8 @@
 CAPNP_DECLARE_SCHEMA(db6a93315eb1491a);
 CAPNP_DECLARE_SCHEMA(8c856a19509854e9);
 CAPNP_DECLARE_SCHEMA(ea2b3ab719697f97);
+CAPNP_DECLARE_SCHEMA(99762a1b991bcc8d);
+CAPNP_DECLARE_SCHEMA(f465cf03cf7a79ef);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -184,6 +186,36 @@
   };
 };
 
+struct Quota {
+  Quota() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99762a1b991bcc8d, 8, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaBeat {
+  QuotaBeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f465cf03cf7a79ef, 1, 10)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Member::Reader {
@@ -1189,305 +1221,609 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Quota::Reader {
+public:
+  typedef Quota Reads;
 
-inline  ::uint32_t Member::Reader::getAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t Member::Builder::getAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint8_t getKind() const;
 
-inline  ::uint32_t Member::Reader::getBeat() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline bool getForwarded() const;
 
-inline  ::uint32_t Member::Builder::getBeat() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setBeat( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getTenant() const;
 
-inline  ::uint32_t Member::Reader::getZone() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getSequence() const;
 
-inline  ::uint32_t Member::Builder::getZone() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setZone( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getOrigin() const;
 
-inline  ::uint8_t Member::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getMilliAmount() const;
 
-inline  ::uint8_t Member::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getMilliExtra() const;
 
-inline  ::uint64_t Member::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getMilliDemand() const;
 
-inline  ::uint64_t Member::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getRetryMs() const;
 
-inline  ::uint8_t Member::Reader::getStoreContact() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint32_t getRegionVms() const;
 
-inline  ::uint8_t Member::Builder::getStoreContact() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setStoreContact( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getElsewhere() const;
 
-inline  ::uint32_t Offer::Reader::getRegion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint32_t Offer::Builder::getRegion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Offer::Builder::setRegion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+class Quota::Builder {
+public:
+  typedef Quota Builds;
 
-inline  ::uint32_t Offer::Reader::getService() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-inline  ::uint32_t Offer::Builder::getService() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Offer::Builder::setService( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t Offer::Reader::getWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
 
-inline  ::uint32_t Offer::Builder::getWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Offer::Builder::setWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline bool getForwarded();
+  inline void setForwarded(bool value);
 
-inline  ::uint32_t Offer::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getTenant();
+  inline void setTenant( ::uint64_t value);
 
-inline  ::uint32_t Offer::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Offer::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-inline  ::uint32_t Load::Reader::getReplica() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint32_t getOrigin();
+  inline void setOrigin( ::uint32_t value);
 
-inline  ::uint32_t Load::Builder::getReplica() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setReplica( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getMilliAmount();
+  inline void setMilliAmount( ::uint64_t value);
 
-inline  ::uint32_t Load::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getMilliExtra();
+  inline void setMilliExtra( ::uint64_t value);
 
-inline  ::uint32_t Load::Builder::getRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getMilliDemand();
+  inline void setMilliDemand( ::uint64_t value);
 
-inline  ::uint32_t Load::Reader::getPrefillTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint32_t getRetryMs();
+  inline void setRetryMs( ::uint32_t value);
 
-inline  ::uint32_t Load::Builder::getPrefillTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setPrefillTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getRegionVms();
+  inline void setRegionVms( ::uint32_t value);
 
-inline  ::uint32_t Load::Reader::getMemoryTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint32_t getElsewhere();
+  inline void setElsewhere( ::uint32_t value);
 
-inline  ::uint32_t Load::Builder::getMemoryTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setMemoryTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-inline  ::uint32_t Crash::Reader::getReporter() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+class Quota::Pipeline {
+public:
+  typedef Quota Pipelines;
 
-inline  ::uint32_t Crash::Builder::getReporter() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Crash::Builder::setReporter( ::uint32_t value) {
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaBeat::Reader {
+public:
+  typedef QuotaBeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::cornelplank::fleet::schema::Member::Reader getSender() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasOffers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader getOffers() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline bool getHasLoads() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasClearances() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader getClearances() const;
+
+  inline bool hasVerdicts() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasSum() const;
+  inline  ::cornelplank::fleet::schema::LoadSum::Reader getSum() const;
+
+  inline bool hasQuotas() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader getQuotas() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaBeat::Builder {
+public:
+  typedef QuotaBeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::cornelplank::fleet::schema::Member::Builder getSender();
+  inline void setSender( ::cornelplank::fleet::schema::Member::Reader value);
+  inline  ::cornelplank::fleet::schema::Member::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> disownSender();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasOffers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder getOffers();
+  inline void setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder initOffers(unsigned int size);
+  inline void adoptOffers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> disownOffers();
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool getHasLoads();
+  inline void setHasLoads(bool value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasClearances();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder getClearances();
+  inline void setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder initClearances(unsigned int size);
+  inline void adoptClearances(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> disownClearances();
+
+  inline bool hasVerdicts();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
+  inline void setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
+  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
+
+  inline bool hasLimits();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasSum();
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder getSum();
+  inline void setSum( ::cornelplank::fleet::schema::LoadSum::Reader value);
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder initSum();
+  inline void adoptSum(::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> disownSum();
+
+  inline bool hasQuotas();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder getQuotas();
+  inline void setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder initQuotas(unsigned int size);
+  inline void adoptQuotas(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> disownQuotas();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaBeat::Pipeline {
+public:
+  typedef QuotaBeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cornelplank::fleet::schema::Member::Pipeline getSender();
+  inline  ::cornelplank::fleet::schema::LoadSum::Pipeline getSum();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t Member::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAddress( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Crash::Reader::getIncarnation() const {
+inline  ::uint64_t Member::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Crash::Builder::getIncarnation() {
+inline  ::uint64_t Member::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setIncarnation( ::uint64_t value) {
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getSequence() const {
+inline  ::uint32_t Member::Reader::getBeat() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crash::Builder::getSequence() {
+inline  ::uint32_t Member::Builder::getBeat() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setSequence( ::uint32_t value) {
+inline void Member::Builder::setBeat( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getReplica() const {
+inline  ::uint32_t Member::Reader::getZone() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crash::Builder::getReplica() {
+inline  ::uint32_t Member::Builder::getZone() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setReplica( ::uint32_t value) {
+inline void Member::Builder::setZone( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Crash::Reader::hasParts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint8_t Member::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
-inline bool Crash::Builder::hasParts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint8_t Member::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Crash::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Member::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Member::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t Member::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::uint8_t Member::Reader::getStoreContact() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+
+inline  ::uint8_t Member::Builder::getStoreContact() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStoreContact( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getRegion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getRegion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setRegion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getPrefillTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getPrefillTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setPrefillTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getMemoryTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getMemoryTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setMemoryTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getReporter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getReporter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setReporter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crash::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crash::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Crash::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Crash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Crash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Crash::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Crash::Builder::disownParts() {
@@ -1574,521 +1910,1039 @@
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Limit::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Limit::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Limit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Limit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Limit::Reader::getMilliPerSecond() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Limit::Builder::getMilliPerSecond() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setMilliPerSecond( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Limit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Limit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CoveredVm::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CoveredVm::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CoveredVm::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CoveredVm::Reader::getBeat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CoveredVm::Builder::getBeat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CoveredVm::Builder::setBeat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSum::Reader::getWholeRegion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadSum::Builder::getWholeRegion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadSum::Builder::setWholeRegion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadSum::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadSum::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSum::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSum::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSum::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSum::Builder::setVms( ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadSum::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSum::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSum::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadSum::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadSum::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cornelplank::fleet::schema::Member::Reader Beat::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::Member::Pipeline Beat::Pipeline::getSender() {
+  return  ::cornelplank::fleet::schema::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Beat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::adoptSender(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> Beat::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> Beat::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasOffers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasOffers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getOffers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getOffers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initOffers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptOffers(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> Beat::Builder::disownOffers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::getHasLoads() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Beat::Builder::getHasLoads() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Beat::Builder::setHasLoads(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Beat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasClearances() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasClearances() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getClearances() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initClearances(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptClearances(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> Beat::Builder::disownClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasVerdicts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasVerdicts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initVerdicts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptVerdicts(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> Beat::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasSum() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasSum() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cornelplank::fleet::schema::LoadSum::Reader Beat::Reader::getSum() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::getSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::LoadSum::Pipeline Beat::Pipeline::getSum() {
+  return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Beat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::initSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::adoptSum(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> Beat::Builder::disownSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Limit::Reader::getReplica() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint8_t Quota::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Limit::Builder::getReplica() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint8_t Quota::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Limit::Builder::setReplica( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Quota::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Limit::Reader::getLimited() const {
+inline bool Quota::Reader::getForwarded() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool Limit::Builder::getLimited() {
+inline bool Quota::Builder::getForwarded() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Limit::Builder::setLimited(bool value) {
+inline void Quota::Builder::setForwarded(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Limit::Reader::getMilliPerSecond() const {
+inline  ::uint64_t Quota::Reader::getTenant() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Limit::Builder::getMilliPerSecond() {
+inline  ::uint64_t Quota::Builder::getTenant() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Limit::Builder::setMilliPerSecond( ::uint64_t value) {
+inline void Quota::Builder::setTenant( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Limit::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Limit::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Limit::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t CoveredVm::Reader::getAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CoveredVm::Builder::getAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CoveredVm::Builder::setAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Quota::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CoveredVm::Reader::getBeat() const {
+inline  ::uint32_t Quota::Reader::getOrigin() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CoveredVm::Builder::getBeat() {
+inline  ::uint32_t Quota::Builder::getOrigin() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CoveredVm::Builder::setBeat( ::uint32_t value) {
+inline void Quota::Builder::setOrigin( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadSum::Reader::getWholeRegion() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Reader::getMilliAmount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool LoadSum::Builder::getWholeRegion() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Builder::getMilliAmount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::setWholeRegion(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Quota::Builder::setMilliAmount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t LoadSum::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Reader::getMilliExtra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LoadSum::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Builder::getMilliExtra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Quota::Builder::setMilliExtra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadSum::Reader::hasVms() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LoadSum::Builder::hasVms() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getVms() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getVms() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoadSum::Builder::setVms( ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::uint64_t Quota::Reader::getMilliDemand() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initVms(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t Quota::Builder::getMilliDemand() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::adoptVms(
-    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Quota::Builder::setMilliDemand( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownVms() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Quota::Reader::getRetryMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline bool LoadSum::Reader::hasLoads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t Quota::Builder::getRetryMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline bool LoadSum::Builder::hasLoads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void Quota::Builder::setRetryMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Quota::Reader::getRegionVms() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Quota::Builder::getRegionVms() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Quota::Builder::setRegionVms( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t Quota::Reader::getElsewhere() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Quota::Builder::getElsewhere() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Quota::Builder::setElsewhere( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasSender() const {
+inline bool QuotaBeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasSender() {
+inline bool QuotaBeat::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cornelplank::fleet::schema::Member::Reader Beat::Reader::getSender() const {
+inline  ::cornelplank::fleet::schema::Member::Reader QuotaBeat::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::getSender() {
+inline  ::cornelplank::fleet::schema::Member::Builder QuotaBeat::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cornelplank::fleet::schema::Member::Pipeline Beat::Pipeline::getSender() {
+inline  ::cornelplank::fleet::schema::Member::Pipeline QuotaBeat::Pipeline::getSender() {
   return  ::cornelplank::fleet::schema::Member::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Beat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
+inline void QuotaBeat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::initSender() {
+inline  ::cornelplank::fleet::schema::Member::Builder QuotaBeat::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::adoptSender(
+inline void QuotaBeat::Builder::adoptSender(
     ::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> Beat::Builder::disownSender() {
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> QuotaBeat::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasMembers() const {
+inline bool QuotaBeat::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasMembers() {
+inline bool QuotaBeat::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getMembers() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getMembers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getMembers() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initMembers(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initMembers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptMembers(
+inline void QuotaBeat::Builder::adoptMembers(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> Beat::Builder::disownMembers() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasOffers() const {
+inline bool QuotaBeat::Reader::hasOffers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasOffers() {
+inline bool QuotaBeat::Builder::hasOffers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getOffers() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getOffers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getOffers() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getOffers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initOffers(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initOffers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptOffers(
+inline void QuotaBeat::Builder::adoptOffers(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> Beat::Builder::disownOffers() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownOffers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasLoads() const {
+inline bool QuotaBeat::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasLoads() {
+inline bool QuotaBeat::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLoads() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getLoads() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLoads() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLoads(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initLoads(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptLoads(
+inline void QuotaBeat::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLoads() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::getHasLoads() const {
+inline bool QuotaBeat::Reader::getHasLoads() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Beat::Builder::getHasLoads() {
+inline bool QuotaBeat::Builder::getHasLoads() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setHasLoads(bool value) {
+inline void QuotaBeat::Builder::setHasLoads(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasCrashes() const {
+inline bool QuotaBeat::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasCrashes() {
+inline bool QuotaBeat::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getCrashes() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getCrashes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initCrashes(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptCrashes(
+inline void QuotaBeat::Builder::adoptCrashes(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownCrashes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasClearances() const {
+inline bool QuotaBeat::Reader::hasClearances() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasClearances() {
+inline bool QuotaBeat::Builder::hasClearances() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getClearances() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getClearances() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getClearances() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getClearances() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initClearances(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initClearances(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptClearances(
+inline void QuotaBeat::Builder::adoptClearances(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> Beat::Builder::disownClearances() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownClearances() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasVerdicts() const {
+inline bool QuotaBeat::Reader::hasVerdicts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasVerdicts() {
+inline bool QuotaBeat::Builder::hasVerdicts() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getVerdicts() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getVerdicts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getVerdicts() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getVerdicts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initVerdicts(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initVerdicts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptVerdicts(
+inline void QuotaBeat::Builder::adoptVerdicts(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> Beat::Builder::disownVerdicts() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownVerdicts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasLimits() const {
+inline bool QuotaBeat::Reader::hasLimits() const {
   return !_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasLimits() {
+inline bool QuotaBeat::Builder::hasLimits() {
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getLimits() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getLimits() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initLimits(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptLimits(
+inline void QuotaBeat::Builder::adoptLimits(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownLimits() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasSum() const {
+inline bool QuotaBeat::Reader::hasSum() const {
   return !_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasSum() {
+inline bool QuotaBeat::Builder::hasSum() {
   return !_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cornelplank::fleet::schema::LoadSum::Reader Beat::Reader::getSum() const {
+inline  ::cornelplank::fleet::schema::LoadSum::Reader QuotaBeat::Reader::getSum() const {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::getSum() {
+inline  ::cornelplank::fleet::schema::LoadSum::Builder QuotaBeat::Builder::getSum() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cornelplank::fleet::schema::LoadSum::Pipeline Beat::Pipeline::getSum() {
+inline  ::cornelplank::fleet::schema::LoadSum::Pipeline QuotaBeat::Pipeline::getSum() {
   return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
 }
 #endif  // !CAPNP_LITE
-inline void Beat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
+inline void QuotaBeat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::initSum() {
+inline  ::cornelplank::fleet::schema::LoadSum::Builder QuotaBeat::Builder::initSum() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::adoptSum(
+inline void QuotaBeat::Builder::adoptSum(
     ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> Beat::Builder::disownSum() {
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> QuotaBeat::Builder::disownSum() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool QuotaBeat::Reader::hasQuotas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaBeat::Builder::hasQuotas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getQuotas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void QuotaBeat::Builder::setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initQuotas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void QuotaBeat::Builder::adoptQuotas(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -5,6 +5,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "libs/fleet/internal/beat.capnp.h"
@@ -17,6 +18,9 @@
 // Greatest limit of a replica that is passed on, in requests a second; a greater one limits nothing.
 constexpr double kMaxLimitPerSecond = 1e9;
 
+// Greatest amount in a message about a quota; a greater one is cut.
+constexpr double kMaxQuotaAmount = 1e12;
+
 uint32_t Clamp(uint64_t value) {
   return static_cast<uint32_t>(std::min<uint64_t>(value, std::numeric_limits<uint32_t>::max()));
 }
@@ -157,6 +161,53 @@
   return sum;
 }
 
+uint64_t Thousandths(double amount) {
+  return static_cast<uint64_t>(std::llround(std::clamp(amount, 0.0, kMaxQuotaAmount) * 1000));
+}
+
+double FromThousandths(uint64_t amount) {
+  return std::min(kMaxQuotaAmount, static_cast<double>(amount) / 1000);
+}
+
+void Write(schema::QuotaBeat::Builder out, const std::vector<tenancy::QuotaMessage>& messages) {
+  auto quotas = out.initQuotas(static_cast<uint32_t>(messages.size()));
+  for (uint32_t i = 0; i < messages.size(); ++i) {
+    const tenancy::QuotaMessage& message = messages[i];
+    quotas[i].setKind(static_cast<uint8_t>(message.kind));
+    quotas[i].setForwarded(message.forwarded);
+    quotas[i].setTenant(message.tenant);
+    quotas[i].setSequence(message.sequence);
+    quotas[i].setOrigin(message.origin);
+    quotas[i].setMilliAmount(Thousandths(message.amount));
+    quotas[i].setMilliExtra(Thousandths(message.extra));
+    quotas[i].setMilliDemand(Thousandths(message.demand));
+    quotas[i].setRetryMs(Milliseconds(message.retry_after));
+    quotas[i].setRegionVms(message.region_vms);
+    quotas[i].setElsewhere(message.elsewhere);
+  }
+}
+
+/// Leaves out messages of a kind that this release doesn't know.
+std::vector<tenancy::QuotaMessage> ReadQuotas(schema::QuotaBeat::Reader in) {
+  std::vector<tenancy::QuotaMessage> messages;
+  for (const auto quota : in.getQuotas()) {
+    if (quota.getKind() > static_cast<uint8_t>(tenancy::QuotaMessage::kLastKind)) continue;
+    tenancy::QuotaMessage& message = messages.emplace_back();
+    message.kind = static_cast<tenancy::QuotaMessage::Kind>(quota.getKind());
+    message.forwarded = quota.getForwarded();
+    message.tenant = quota.getTenant();
+    message.sequence = quota.getSequence();
+    message.origin = quota.getOrigin();
+    message.amount = FromThousandths(quota.getMilliAmount());
+    message.extra = FromThousandths(quota.getMilliExtra());
+    message.demand = FromThousandths(quota.getMilliDemand());
+    message.retry_after = std::chrono::milliseconds(quota.getRetryMs());
+    message.region_vms = std::min(quota.getRegionVms(), tenancy::kMaxRegionVms);
+    message.elsewhere = quota.getElsewhere();
+  }
+  return messages;
+}
+
 Heartbeat Read(schema::Beat::Reader in) {
   Heartbeat heartbeat;
   heartbeat.sender = Read(in.getSender());
@@ -179,7 +230,8 @@
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
   capnp::MallocMessageBuilder message;
-  auto out = message.initRoot<schema::Beat>();
+  if (!heartbeat.quotas.empty()) Write(message.initRoot<schema::QuotaBeat>(), heartbeat.quotas);
+  auto out = heartbeat.quotas.empty() ? message.initRoot<schema::Beat>() : message.getRoot<schema::Beat>();
   Write(out.initSender(), heartbeat.sender);
   auto members = out.initMembers(heartbeat.members.size());
   for (size_t i = 0; i < heartbeat.members.size(); ++i) Write(members[i], heartbeat.members[i]);
@@ -212,6 +264,7 @@
     options.traversalLimitInWords = kMaxHeartbeatWords;
     capnp::PackedMessageReader message(in, options);
     heartbeat = Read(message.getRoot<schema::Beat>());
+    heartbeat->quotas = ReadQuotas(message.getRoot<schema::QuotaBeat>());
   });
   if (failure != nullptr) return std::nullopt;
   return heartbeat;
--- a/libs/fleet/internal/heartbeat_codec.h
+++ b/libs/fleet/internal/heartbeat_codec.h
@@ -19,6 +19,7 @@
   serving::QuarantineReport quarantine;                    // prompt parts that crash replicas, of all VMs
   std::vector<serving::LimitStatement> limits;             // of replicas of the own region
   std::optional<LoadSum> load_sum;                         // only within its region
+  std::vector<tenancy::QuotaMessage> quotas;               // for the receiver alone
 };
 
 /// Returns the heartbeat as packed Cap'n Proto.
--- a/libs/fleet/internal/heartbeat_loop.cc
+++ b/libs/fleet/internal/heartbeat_loop.cc
@@ -87,6 +87,7 @@
   replicas_.MergeLimits(heartbeat.limits, now);
   if (heartbeat.loads) load_exchange_.OnLoads(heartbeat.sender, *heartbeat.loads, now);
   if (heartbeat.load_sum) load_exchange_.OnSum(heartbeat.sender, *heartbeat.load_sum, now);
+  if (!heartbeat.quotas.empty() && quota_receiver_) quota_receiver_(heartbeat.quotas);
 }
 
 Heartbeat HeartbeatLoop::MakeHeartbeat(Content content) {
@@ -191,6 +192,14 @@
   }
 }
 
+void HeartbeatLoop::SendQuotas(VmAddress vm, std::vector<tenancy::QuotaMessage> messages) {
+  Heartbeat heartbeat;
+  heartbeat.sender =
+      members_.own();  // not a new heartbeat, which would claim to state the loads of its moment
+  heartbeat.quotas = std::move(messages);
+  SendTo(vm, EncodeHeartbeat(heartbeat));
+}
+
 void HeartbeatLoop::BroadcastState() {
   const std::string bytes = EncodeHeartbeat(MakeHeartbeat(Content::kMembers));
   for (const auto& [address, entry] : members_.others()) SendTo(address, bytes);
--- a/libs/fleet/internal/heartbeat_loop.h
+++ b/libs/fleet/internal/heartbeat_loop.h
@@ -46,6 +46,12 @@
   }
   /// Sets the quarantine whose reports the heartbeats carry.
   void SetQuarantine(serving::PromptQuarantine* quarantine) { quarantine_ = quarantine; }
+  /// Sets the function that gets the messages about quotas that arrive.
+  void SetQuotaReceiver(std::function<void(const std::vector<tenancy::QuotaMessage>&)> receiver) {
+    quota_receiver_ = std::move(receiver);
+  }
+  /// Sends messages about quotas to a VM, at once and not again.
+  void SendQuotas(VmAddress vm, std::vector<tenancy::QuotaMessage> messages);
   /// Sends a heartbeat to every known VM at once, after a change of this VM's state.
   void BroadcastState();
 
@@ -76,6 +82,7 @@
   uint16_t port_ = 0;
   std::vector<VmAddress> seeds_;
   std::function<std::vector<RegionWaitReport>()> wait_report_source_;
+  std::function<void(const std::vector<tenancy::QuotaMessage>&)> quota_receiver_;
   serving::PromptQuarantine* quarantine_ = nullptr;
   base::Random random_;
   base::TimePoint limits_sent_at_{};
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -14,6 +14,7 @@
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/placement.h"
 #include "libs/serving/internal/prompt_quarantine.h"
+#include "libs/serving/internal/quota_gate.h"
 #include "libs/serving/internal/replica_registry.h"
 #include "libs/serving/internal/request_observer.h"
 
@@ -45,6 +46,7 @@
   RequestObserver* observer = nullptr;
   PromptQuarantine* quarantine =
       nullptr;  // null: requests are sent whatever their prompt parts did to replicas
+  QuotaGate* quota = nullptr;
 };
 
 class ProxiedRequest;
--- a/libs/tenancy/internal/quota_book.cc
+++ b/libs/tenancy/internal/quota_book.cc
@@ -354,23 +354,22 @@
   outbox_.back().message.forwarded = true;
 }
 
-void QuotaBook::OnMessage(const QuotaMessage& message, base::TimePoint now) {
+uint64_t QuotaBook::OnMessage(const QuotaMessage& message, base::TimePoint now) {
   const auto found = accounts_.find(message.tenant);
-  if (found == accounts_.end()) return;
+  if (found == accounts_.end()) return 0;
   Account& account = found->second;
-  switch (message.kind) {
-    case QuotaMessage::Kind::kGrant:
-      return OnGrant(message, account, now);
-    case QuotaMessage::Kind::kTransfer:
-      return OnTransfer(message, account, now);
-    default:
-      break;
+  if (message.kind == QuotaMessage::Kind::kGrant) return OnGrant(message, account, now);
+  if (message.kind == QuotaMessage::Kind::kTransfer) {
+    OnTransfer(message, account, now);
+  } else if (!account.bucket) {
+    Forward(message);
+  } else {
+    Refill(account, now);
+    if (message.kind == QuotaMessage::Kind::kAsk) OnAsk(message, account, now);
+    if (message.kind == QuotaMessage::Kind::kTransferAsk) OnTransferAsk(message, account, now);
+    if (message.kind == QuotaMessage::Kind::kReturn && IsNew(message)) account.bucket->Put(message.amount);
   }
-  if (!account.bucket) return Forward(message);
-  Refill(account, now);
-  if (message.kind == QuotaMessage::Kind::kAsk) return OnAsk(message, account, now);
-  if (message.kind == QuotaMessage::Kind::kTransferAsk) return OnTransferAsk(message, account, now);
-  if (IsNew(message)) account.bucket->Put(message.amount);
+  return 0;
 }
 
 void QuotaBook::OnAsk(const QuotaMessage& message, Account& account, base::TimePoint now) {
@@ -395,11 +394,12 @@
   outbox_.push_back({message.origin, grant});
 }
 
-void QuotaBook::OnGrant(const QuotaMessage& message, Account& account, base::TimePoint now) {
+uint64_t QuotaBook::OnGrant(const QuotaMessage& message, Account& account, base::TimePoint now) {
   const auto question = questions_.find(message.sequence);
-  if (question == questions_.end() || question->second.tenant != message.tenant) return;
-  if (now - question->second.asked_at > kQuestionTime) return;
-  const auto waiting = requests_.find(question->second.request);
+  if (question == questions_.end() || question->second.tenant != message.tenant) return 0;
+  if (now - question->second.asked_at > kQuestionTime) return 0;
+  const uint64_t id = question->second.request;
+  const auto waiting = requests_.find(id);
   questions_.erase(question);
   account.extra_asked_at = {};
   const bool open = waiting != requests_.end() && !waiting->second.answer;
@@ -414,11 +414,12 @@
   } else if (open) {
     Request& request = waiting->second;
     OnRefused(waiting->first, request, message.retry_after, message.elsewhere, now);
-    if (!request.answer) return;
+    if (!request.answer) return id;
     account.short_cost = request.cost;
     account.short_from = now;
     account.short_until = now + message.retry_after;
   }
+  return id;
 }
 
 void QuotaBook::OnTransferAsk(const QuotaMessage& message, Account& account, base::TimePoint now) {
--- a/libs/tenancy/internal/quota_book.h
+++ b/libs/tenancy/internal/quota_book.h
@@ -26,6 +26,9 @@
 /// Identifies a VM in quota messages.
 using QuotaVm = uint32_t;
 
+/// Greatest size of a region that a message may state.
+inline constexpr uint32_t kMaxRegionVms = 10'000;
+
 /// What one VM tells another about the quota of a tenant.
 struct QuotaMessage {
   enum class Kind : uint8_t {
@@ -110,7 +113,8 @@
   /// Gives back the cost of a request that was granted and has not run.
   void GiveBack(std::string_view tenant, double cost, base::TimePoint now);
 
-  void OnMessage(const QuotaMessage& message, base::TimePoint now);
+  /// Returns the request that the message may have answered; 0: none.
+  uint64_t OnMessage(const QuotaMessage& message, base::TimePoint now);
   /// Periodic work: refills, asks other regions, returns unused tokens and forgets what is outdated.
   void Tick(base::TimePoint now);
   /// The messages to be sent since the last call.
@@ -190,7 +194,7 @@
   void SendAsk(uint64_t id, Request& request, base::TimePoint now);
   void Forward(const QuotaMessage& message);
   void OnAsk(const QuotaMessage& message, Account& account, base::TimePoint now);
-  void OnGrant(const QuotaMessage& message, Account& account, base::TimePoint now);
+  uint64_t OnGrant(const QuotaMessage& message, Account& account, base::TimePoint now);
   void OnTransferAsk(const QuotaMessage& message, Account& account, base::TimePoint now);
   void OnTransfer(const QuotaMessage& message, Account& account, base::TimePoint now);
   void AskOtherRegions(uint64_t tenant, Account& account, base::TimePoint now);
