--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -11,6 +11,9 @@
 constexpr double kMaxSecondSendBurst = 100'000;
 constexpr std::chrono::milliseconds kMaxGrace{600'000};
 constexpr std::chrono::milliseconds kMaxChangeBound{600'000};
+constexpr std::chrono::milliseconds kMaxQuotaWindow{600'000};
+constexpr double kMaxQuotaOverage = 10;
+constexpr double kMaxQuotaSlack = 1e9;
 
 /// Adds a fault and returns an empty endpoint when the key is missing or is not IP:PORT.
 net::Tcp::endpoint RequiredEndpoint(base::Settings& settings, const char* section, const char* key) {
@@ -99,6 +102,12 @@
   ReadBound(settings, "change_bound", &out.change_bound);
   ReadBound(settings, "evacuation_bound", &out.evacuation_bound);
   ReadBound(settings, "drain_bound", &out.drain_bound);
+  tenancy::QuotaBounds& quota = out.quota_bounds;
+  quota.window =
+      settings.Time("limits", "quota_window",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(quota.window), kMaxQuotaWindow);
+  quota.overage = settings.Number("limits", "quota_overage", quota.overage, 0, kMaxQuotaOverage);
+  quota.slack = settings.Number("limits", "quota_slack", quota.slack, 0, kMaxQuotaSlack);
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
   *faults = settings.Finish();
   if (!faults->empty()) return std::nullopt;
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -41,6 +41,7 @@
   std::chrono::milliseconds change_bound{4000};      // a new configuration
   std::chrono::milliseconds evacuation_bound{4000};  // an evacuated zone
   std::chrono::milliseconds drain_bound{4000};       // a replica that leaves
+  tenancy::QuotaBounds quota_bounds;                 // what a tenant may use at most
   std::chrono::milliseconds grace{8000};             // from SIGTERM to the end of the process
 };
 
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -105,11 +105,12 @@
       hop_directory_(members_, clock_, settings.hops.port()),
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
       quarantine_(settings.ip, members_.own().incarnation),
+      quota_client_(loop, clock_, members_, settings.quota_bounds),
       replica_pool_(loop, clock_, ReplicaPoolSettings()),
       peer_pool_(loop, clock_, PeerPoolSettings()),
       metrics_([this] { return ReadGauges(); }),
       proxy_({loop, clock_, codec_, registry_, hop_directory_, placer_, replica_pool_, peer_pool_, &metrics_,
-              &quarantine_}),
+              &quarantine_, &quota_client_}),
       hop_handler_(proxy_),
       directory_(members_, registry_, clock_, settings.clients.port(), [this] { return Ready(); }),
       store_sync_(loop, clock_, MakeStoreEndpoints(settings), members_, settings.zone_regions, registry_,
@@ -164,6 +165,8 @@
   }
   heartbeat_loop_->SetSeeds(settings_.seeds);
   heartbeat_loop_->SetQuarantine(&quarantine_);
+  quota_client_.SetSeeds(settings_.seeds);
+  quota_client_.Connect(*heartbeat_loop_);
   heartbeat_loop_->SetWaitReportSource([this] { return OwnWaitReports(); });
   net::ServerLimits hop_limits;
   hop_limits.idle_timeout = kHopKeepAlive * 2;
@@ -180,6 +183,7 @@
   limits.connections =
       static_cast<size_t>(std::max<int64_t>(64, settings_.descriptors - kReservedDescriptors));
   client_server_->SetLimits(limits);
+  quota_client_.SetTenants(config.tenants.get());
 }
 
 std::vector<fleet::RegionWaitReport> EntryVm::OwnWaitReports() const {
@@ -292,6 +296,7 @@
   settings_.second_send_burst = settings->second_send_burst;
   settings_.grace = settings->grace;
   heartbeat_loop_->SetSeeds(settings_.seeds);
+  quota_client_.SetSeeds(settings_.seeds);
   members_.SetZones(settings->zone_regions);
   base::LogEvent("reloaded").Text("vm", settings_.name);
 }
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -86,6 +86,7 @@
   MembershipHopDirectory hop_directory_;
   serving::Placer placer_;
   serving::PromptQuarantine quarantine_;
+  fleet::QuotaClient quota_client_;
   net::ConnectionPool replica_pool_;
   net::ConnectionPool peer_pool_;
   EntryMetrics metrics_;
