--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -11,6 +11,10 @@
   return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.4, 2, 4, 8, 15};
 }
 
+// Each tenant has one series for each outcome and reason, about 20 of some hundred bytes. The first 100
+// tenants stay within about 1 MB; a deployment may have 1,500.
+constexpr size_t kMaxTenantLabels = 100;
+
 double Seconds(base::Duration time) { return std::chrono::duration<double>(time).count(); }
 
 }  // namespace
@@ -37,7 +41,20 @@
       totals_(prometheus::BuildGauge()
                   .Name("cornelplank_events_total")
                   .Help("Events since the start of the process, by kind.")
-                  .Register(*registry_)) {}
+                  .Register(*registry_)),
+      tenant_requests_(
+          prometheus::BuildCounter()
+              .Name("cornelplank_tenant_requests_total")
+              .Help("Requests of clients that ended, by tenant, outcome and reason of a refusal.")
+              .Register(*registry_)) {}
+
+const std::string& EntryMetrics::TenantLabel(std::string_view tenant) {
+  static const std::string kOthers = "(others)";
+  const auto known = tenant_labels_.find(tenant);
+  if (known != tenant_labels_.end()) return *known;
+  if (tenant_labels_.size() >= kMaxTenantLabels) return kOthers;
+  return *tenant_labels_.emplace(tenant).first;
+}
 
 void EntryMetrics::OnRequestEnd(const serving::RequestSummary& summary) {
   const std::string outcome(summary.outcome);
@@ -46,6 +63,13 @@
       .Add({{"outcome", outcome}, {"reason", std::string(summary.reason)}, {"hop", summary.hop ? "1" : "0"}})
       .Increment();
   if (summary.hop) return;  // the VM that forwarded the request measures its times
+  if (!summary.tenant.empty()) {
+    tenant_requests_
+        .Add({{"tenant", TenantLabel(summary.tenant)},
+              {"outcome", outcome},
+              {"reason", std::string(summary.reason)}})
+        .Increment();
+  }
   if (summary.first_byte) {
     first_byte_.Add({{"priority", priority}}, LatencyBuckets()).Observe(Seconds(*summary.first_byte));
   }
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "libs/net/net.h"
 #include "libs/serving/serving.h"
@@ -33,13 +35,13 @@
   // Totals since the start of the process:
   uint64_t second_sends = 0;  // retries after an attempt whose bytes may have reached a replica
   uint64_t hops = 0;          // attempts forwarded to another region
-  uint64_t denied = 0;        // requests that no route matched
+  uint64_t denied = 0;        // requests that no route or no tenant matched
   uint64_t store_calls = 0;   // of this VM to the platform's store
   uint64_t dropped_log_lines = 0;
 };
 
 /// Counters, gauges and histograms of one entry VM, served in the Prometheus text format. Labels contain
-/// nothing from requests, such as paths or ids.
+/// nothing from requests, such as paths, ids or keys; tenants' names come from the configuration.
 class EntryMetrics final : public serving::RequestObserver, public net::RequestHandler {
  public:
   /// `read_gauges` is called at each request for the metrics.
@@ -52,6 +54,8 @@
 
  private:
   void UpdateGauges();
+  /// The label of a tenant. Tenants beyond the greatest number of labels share one.
+  const std::string& TenantLabel(std::string_view tenant);
 
   std::function<EntryGauges()> read_gauges_;
   std::shared_ptr<prometheus::Registry> registry_;
@@ -60,6 +64,8 @@
   prometheus::Family<prometheus::Histogram>& duration_;
   prometheus::Family<prometheus::Gauge>& state_;
   prometheus::Family<prometheus::Gauge>& totals_;
+  prometheus::Family<prometheus::Counter>& tenant_requests_;
+  std::set<std::string, std::less<>> tenant_labels_;
 };
 
 }  // namespace cornelplank::entry
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -60,6 +60,15 @@
   if (*bound < least) settings.AddFault("limits", key, "is below " + std::to_string(least.count()) + "ms");
 }
 
+/// Reads a truth value that the platform renders from its own document: also as 1, 0, True or False.
+void ReadFlag(base::Settings& settings, const char* key, bool* flag) {
+  const std::string text = settings.Text("limits", key, *flag ? "true" : "false");
+  *flag = text == "true" || text == "True" || text == "1";
+  if (!*flag && text != "false" && text != "False" && text != "0" && !text.empty()) {
+    settings.AddFault("limits", key, "must be true or false");
+  }
+}
+
 }  // namespace
 
 std::optional<EntrySettings> LoadEntrySettings(const std::string& path,
@@ -99,6 +108,8 @@
   ReadBound(settings, "change_bound", &out.change_bound);
   ReadBound(settings, "evacuation_bound", &out.evacuation_bound);
   ReadBound(settings, "drain_bound", &out.drain_bound);
+  ReadFlag(settings, "strict_revocation", &out.strict_revocation);
+  out.revocation_bound = settings.Time("limits", "revocation_bound", out.revocation_bound, kMaxChangeBound);
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
   *faults = settings.Finish();
   if (!faults->empty()) return std::nullopt;
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -41,7 +41,10 @@
   std::chrono::milliseconds change_bound{4000};      // a new configuration
   std::chrono::milliseconds evacuation_bound{4000};  // an evacuated zone
   std::chrono::milliseconds drain_bound{4000};       // a replica that leaves
-  std::chrono::milliseconds grace{8000};             // from SIGTERM to the end of the process
+  // With strict revocation, requests with keys are refused while the configuration is older than the bound.
+  bool strict_revocation = false;
+  std::chrono::milliseconds revocation_bound{5000};
+  std::chrono::milliseconds grace{8000};  // from SIGTERM to the end of the process
 };
 
 /// Reads and checks the settings file. Returns no value, with all faults in `faults`, when it has any.
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -56,6 +56,11 @@
   servers.store = settings.store;
   servers.mirror_port = settings.hops.port();
   servers.operator_bound = std::min(settings.change_bound, settings.evacuation_bound);
+  if (settings.strict_revocation) {  // an older confirmation would cost requests
+    servers.operator_bound = std::min(servers.operator_bound, settings.revocation_bound);
+    servers.operator_bound =
+        std::max<std::chrono::milliseconds>(servers.operator_bound, platform::ReadTimes::kMinBound);
+  }
   servers.replica_bound = settings.drain_bound;
   return servers;
 }
@@ -123,6 +128,7 @@
   std::unique_ptr<EntryVm> vm(new EntryVm(loop, settings_path, settings));
   if (!vm->Listen(problem)) return nullptr;
   vm->UpdateSecondSendBurst();
+  if (settings.strict_revocation) vm->proxy_.SetKeyAgeBound(settings.revocation_bound);
   vm->store_sync_.Start();
   net::Spawn(loop, "housekeeping", vm->RunHousekeeping());
   net::Spawn(loop, "silence", vm->proxy_.RunSilenceChecks());
--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -8,6 +8,7 @@
 
 #include "libs/base/base.h"
 #include "libs/net/net.h"
+#include "libs/tenancy/tenancy.h"
 
 namespace cornelplank::serving {
 
@@ -29,6 +30,7 @@
   std::vector<PromptPart> prompt_parts;     // in order; other requests may share all but the last
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
+  bool states_tokens = false;  // both numbers of tokens are known
 
   /// Tokens of the prompt parts that other requests may share: all but the last part.
   uint32_t SharedPrefixTokens() const;
@@ -36,6 +38,8 @@
   std::vector<uint64_t> SharedParts() const;
   /// Hash over the ids of these parts in order; 0 when the prompt has fewer than two parts.
   uint64_t SharedPrefixKey() const;
+  /// What the request takes from its tenant's quota, in the quota's unit.
+  double QuotaCost(const tenancy::Quota& quota) const;
 };
 
 /// The values that are set anew for each attempt of a request.
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -88,6 +88,10 @@
       return "unknown_key";
     case RefusalReason::kKeysOutdated:
       return "keys_outdated";
+    case RefusalReason::kQuotaExceeded:
+      return "quota_exceeded";
+    case RefusalReason::kQuotaUnavailable:
+      return "quota_unavailable";
   }
   return "unknown";
 }
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -46,6 +46,8 @@
   kStopping,        // this VM is about to exit, and the request is not expected to end before
   kUnknownKey,      // its key has been removed from the configuration since it was accepted
   kKeysOutdated,    // it has a key, and the configuration may have been replaced by a newer one
+  kQuotaExceeded,   // its tenant has used up the quota
+  kQuotaUnavailable,  // no VM that keeps its tenant's quota could be reached
 };
 
 /// The reason's name in log lines and metrics.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -155,7 +155,8 @@
   auto& budget = proxy_.RetryBudget(service_);
   RefusalReason reason = RefusalReason::kNone;
   if (!budget.CanTake() || !CheckIdentity() ||
-      !deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, now, &reason)) {
+      !deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, now, &reason) ||
+      !ReserveQuota(now)) {
     return;
   }
   budget.Take();
@@ -226,6 +227,9 @@
     co_return;
   }
   while (!writer_.ClientGone()) {
+    bool may_send = CheckIdentity();
+    if (may_send) may_send = co_await AcquireQuota();
+    if (!writer_.CheckClient()) break;
     if (TimeLeft() <= kMinAttemptTime) {
       co_await Finish(progress_.response_started ? NextStep::kAbortResponse
                       : progress_.may_have_run   ? NextStep::kTimeOut
@@ -233,7 +237,8 @@
       co_return;
     }
     std::optional<Placement> placement;
-    if (CheckIdentity() && !IsQuarantined()) {
+    // The configuration may have changed during the wait for the quota.
+    if (may_send && CheckIdentity() && !IsQuarantined()) {
       placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
                                       &refusal_reason_);
     }
@@ -280,6 +285,7 @@
       ++proxy_.counters_.second_sends;
     }
   }
+  ReturnCharge();
   ++proxy_.counters_.client_gone;
   ReportMissedTarget();
   LogRequestEnd("client_gone", 0);
@@ -316,6 +322,7 @@
   call_ = std::make_shared<net::HttpCall>(deps_.loop, hop ? deps_.peer_pool : deps_.replica_pool);
   writer_.OnClientGone([this] { call_->Cancel(); });
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
+  const uint32_t sends_before = progress_.sends;
   const bool repeatable = progress_.repeatable;
   if (co_await call_->Connect(
           endpoint, repeatable ? base::Duration(kMaxIdleRepeatable) : base::Duration(kMaxIdleUnrepeatable))) {
@@ -334,6 +341,9 @@
     (hop ? deps_.peer_pool : deps_.replica_pool).CloseIdle(endpoint);
   }
   if (writer_.ClientGone()) outcome = AttemptOutcome::kClientGone;
+  const bool sent = progress_.sends > sends_before;
+  // The charge for an attempt that certainly has not run serves for the next one.
+  if (sent && outcome != AttemptOutcome::kNotRun && outcome != AttemptOutcome::kNotSent) charge_.reset();
   if (outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kWrongReplica) {
     ++progress_.unsent_attempts;
   }
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -41,6 +41,19 @@
     std::string body;
   };
 
+  /// What a send takes from a tenant's quota.
+  struct Charge {
+    tenancy::Tenant tenant;
+    double cost = 0;
+  };
+  /// A charge that is being acquired while an attempt is in progress.
+  struct Reservation {
+    bool pending = true;
+    bool abandoned = false;  // the charge is to be given back
+    std::optional<Charge> charge;
+    base::Duration retry_after{0};
+  };
+
   PlacementQuery MakePlacementQuery() const;
   /// Whom the request belongs to by `config`, of which `route` need not be a part.
   RequestIdentity Identify(const RoutingConfig& config, const RouteConfig& route) const;
@@ -52,6 +65,16 @@
   /// Whether the configuration in force now lets the request be sent for its tenant, whom it sets. Sets the
   /// reason otherwise. To be called before each send, as keys may be removed while a request waits.
   bool CheckIdentity();
+  /// The charge for one send by the configuration in force now; none without a quota.
+  std::optional<Charge> NextCharge() const;
+  /// Acquires the charge for the next send unless there is one that no send has used. Returns false, with the
+  /// reason set, when the quota doesn't allow the send.
+  net::Task<bool> AcquireQuota();
+  /// Gives back the charge that no send has used.
+  void ReturnCharge();
+  /// Whether the charge for one more send has been acquired; begins to acquire it otherwise. Used before an
+  /// attempt is cancelled, since a late response is better than one refused for the quota.
+  bool ReserveQuota(base::TimePoint now);
   /// Value for AttemptParameters and HopParameters.
   std::optional<std::string> TenantToSend() const;
   base::Duration TimeLeft() const { return deadline_ - deps_.clock.Now(); }
@@ -140,7 +163,11 @@
   RequestIdentity identity_;                 // by `config_`
   int priority_ = 0;                         // of the tenant or the route
   std::string tenant_name_;                  // by the last CheckIdentity; empty: of no tenant
-  base::Duration quarantine_left_{0};        // until a request with the prompt's condemned part may be tried
+  std::optional<Charge> charge_;             // acquired, and not used by a send yet
+  std::shared_ptr<Reservation> reservation_;
+  base::TimePoint reserve_after_{};      // no reservation is made before
+  base::Duration quota_retry_after_{0};  // set with the refusal reason
+  base::Duration quarantine_left_{0};    // until a request with the prompt's condemned part may be tried
   RefusalReason refusal_reason_ = RefusalReason::kNone;
   base::Duration expected_first_byte_{0};  // estimate for the last placement, from the time of its choice
 };
--- a/libs/serving/internal/proxied_request_end.cc
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -24,6 +24,10 @@
       refusal_reason_ == RefusalReason::kUnknownKey) {
     return ConfigFreshness::kRetryAfter;
   }
+  if (refusal_reason_ == RefusalReason::kQuotaExceeded ||
+      refusal_reason_ == RefusalReason::kQuotaUnavailable) {
+    return quota_retry_after_;
+  }
   if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
   const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
   if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
@@ -42,6 +46,7 @@
 }
 
 unsigned ProxiedRequest::RefusalStatus() const {
+  if (refusal_reason_ == RefusalReason::kQuotaExceeded) return 429;
   const bool unknown_key = refusal_reason_ == RefusalReason::kUnknownKey;
   // The VM that forwarded a request answers its client. Clients don't retry after 401.
   if (unknown_key && !hop_ && deps_.registry.config_freshness().MayDeny(deps_.clock.Now())) return 401;
@@ -50,7 +55,7 @@
 
 net::Task<> ProxiedRequest::SendLocalResponse(unsigned status, bool not_run) {
   std::optional<base::Duration> retry_after;
-  if (status == 503) retry_after = RetryAfter();
+  if (status == 503 || status == 429) retry_after = RetryAfter();
   auto head = deps_.codec.MakeLocalResponse(status, request_info_.id, retry_after);
   if (hop_ && not_run) deps_.codec.MarkNotRun(&head);
   co_await writer_.Send(head, "");
@@ -58,6 +63,7 @@
 
 net::Task<> ProxiedRequest::Finish(NextStep step) {
   ReportMissedTarget();
+  ReturnCharge();
   switch (step) {
     case NextStep::kDone:
       ++proxy_.counters_.answered;
@@ -125,7 +131,7 @@
       .Time("expected_ms", expected_first_byte_)
       .Time("total_ms", deps_.clock.Now() - received_at_);
   if (first_byte_at_ != base::TimePoint{}) line.Time("first_ms", first_byte_at_ - received_at_);
-  if (refusal_reason_ != RefusalReason::kNone && (status == 503 || status == 401)) {
+  if (refusal_reason_ != RefusalReason::kNone && (status == 503 || std::string_view(outcome) == "refused")) {
     line.Text("reason", RefusalReasonName(refusal_reason_));
   }
   if (!tenant_name_.empty()) line.Text("tenant", tenant_name_);
--- a/libs/serving/internal/request_info.cc
+++ b/libs/serving/internal/request_info.cc
@@ -22,4 +22,9 @@
   return key;
 }
 
+double RequestInfo::QuotaCost(const tenancy::Quota& quota) const {
+  if (quota.unit != tenancy::QuotaUnit::kTokens) return 1;
+  return states_tokens ? static_cast<double>(prompt_tokens) + max_output_tokens : quota.plain_cost;
+}
+
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -14,6 +14,7 @@
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/placement.h"
 #include "libs/serving/internal/prompt_quarantine.h"
+#include "libs/serving/internal/quota_gate.h"
 #include "libs/serving/internal/replica_registry.h"
 #include "libs/serving/internal/request_observer.h"
 
@@ -44,7 +45,8 @@
   net::ConnectionPool& peer_pool;  // connections to entry VMs of other regions
   RequestObserver* observer = nullptr;
   PromptQuarantine* quarantine =
-      nullptr;  // null: requests are sent whatever their prompt parts did to replicas
+      nullptr;                 // null: requests are sent whatever their prompt parts did to replicas
+  QuotaGate* quota = nullptr;  // null: tenants' quotas don't limit requests
 };
 
 class ProxiedRequest;
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -80,11 +80,12 @@
 /// The proxy of one VM with the server through which it is reached.
 struct ProxyVm {
   ProxyVm(asio::io_context& loop, const base::Clock& clock, const std::string& region,
-          serving::HopDirectory& hops, bool serves_hops)
+          serving::HopDirectory& hops, bool serves_hops, serving::QuotaGate* quota)
       : placer(region, region, {}, 5),
         replica_connections(loop, clock, {}),
         peer_connections(loop, clock, {}),
-        proxy({loop, clock, codec, registry, hops, placer, replica_connections, peer_connections}),
+        proxy({loop, clock, codec, registry, hops, placer, replica_connections, peer_connections, nullptr,
+               nullptr, quota}),
         hop_handler(proxy) {
     net::Error error;
     net::RequestHandler& handler = serves_hops ? static_cast<net::RequestHandler&>(hop_handler) : proxy;
@@ -108,7 +109,7 @@
 struct ProxyPath : ::testing::Test {
   /// Connects the replicas with the entry VM. Call it once.
   void Connect(const net::Tcp::endpoint& first, const net::Tcp::endpoint& second, bool over_hops) {
-    entry = std::make_unique<ProxyVm>(loop, clock, "own", hops, false);
+    entry = std::make_unique<ProxyVm>(loop, clock, "own", hops, false, quota);
     entry->registry.SetConfig(Config());
     if (!over_hops) {
       AddReplica(*entry, "own", "first", first, true);
@@ -116,7 +117,7 @@
       return;
     }
     for (const auto& [region, replica] : {std::pair("near", first), std::pair("far", second)}) {
-      auto& vm = remote.emplace_back(std::make_unique<ProxyVm>(loop, clock, region, hops, true));
+      auto& vm = remote.emplace_back(std::make_unique<ProxyVm>(loop, clock, region, hops, true, quota));
       vm->registry.SetConfig(Config());
       AddReplica(*vm, region, region, replica, true);
       hops.regions.push_back({region, std::chrono::seconds(remote.size()), {}});
@@ -184,6 +185,7 @@
   asio::io_context loop{1};
   base::SystemClock clock;
   Hops hops;
+  serving::QuotaGate* quota = nullptr;  // of all VMs
   std::unique_ptr<ProxyVm> entry;
   std::vector<std::unique_ptr<ProxyVm>> remote;
 
