--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -1,6 +1,7 @@
 #include "libs/serving/internal/proxied_request.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelplank::serving {
 namespace {
@@ -334,6 +335,7 @@
       withheld_ = true;
     }
     if (!withheld_ && writer_.CheckClient()) {
+      attempt_charge_ = std::exchange(charge_, std::nullopt);
       outcome = co_await SendAndRelay(*call_, placement);
     }
   } else if (!writer_.ClientGone()) {
@@ -341,9 +343,7 @@
     (hop ? deps_.peer_pool : deps_.replica_pool).CloseIdle(endpoint);
   }
   if (writer_.ClientGone()) outcome = AttemptOutcome::kClientGone;
-  const bool sent = progress_.sends > sends_before;
-  // The charge for an attempt that certainly has not run serves for the next one.
-  if (sent && outcome != AttemptOutcome::kNotRun && outcome != AttemptOutcome::kNotSent) charge_.reset();
+  SettleCharge(progress_.sends > sends_before && outcome != AttemptOutcome::kNotRun);
   if (outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kWrongReplica) {
     ++progress_.unsent_attempts;
   }
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -72,6 +72,9 @@
   net::Task<bool> AcquireQuota();
   /// Gives back the charge that no send has used.
   void ReturnCharge();
+  /// Drops the charge of the attempt that has ended if it `may_have_run`; it serves for the next one
+  /// otherwise.
+  void SettleCharge(bool may_have_run);
   /// Whether the charge for one more send has been acquired; begins to acquire it otherwise. Used before an
   /// attempt is cancelled, since a late response is better than one refused for the quota.
   bool ReserveQuota(base::TimePoint now);
@@ -164,6 +167,7 @@
   int priority_ = 0;                         // of the tenant or the route
   std::string tenant_name_;                  // by the last CheckIdentity; empty: of no tenant
   std::optional<Charge> charge_;             // acquired, and not used by a send yet
+  std::optional<Charge> attempt_charge_;     // of the attempt, once it is sent
   std::shared_ptr<Reservation> reservation_;
   base::TimePoint reserve_after_{};      // no reservation is made before
   base::Duration quota_retry_after_{0};  // set with the refusal reason
--- a/libs/serving/internal/proxied_request_quota.cc
+++ b/libs/serving/internal/proxied_request_quota.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "libs/serving/internal/proxied_request.h"
 
 namespace cornelplank::serving {
@@ -32,6 +34,14 @@
   charge_.reset();
 }
 
+void ProxiedRequest::SettleCharge(bool may_have_run) {
+  if (may_have_run) attempt_charge_.reset();
+  if (!attempt_charge_) return;
+  // The replacement of a silent attempt that has not run after all may have a charge already.
+  if (charge_) deps_.quota->GiveBack(charge_->tenant, charge_->cost);
+  charge_ = std::exchange(attempt_charge_, std::nullopt);
+}
+
 bool ProxiedRequest::ReserveQuota(base::TimePoint now) {
   if (charge_) return true;
   const std::optional<Charge> charge = NextCharge();
