--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -45,8 +45,8 @@
   net::ConnectionPool& peer_pool;  // connections to entry VMs of other regions
   RequestObserver* observer = nullptr;
   PromptQuarantine* quarantine =
-      nullptr;  // null: requests are sent whatever their prompt parts did to replicas
-  QuotaGate* quota = nullptr;
+      nullptr;                 // null: requests are sent whatever their prompt parts did to replicas
+  QuotaGate* quota = nullptr;  // null: tenants' quotas don't limit requests
 };
 
 class ProxiedRequest;
