--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -50,6 +50,8 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  // Time that work takes on its machine now, in percent of the usual time; none when it isn't stated.
+  std::optional<double> percent = std::nullopt;
 };
 
 /// The properties of a replica's response that its status line and headers state.
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -267,6 +267,7 @@
     work_ = EstimateWork(placement);
     deps_.registry.BeginAttempt(*replica_, work_, request_info_.SharedPrefixKey(), deps_.clock.Now());
     replica_->limit.OnSend(route_.priority, deps_.clock.Now());
+    prefill_ahead_ = replica_->TotalWork(deps_.clock.Now()).prefill_tokens;
   }
   prefill_done_ = false;
   withheld_ = false;
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -57,6 +57,8 @@
   bool OutlastsVm() const;
   /// Records what the response of an attempt says about its replica rather than about the request.
   void RecordReplicaStatements(const ResponseInfo& info);
+  /// Learns the replica's speed from `count` events that have just arrived.
+  void RecordEvents(uint32_t count);
   /// The final step when no attempt may follow for a reason other than the outcome of the last one.
   NextStep LastStep() const;
   /// Whether a part of the prompt is known to crash replicas, so that the request must not be sent now.
@@ -115,7 +117,10 @@
   base::TimePoint last_bytes_at_{};    // of the attempt; at first the time at which it was sent
   base::TimePoint sent_at_{};          // of the attempt
   base::TimePoint first_event_at_{};   // of the attempt
-  base::TimePoint first_byte_at_{};    // of the response to the client
+  base::TimePoint window_at_{};        // when the last event before the window of events arrived
+  uint32_t window_events_ = 0;         // events since then
+  uint64_t prefill_ahead_ = 0;  // prompt tokens at the replica when it was sent the attempt, own included
+  base::TimePoint first_byte_at_{};          // of the response to the client
   std::shared_ptr<TrackedReplica> replica_;  // of the attempt; null for a hop
   OutstandingWork work_;                     // of the attempt
   std::string served_by_;                    // replica or region of the last attempt
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -8,6 +8,8 @@
 constexpr size_t kMaxBodyBytes = 4 << 20;
 constexpr size_t kMaxDroppedBytes = 4 << 20;
 constexpr size_t kMaxEventBytes = 256 << 10;
+// Events whose time is measured together: a VM that waits for its processor sees some at the same moment.
+constexpr uint32_t kWindowEvents = 4;
 
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
@@ -29,6 +31,25 @@
   const base::TimePoint now = deps_.clock.Now();
   if (info.leaving) deps_.registry.RecordLeaving(*replica_, now);
   if (info.push_back) deps_.registry.RecordPushBack(*replica_, *info.push_back, now);
+  if (info.load) deps_.registry.RecordLoad(*replica_, *info.load, now);
+}
+
+void ProxiedRequest::RecordEvents(uint32_t count) {
+  pace::ServicePace* pace = replica_ ? deps_.registry.FindPace(service_) : nullptr;
+  const ServiceConfig* service = config_->FindService(service_);
+  if (pace == nullptr || service == nullptr || !service->engine) return;
+  const base::TimePoint now = deps_.clock.Now();
+  if (!prefill_done_) {
+    replica_->pace.OnFirstEvent(pace, prefill_ahead_, now - sent_at_, now);
+    window_at_ = now;
+    window_events_ = 0;
+    return;
+  }
+  window_events_ += count;
+  if (window_events_ < kWindowEvents) return;
+  replica_->pace.OnTokens(pace, window_events_ * service->engine->stride, now - window_at_, now);
+  window_at_ = now;
+  window_events_ = 0;
 }
 
 net::Task<AttemptOutcome> ProxiedRequest::SendAndRelay(net::HttpCall& call, const Placement& placement) {
@@ -118,7 +139,15 @@
     held_error_ = HeldResponse{std::move(*head), std::move(body)};
     co_return AttemptOutcome::kErrorResponse;
   }
-  if (replica_) deps_.registry.ObserveServiceTime(service_, deps_.clock.Now() - sent_at_);
+  if (replica_) {
+    const base::TimePoint now = deps_.clock.Now();
+    deps_.registry.ObserveServiceTime(service_, now - sent_at_);
+    const ServiceConfig* service = config_->FindService(service_);
+    pace::ServicePace* pace = deps_.registry.FindPace(service_);
+    if (pace != nullptr && service != nullptr && !service->engine) {
+      replica_->pace.OnAnswer(pace, now - sent_at_, now);
+    }
+  }
   if (deps_.quarantine != nullptr) deps_.quarantine->RecordAnswer(shared_parts_, deps_.clock.Now());
   first_byte_at_ = deps_.clock.Now();
   co_await writer_.Send(*head, body);
@@ -174,6 +203,7 @@
 
 net::Task<bool> ProxiedRequest::RelayEvents(const net::ResponseHead& head, bool* in_order) {
   std::string out;
+  uint32_t events = 0;
   while (auto event = splitter_.Next()) {
     if (event->id && last_event_id_) {
       if (*event->id <= *last_event_id_) continue;  // the client has it already
@@ -186,9 +216,11 @@
     }
     if (event->id) last_event_id_ = event->id;
     out += event->text;
+    ++events;
   }
   if (out.empty()) co_return *in_order;
   awaiting_first_event_ = false;
+  RecordEvents(events);
   if (!prefill_done_) {
     prefill_done_ = true;
     first_event_at_ = deps_.clock.Now();
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -121,6 +121,7 @@
   replica.own_work.requests += work.requests;
   replica.own_work.prefill_tokens += work.prefill_tokens;
   replica.own_work.memory_tokens += work.memory_tokens;
+  ++replica.sends_since_load;
   if (replica.IsCold(now)) replica.last_cold_send = now;
   if (prefix_key == 0) return;
   replica.recent_prefixes[prefix_key] = now;
@@ -235,6 +236,25 @@
   }));
 }
 
+void ReplicaRegistry::RecordLoad(TrackedReplica& replica, const ReportedLoad& load, base::TimePoint now) {
+  replica.stated_load = load;
+  replica.load_stated_at = now;
+  replica.sends_since_load = 0;
+  if (!load.percent) return;
+  paces_.try_emplace(replica.published.service);
+  replica.pace.OnStatedSlowdown(*load.percent, now);
+}
+
+pace::ServicePace* ReplicaRegistry::FindPace(std::string_view service) {
+  const auto entry = paces_.find(service);
+  return entry == paces_.end() ? nullptr : &entry->second;
+}
+
+const pace::ServicePace* ReplicaRegistry::FindPace(std::string_view service) const {
+  const auto entry = paces_.find(service);
+  return entry == paces_.end() ? nullptr : &entry->second;
+}
+
 void ReplicaRegistry::ObserveServiceTime(const std::string& service, base::Duration time) {
   auto& average = service_times_.try_emplace(service, time).first->second;
   average += std::chrono::duration_cast<base::Duration>((time - average) * kServiceTimeWeight);
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libs/net/net.h"
+#include "libs/pace/pace.h"
 #include "libs/serving/internal/config_freshness.h"
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/replica_limit.h"
@@ -68,6 +69,10 @@
   base::TimePoint tracked_since{};  // when this record began; statements from before are about another run
   base::Duration last_ejection{0};  // doubles with each ejection; 0 after a success
   double failure_rate = 0;          // moving average over this VM's attempts, 0 to 1
+  pace::ReplicaPace pace;
+  std::optional<ReportedLoad> stated_load;  // by its last response to this VM
+  base::TimePoint load_stated_at{};
+  uint32_t sends_since_load = 0;  // requests that this VM has sent it since then
   /// When this VM last sent it a request with a shared prompt prefix, by key of the prefix.
   std::unordered_map<uint64_t, base::TimePoint> recent_prefixes;
 
@@ -171,6 +176,11 @@
   size_t LeavingCount() const;
   /// Number of replicas that want no requests from this VM now.
   size_t PushedBackCount(base::TimePoint now) const;
+  /// Records the load that a response of the replica states.
+  void RecordLoad(TrackedReplica& replica, const ReportedLoad& load, base::TimePoint now);
+  /// What is known of the speed of the service's replicas; null when none has stated how fast it is now.
+  pace::ServicePace* FindPace(std::string_view service);
+  const pace::ServicePace* FindPace(std::string_view service) const;
   /// Adds one measurement to the moving average of the time for which a request occupies a slot.
   void ObserveServiceTime(const std::string& service, base::Duration time);
   /// This average; a default before the first measurement.
@@ -207,6 +217,7 @@
   std::map<std::string, Departure, std::less<>> departures_;
   std::set<std::string> evacuated_;                                   // names of zones
   std::map<std::string, base::Duration, std::less<>> service_times_;  // averages by service
+  std::map<std::string, pace::ServicePace, std::less<>> paces_;       // by service; see FindPace
 };
 
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/routing_config.h
+++ b/libs/serving/internal/routing_config.h
@@ -59,6 +59,7 @@
 struct ModelEngineConfig {
   uint32_t slots = 0;          // requests that run at once
   uint64_t memory_tokens = 0;  // capacity of the KV cache of one replica
+  uint32_t stride = 1;         // tokens of one stream event
 };
 
 struct ServiceConfig {
--- a/tests/decoders/decoder_fuzz.cc
+++ b/tests/decoders/decoder_fuzz.cc
@@ -179,6 +179,7 @@
       InRange(info.push_back.value_or(base::Duration(0)), hours(24)) &&
       InRange(info.cold_remaining.value_or(base::Duration(0)), hours(24)) &&
       info.rate_limit.value_or(0) >= 0 &&
+      (!info.load || (info.load->percent.value_or(100) >= 10 && info.load->percent.value_or(100) <= 2000)) &&
       InRange(client ? client->time_left.value_or(base::Duration(0)) : base::Duration(0), hours(24));
   return correct ? std::nullopt : std::optional<std::string>("a header is out of range");
 }
