--- a/libs/pace/internal/replica_pace.h
+++ b/libs/pace/internal/replica_pace.h
@@ -12,7 +12,7 @@
  public:
   /// The slowdown that a replica states is forgotten with this time constant: about how long one lasts.
   static constexpr std::chrono::milliseconds kSlowdownTime{600};
-  /// A speed that is no longer observed is forgotten with this time constant.
+  /// Half of a speed that is no longer observed is forgotten after this time.
   static constexpr std::chrono::seconds kSpeedTime{60};
   /// Bounds of a stated slowdown in percent. Others are faults of their sender.
   static constexpr double kMinPercent = 10;
@@ -29,17 +29,18 @@
   void OnAnswer(ServicePace* service, base::Duration time, base::TimePoint now);
 
   /// Time that work usually takes at this replica, relative to the mean of the service: 0.6 for a fast one.
-  double TimeFactor(const ServicePace& service, base::TimePoint now) const;
+  double TimeFactor(base::TimePoint now) const;
   /// Time that work takes now, relative to the usual time: 2.5 for a slow phase.
   double Slowdown(base::TimePoint now) const;
-  /// The mean of the expected slowdown over the next `time`.
-  double MeanSlowdown(base::Duration time, base::TimePoint now) const;
+  /// The mean of the expected slowdown over the next `time`, when it is `slowdown` now.
+  static double MeanSlowdown(double slowdown, base::Duration time);
 
  private:
   /// Adds one value of the unit. `up`, `down`: weights for values above and below the known one.
   void ObserveUnit(ServicePace* service, double unit_ms, double up, double down, base::TimePoint now);
 
   double log_unit_ms_ = 0;
+  double factor_ = 1;  // relative to the service at the last observation
   uint32_t observations_ = 0;
   base::TimePoint observed_at_{};
   double slowdown_ = 1;
--- a/libs/pace/internal/service_pace.cc
+++ b/libs/pace/internal/service_pace.cc
@@ -6,8 +6,6 @@
 namespace cornelplank::pace {
 namespace {
 
-// Time for a token before the first measurement: the middle of the 3 to 6 ms that engines need for a step.
-constexpr double kDefaultUnitMs = 5;
 // Weight of one observation of a replica in the mean over the replicas.
 constexpr double kUnitWeight = 0.02;
 // Weight of one request in the calibration.
@@ -26,9 +24,8 @@
 constexpr double kSlowerWeight = 0.015;
 constexpr double kMinTokensPerMs = 10;
 constexpr double kMaxTokensPerMs = 400;
-// 1.7 makes the logistic function follow the normal distribution, whose mean deviation is 0.8 of its standard
-// deviation.
-constexpr double kLogisticScale = 1.7 * 0.8;
+// Mean deviations around the mean within which nearly all times lie.
+constexpr double kChanceRange = 2.5;
 
 double ToMs(base::Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
 
@@ -45,7 +42,9 @@
 
 double ExpectedTime::ChanceBeyond(base::Duration limit) const {
   const double deviation = std::max(ToMs(spread), 1.0);
-  return 1 / (1 + std::exp(kLogisticScale * (ToMs(limit) - ToMs(mean)) / deviation));
+  const double beyond = (ToMs(mean) - ToMs(limit)) / deviation;
+  const double place = std::clamp((beyond / kChanceRange + 1) / 2, 0.0, 1.0);
+  return place * place * (3 - 2 * place);
 }
 
 ExpectedTime Calibration::Apply(base::Duration raw) const {
@@ -65,12 +64,11 @@
   if (at_least > estimated) Observe(estimated, at_least);
 }
 
-double ServicePace::UnitMs() const { return has_unit_ ? std::exp(log_unit_ms_) : kDefaultUnitMs; }
-
 void ServicePace::ObserveUnit(double log_unit_ms) {
   if (!has_unit_) log_unit_ms_ = log_unit_ms;
   has_unit_ = true;
   log_unit_ms_ += kUnitWeight * (log_unit_ms - log_unit_ms_);
+  unit_ms_ = std::exp(log_unit_ms_);
 }
 
 void ServicePace::ObservePrefill(double tokens_per_ms) {
--- a/libs/pace/internal/service_pace.h
+++ b/libs/pace/internal/service_pace.h
@@ -36,7 +36,7 @@
  public:
   /// Mean over the replicas of the time for one unit of work: a token of a stream or, without a model engine,
   /// a whole request.
-  double UnitMs() const;
+  double UnitMs() const { return unit_ms_; }
   double LogUnitMs() const { return log_unit_ms_; }
   bool HasUnit() const { return has_unit_; }
   /// Adds a replica's value of the unit to the mean.
@@ -58,6 +58,7 @@
  private:
   bool has_unit_ = false;
   double log_unit_ms_ = 0;
+  double unit_ms_ = 5;  // before the first measurement the middle of the 3 to 6 ms of an engine's step
   double prefill_tokens_per_ms_ = 55;
   Calibration first_event_;
   Calibration longest_pause_;
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -26,6 +26,16 @@
 // no room, from all VMs.
 constexpr double kSecondOwnerShare = 0.5;
 
+// The load that a replica states counts half as much as what the VMs report after this time.
+constexpr std::chrono::milliseconds kStatedLoadTime{250};
+// Load of a region, in requests by slots, from which uneven load counts in full.
+constexpr double kBusyLoad = 0.5;
+// Share of its slots for which a full replica still counts as free, as the picture of its load is old.
+constexpr double kLeastFreeShare = 0.02;
+// Replicas whose costs differ by less than this, and the time of one more prompt, are comparable: so much may
+// have come to a replica since the last report.
+constexpr std::chrono::milliseconds kComparableCost{50};
+
 // Least urgent priority that counts: routes of a higher number are treated like it.
 constexpr int kLeastUrgentPriority = 5;
 // Priority for which the wait is reported to other regions; most deployments use 0 to 2.
@@ -37,6 +47,15 @@
 
 base::Duration FromMs(double ms) { return std::chrono::duration_cast<base::Duration>(Milliseconds(ms)); }
 
+double ToMs(base::Duration time) { return Milliseconds(time).count(); }
+
+/// The work of a request at a replica that holds the given share of its prefix.
+pace::RequestShape ShapeOf(const PlacementQuery& query, const ServiceConfig& service, double cached_share) {
+  const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
+  return {query.prompt_tokens - prefix * cached_share, static_cast<double>(query.max_output_tokens),
+          service.engine ? std::max<uint32_t>(1, service.engine->stride) : 0};
+}
+
 /// The reason for a refusal when only replicas with this block are left; none for those that take no requests
 /// later either.
 std::optional<RefusalReason> ReasonOf(SendBlock block) {
@@ -163,6 +182,17 @@
     if (&replica == owners[0].replica.get() || replica.LikelyHasPrefix(query.prefix_key, now)) return 1.0;
     return &replica == owners[1].replica.get() ? kSecondOwnerShare : 0.0;
   };
+  if (const pace::ServicePace* pace = registry.FindPace(query.service)) {
+    paced_choices_.clear();
+    for (const Candidate& candidate : candidates) {
+      PacedChoice& choice = paced_choices_.emplace_back();
+      choice.candidate = &candidate;
+      choice.cached_share = cached_share(*candidate.replica);
+    }
+    auto placement = ChoosePaced(query, service, *pace, now, reason);
+    if (placement) placement->prefix_owner = placement->replica == owners[0].replica;
+    return placement;
+  }
   const size_t count = SampleChoices(&candidates, hops.OwnRegionVmCount(), [&](const Candidate& candidate) {
     return cached_share(*candidate.replica) > 0;
   });
@@ -199,6 +229,143 @@
   return placement;
 }
 
+void Placer::Predict(const PlacementQuery& query, const ServiceConfig& service, const pace::ServicePace& pace,
+                     base::TimePoint now, PacedChoice* choice) {
+  const TrackedReplica& replica = *choice->candidate->replica;
+  const OutstandingWork work = replica.TotalWork(now);
+  choice->load = {static_cast<double>(work.requests), static_cast<double>(work.prefill_tokens),
+                  std::max<uint32_t>(1, replica.published.slots)};
+  if (replica.stated_load) {
+    const double age = std::chrono::duration<double>(now - replica.load_stated_at) / kStatedLoadTime;
+    const double trust = 1 / (1 + age * age);
+    const ReportedLoad& stated = *replica.stated_load;
+    const double requests = static_cast<double>(stated.running) + stated.waiting + replica.sends_since_load;
+    choice->load.requests += trust * (requests - choice->load.requests);
+  }
+  choice->capacity = choice->load.slots / replica.pace.TimeFactor(now);
+  choice->forecast =
+      pace::Estimate(replica.pace, pace, choice->load, ShapeOf(query, service, choice->cached_share), now);
+}
+
+void Placer::PricePaced(const PlacementQuery& query, const ServiceConfig& service, double even_load,
+                        base::TimePoint now, PacedChoice* choice) const {
+  const TrackedReplica& replica = *choice->candidate->replica;
+  const RouteConfig& route = *query.route;
+  const pace::Forecast& forecast = choice->forecast;
+  const double slots = choice->load.slots;
+  const double late_pause_ms = ToMs(settings_.late_pause_cost);
+  OutstandingWork work;
+  work.requests = static_cast<uint32_t>(choice->load.requests);
+  double cost = ToMs(forecast.first_event.mean) + LatenessCost(forecast, query);
+  cost += ToMs(ReservedSlotCost(work, choice->load.slots, service,
+                                std::clamp(route.priority, 0, kLeastUrgentPriority)));
+  cost += kFailurePenalty.count() * std::max(0.0, replica.failure_rate - kOrdinaryFailureRate);
+  if (replica.limit.Confirmed(now)) cost += ToMs(settings_.limited_cost);
+  cost += ToMs(choice->candidate->penalty);
+  choice->cost_alone_ms = cost;
+  if (service.engine && route.target_gap.count() > 0) {
+    const double chance = forecast.longest_pause.ChanceBeyond(route.target_gap);
+    // The streams that run there meet the same pauses, and this request's prompt beside them.
+    const double longer = forecast.longest_pause.ChanceBeyond(route.target_gap - forecast.added_pause);
+    const double streams = std::min(choice->load.requests, slots);
+    cost += late_pause_ms * (chance + streams * (longer - chance));
+  }
+  const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
+  cost += prefix * (1 - choice->cached_share) * settings_.repeated_prefill_ms_per_1000_tokens / 1000;
+  // Uneven load matters the more the busier the region is.
+  const double share = std::max(even_load * choice->capacity, 1.0);
+  const double excess = std::max(0.0, choice->load.requests + 1 - share) / share;
+  cost += ToMs(settings_.uneven_cost) * excess * std::min(1.0, even_load / kBusyLoad);
+  choice->cost_ms = cost;
+  const double room = std::max(slots - choice->load.requests, kLeastFreeShare * slots);
+  choice->free = room / replica.pace.TimeFactor(now) / replica.pace.Slowdown(now);
+}
+
+double Placer::LatenessCost(const pace::Forecast& forecast, const PlacementQuery& query) const {
+  double cost = 0;
+  if (query.route->target_latency.count() > 0) {
+    cost += ToMs(settings_.late_first_event_cost) *
+            forecast.first_event.ChanceBeyond(query.route->target_latency - query.elapsed);
+  }
+  if (query.time_left) cost += ToMs(settings_.late_end_cost) * forecast.end.ChanceBeyond(*query.time_left);
+  return cost;
+}
+
+const Placer::PacedChoice* Placer::Draw(bool cached, double band_ms) {
+  const auto matches = [&](const PacedChoice& choice) { return (choice.cached_share == 1) == cached; };
+  const PacedChoice* cheapest = nullptr;
+  for (const PacedChoice& choice : paced_choices_) {
+    if (matches(choice) && (cheapest == nullptr || choice.cost_ms < cheapest->cost_ms)) cheapest = &choice;
+  }
+  if (cheapest == nullptr) return nullptr;
+  const auto weight = [&](const PacedChoice& choice) {
+    const double above = (choice.cost_ms - cheapest->cost_ms) / band_ms;
+    return matches(choice) && above < 1 ? choice.free * (1 - above) : 0;
+  };
+  double total = 0;
+  for (const PacedChoice& choice : paced_choices_) total += weight(choice);
+  double left = total * random_.Unit();
+  for (const PacedChoice& choice : paced_choices_) {
+    const double own = weight(choice);
+    if (own > 0 && left < own) return &choice;
+    left -= own;
+  }
+  return cheapest;
+}
+
+std::optional<Placement> Placer::ChoosePaced(const PlacementQuery& query, const ServiceConfig& service,
+                                             const pace::ServicePace& pace, base::TimePoint now,
+                                             RefusalReason* reason) {
+  if (paced_choices_.empty()) return std::nullopt;
+  double requests = 0;
+  double capacity = 0;
+  bool in_time = query.may_run_already || !query.time_left;
+  for (PacedChoice& choice : paced_choices_) {
+    Predict(query, service, pace, now, &choice);
+    requests += choice.load.requests;
+    capacity += choice.capacity;
+    if (!in_time) in_time = choice.forecast.end.Optimistic() <= *query.time_left;
+  }
+  if (!in_time) {
+    *reason = RefusalReason::kNoTime;
+    return std::nullopt;
+  }
+  for (PacedChoice& choice : paced_choices_) {
+    PricePaced(query, service, requests / capacity, now, &choice);
+  }
+  const double band_ms = ToMs(kComparableCost) + query.prompt_tokens / pace.PrefillTokensPerMs();
+  const PacedChoice* chosen = Draw(false, band_ms);
+  if (query.prefix_key != 0) {
+    // The random part keeps VMs from leaving an owner all at the same moment.
+    const PacedChoice* holder = Draw(true, band_ms);
+    const double margin_ms = band_ms * (random_.Unit() - 0.5);
+    if (holder != nullptr && (chosen == nullptr || holder->cost_ms <= chosen->cost_ms + margin_ms)) {
+      chosen = holder;
+    }
+  }
+  if (chosen == nullptr) return std::nullopt;
+  Placement placement;
+  placement.replica = chosen->candidate->replica;
+  placement.wait = chosen->forecast.wait;
+  placement.expected = chosen->forecast.first_event.mean;
+  placement.cost = FromMs(chosen->cost_alone_ms);
+  placement.forecast = chosen->forecast;
+  return placement;
+}
+
+std::optional<base::Duration> Placer::PriceHop(const RemoteRegion& remote, const PlacementQuery& query,
+                                               const ServiceConfig& service, const pace::ServicePace& pace,
+                                               base::TimePoint now) const {
+  pace::Forecast forecast =
+      pace::Estimate(pace::ReplicaPace(), pace, pace::ReplicaLoad(), ShapeOf(query, service, 0), now);
+  const base::Duration longer = remote.wait + remote.round_trip;
+  const base::Duration soonest = forecast.end.Optimistic() + longer;
+  if (query.time_left && !query.may_run_already && soonest > *query.time_left) return std::nullopt;
+  forecast.first_event.mean += longer;
+  forecast.end.mean += longer;
+  return forecast.first_event.mean + settings_.hop_cost + FromMs(LatenessCost(forecast, query));
+}
+
 std::optional<Placement> Placer::Choose(const PlacementQuery& query, const ReplicaRegistry& registry,
                                         const HopDirectory& hops, base::TimePoint now,
                                         RefusalReason* reason) {
@@ -220,14 +387,21 @@
     *reason = RefusalReason::kNotAllowed;
   }
   if (!query.may_hop) return best;
+  const pace::ServicePace* pace = registry.FindPace(query.service);
   for (const RemoteRegion& remote : hops.RemoteRegions(query.service)) {
     if (!query.AllowsRegion(remote.region) || Contains(query.excluded_regions, remote.region)) {
       continue;
     }
     base::Duration expected = remote.wait + remote.round_trip + settings_.hop_cost;
-    if (service->engine) expected += EstimatePrefillTime(query.prompt_tokens);
+    if (pace != nullptr) {
+      const auto price = PriceHop(remote, query, *service, *pace, now);
+      if (!price) continue;
+      expected = *price;
+    } else if (service->engine) {
+      expected += EstimatePrefillTime(query.prompt_tokens);
+    }
     if (best && best->cost <= expected) continue;
-    best = Placement{nullptr, remote.region, expected, expected, remote.wait, false};
+    best = Placement{nullptr, remote.region, expected, expected, remote.wait, false, std::nullopt};
   }
   return best;
 }
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -23,7 +23,10 @@
   uint32_t prefix_tokens = 0;  // of the prompt's shared prefix
   uint64_t prefix_key = 0;     // of the prompt's shared prefix; 0 when it has none
   uint32_t max_output_tokens = 0;
-  bool may_hop = true;                         // may be forwarded to another region
+  std::optional<base::Duration> time_left;  // until the end of the response has to arrive
+  base::Duration elapsed{0};                // since the request arrived
+  bool may_run_already = false;  // it has been sent before; then it isn't refused for a lack of time
+  bool may_hop = true;           // may be forwarded to another region
   std::vector<std::string> excluded_replicas;  // ids; tried before
   std::vector<std::string> excluded_regions;   // tried before
 
@@ -66,6 +69,7 @@
   base::Duration cost{0};     // `expected` and penalties, such as the cost to other requests; the lowest wins
   base::Duration wait{0};     // the part of `expected` that is spent waiting for other requests
   bool prefix_owner = false;  // the replica is the owner of the request's prompt prefix; see Placer
+  std::optional<pace::Forecast> forecast;  // for a replica of known speed
 };
 
 struct PlacerSettings {
@@ -85,6 +89,14 @@
   std::chrono::milliseconds hop_cost{60};
   // Penalty for a replica that has stated a limit: the other replicas take the load first.
   std::chrono::milliseconds limited_cost{50};
+  // Penalties for a request whose first event, longest pause or end is expected beyond the route's targets
+  // and its deadline, at a probability of 1. The last one is the greatest: the response is then lost, after
+  // it has occupied a slot for all its time.
+  std::chrono::milliseconds late_first_event_cost{600};
+  std::chrono::milliseconds late_pause_cost{400};
+  std::chrono::milliseconds late_end_cost{2000};
+  // Penalty for a replica with twice the work that it would have if the region's work were spread by speed.
+  std::chrono::milliseconds uneven_cost{800};
   // Upper bound of a random addition to each cost. Without it, VMs that see the same loads would all choose
   // the same replica until they learn of each other's choices.
   std::chrono::milliseconds jitter{20};
@@ -97,6 +109,10 @@
 /// that the first has no room for. Where many VMs choose among the same replicas by loads that are some
 /// hundred milliseconds old, each compares the owners and a few others only: the load that it answers is a
 /// peak of a large region, in which the least loaded replicas would get the requests of all VMs at once.
+///
+/// Where the replicas of a service state how fast they are now (`ReplicaRegistry::FindPace`), the cost
+/// follows from the expected first event, pauses and end at each replica, and the choice among those of
+/// similar cost is random in proportion to their free capacity: see docs/design/even-load.md.
 class Placer {
  public:
   /// `seed`: of the random jitter.
@@ -149,6 +165,38 @@
   /// The placement at a candidate that holds the given share of the request's prefix.
   Placement Price(const Candidate& candidate, const PlacementQuery& query, const ServiceConfig& service,
                   const ReplicaRegistry& registry, double cached_share, base::TimePoint now);
+  /// A candidate of known speed with what the request is expected to meet there.
+  struct PacedChoice {
+    const Candidate* candidate = nullptr;
+    pace::ReplicaLoad load;
+    double capacity = 0;  // slots by the lasting speed
+    double free = 0;      // slots by the speed now
+    double cached_share = 0;
+    pace::Forecast forecast;
+    double cost_ms = 0;        // decides among the replicas
+    double cost_alone_ms = 0;  // the part that concerns the request alone; compared with other regions
+  };
+
+  /// Fills in the load, the capacity and the forecast of a choice.
+  static void Predict(const PlacementQuery& query, const ServiceConfig& service,
+                      const pace::ServicePace& pace, base::TimePoint now, PacedChoice* choice);
+  /// Fills in the costs of a choice. `even_load`: requests by capacity if all were spread by speed.
+  void PricePaced(const PlacementQuery& query, const ServiceConfig& service, double even_load,
+                  base::TimePoint now, PacedChoice* choice) const;
+  /// Penalty for a late first event or end.
+  double LatenessCost(const pace::Forecast& forecast, const PlacementQuery& query) const;
+  /// Draws one of the choices within `band_ms` of the least cost among those that hold the request's prefix,
+  /// or do not, in proportion to free capacity. Null when there is none.
+  const PacedChoice* Draw(bool cached, double band_ms);
+  /// Chooses among `paced_choices_`, of which candidate and share of the prefix are set. Without a replica
+  /// that can end the response in time, returns no value and sets `reason` to kNoTime.
+  std::optional<Placement> ChoosePaced(const PlacementQuery& query, const ServiceConfig& service,
+                                       const pace::ServicePace& pace, base::TimePoint now,
+                                       RefusalReason* reason);
+  /// The cost of a hop to a region for a service of known speed; none when the response can't end in time.
+  std::optional<base::Duration> PriceHop(const RemoteRegion& remote, const PlacementQuery& query,
+                                         const ServiceConfig& service, const pace::ServicePace& pace,
+                                         base::TimePoint now) const;
   /// `Choose` among the replicas of the own region. Leaves `reason` unchanged unless a replica had to be
   /// skipped that takes requests again later.
   std::optional<Placement> ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
@@ -159,6 +207,7 @@
   std::string own_region_;
   PlacerSettings settings_;
   base::Random random_;
+  std::vector<PacedChoice> paced_choices_;  // of the current call of ChooseLocal; kept for its memory
 };
 
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -79,6 +79,9 @@
   query.prefix_tokens = request_info_.SharedPrefixTokens();
   query.prefix_key = request_info_.SharedPrefixKey();
   query.max_output_tokens = request_info_.max_output_tokens;
+  query.time_left = TimeLeft();
+  query.elapsed = deps_.clock.Now() - received_at_;
+  query.may_run_already = progress_.sends > 0;
   query.may_hop = !hop_;
   query.excluded_replicas = tried_replicas_;
   query.excluded_regions = tried_regions_;
@@ -197,7 +200,7 @@
       placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
                                       &refusal_reason_);
     }
-    if (placement && placement->expected > TimeLeft() && progress_.sends == 0) {
+    if (placement && !placement->forecast && placement->expected > TimeLeft() && progress_.sends == 0) {
       expected_first_byte_ = placement->expected;
       refusal_reason_ = RefusalReason::kNoTime;
       placement.reset();
@@ -315,6 +318,7 @@
 
 void ProxiedRequest::RecordAttempt(const Placement& placement, AttemptOutcome outcome) {
   if (!placement.replica) return;
+  RecordCourse(placement, outcome);
   if (prefill_done_) work_.prefill_tokens = 0;
   HealthObservation result = HealthObservation::kNeutral;
   switch (outcome) {
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -59,6 +59,8 @@
   void RecordReplicaStatements(const ResponseInfo& info);
   /// Learns the replica's speed from `count` events that have just arrived.
   void RecordEvents(uint32_t count);
+  /// Compares the course of the attempt, which has ended, with its forecast.
+  void RecordCourse(const Placement& placement, AttemptOutcome outcome);
   /// The final step when no attempt may follow for a reason other than the outcome of the last one.
   NextStep LastStep() const;
   /// Whether a part of the prompt is known to crash replicas, so that the request must not be sent now.
@@ -117,6 +119,8 @@
   base::TimePoint last_bytes_at_{};    // of the attempt; at first the time at which it was sent
   base::TimePoint sent_at_{};          // of the attempt
   base::TimePoint first_event_at_{};   // of the attempt
+  base::TimePoint last_event_at_{};    // of the attempt
+  base::Duration longest_pause_{0};    // between two events of the attempt
   base::TimePoint window_at_{};        // when the last event before the window of events arrived
   uint32_t window_events_ = 0;         // events since then
   uint64_t prefill_ahead_ = 0;  // prompt tokens at the replica when it was sent the attempt, own included
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -39,10 +39,13 @@
   const ServiceConfig* service = config_->FindService(service_);
   if (pace == nullptr || service == nullptr || !service->engine) return;
   const base::TimePoint now = deps_.clock.Now();
+  if (prefill_done_) longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  last_event_at_ = now;
   if (!prefill_done_) {
     replica_->pace.OnFirstEvent(pace, prefill_ahead_, now - sent_at_, now);
     window_at_ = now;
     window_events_ = 0;
+    longest_pause_ = base::Duration::zero();
     return;
   }
   window_events_ += count;
@@ -52,6 +55,22 @@
   window_events_ = 0;
 }
 
+void ProxiedRequest::RecordCourse(const Placement& placement, AttemptOutcome outcome) {
+  pace::ServicePace* pace = placement.replica ? deps_.registry.FindPace(service_) : nullptr;
+  // The rest of a stream is shorter than the forecast says.
+  if (pace == nullptr || !placement.forecast || progress_.sends != 1) return;
+  const bool whole = outcome == AttemptOutcome::kComplete;
+  const ServiceConfig* service = config_->FindService(service_);
+  const bool engine = service != nullptr && service->engine;
+  if (!whole && !prefill_done_) return;
+  pace::Course course;
+  if (prefill_done_) course.first_event = first_event_at_ - sent_at_;
+  if (engine && longest_pause_.count() > 0) course.longest_pause = longest_pause_;
+  course.end = deps_.clock.Now() - sent_at_;
+  course.whole = whole;
+  pace::Calibrate(pace, *placement.forecast, course);
+}
+
 net::Task<AttemptOutcome> ProxiedRequest::SendAndRelay(net::HttpCall& call, const Placement& placement) {
   const base::Duration left = TimeLeft();
   if (left <= kMinAttemptTime) co_return AttemptOutcome::kNotSent;
--- a/tests/pace/pace_test.cc
+++ b/tests/pace/pace_test.cc
@@ -51,20 +51,20 @@
 // Guards against slow phases, and prompts of other requests, that are taken for the lasting speed.
 TEST_P(PaceTest, SpeedsAreLearntThroughSlowPhasesAndPrompts) {
   Learn(300, 0.3);
-  const double middle = replicas[1].TimeFactor(service, now);
+  const double middle = replicas[1].TimeFactor(now);
   for (size_t k = 0; k < replicas.size(); ++k) {
-    EXPECT_NEAR(replicas[k].TimeFactor(service, now) / middle, kFactors[k], 0.15 * kFactors[k]);
+    EXPECT_NEAR(replicas[k].TimeFactor(now) / middle, kFactors[k], 0.15 * kFactors[k]);
   }
 }
 
 // Guards against a speed that outlives its replica's last response, and against a new one without values.
 TEST_P(PaceTest, ValuesReturnToThoseOfTheServiceWithoutReports) {
   Learn(300, 0);
-  EXPECT_EQ(ReplicaPace().TimeFactor(service, now), 1);
+  EXPECT_EQ(ReplicaPace().TimeFactor(now), 1);
   EXPECT_EQ(ReplicaPace().Slowdown(now), 1);
   now += std::chrono::minutes(10);
   for (const ReplicaPace& replica : replicas) {
-    EXPECT_NEAR(replica.TimeFactor(service, now), 1, 0.01);
+    EXPECT_NEAR(replica.TimeFactor(now), 1, 0.01);
     EXPECT_NEAR(replica.Slowdown(now), 1, 0.01);
   }
 }
@@ -89,7 +89,7 @@
   ReplicaPace replica;
   replica.OnStatedSlowdown(GetParam().percent, kStart);
   EXPECT_NEAR(replica.Slowdown(kStart + GetParam().age), GetParam().expected, 0.001);
-  const double mean = replica.MeanSlowdown(milliseconds(600), kStart + GetParam().age);
+  const double mean = ReplicaPace::MeanSlowdown(GetParam().expected, milliseconds(600));
   EXPECT_LE(std::abs(mean - 1), std::abs(GetParam().expected - 1) + 0.001);
 }
 
