--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -69,11 +69,16 @@
   set(state_, "pushed_back_replicas", static_cast<double>(gauges.pushed_back_replicas));
   set(state_, "vms", static_cast<double>(gauges.vms));
   set(state_, "active_requests", static_cast<double>(gauges.active_requests));
+  set(state_, "received_bytes", static_cast<double>(gauges.received_bytes));
+  set(state_, "received_bytes_limit", static_cast<double>(gauges.received_bytes_limit));
+  set(state_, "memory_waits", static_cast<double>(gauges.memory_waits));
   set(state_, "ready", gauges.ready ? 1 : 0);
   set(totals_, "second_sends", static_cast<double>(gauges.second_sends));
   set(totals_, "hops", static_cast<double>(gauges.hops));
   set(totals_, "denied", static_cast<double>(gauges.denied));
   set(totals_, "store_calls", static_cast<double>(gauges.store_calls));
+  set(totals_, "memory_refusals", static_cast<double>(gauges.memory_refusals));
+  set(totals_, "stalled_requests_ended", static_cast<double>(gauges.stalled_requests_ended));
   set(totals_, "dropped_log_lines", static_cast<double>(gauges.dropped_log_lines));
 }
 
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -29,12 +29,17 @@
   size_t pushed_back_replicas = 0;  // that want no requests from this VM now
   size_t vms = 0;                   // live VMs, this one included
   size_t active_requests = 0;       // in progress, including those that other regions forwarded
+  size_t received_bytes = 0;        // from outside, held now
+  size_t received_bytes_limit = 0;  // that may be held
+  size_t memory_waits = 0;          // requests and responses that wait for room within the limit
   bool ready = false;               // takes requests of clients
   // Totals since the start of the process:
-  uint64_t second_sends = 0;  // retries after an attempt whose bytes may have reached a replica
-  uint64_t hops = 0;          // attempts forwarded to another region
-  uint64_t denied = 0;        // requests that no route matched
-  uint64_t store_calls = 0;   // of this VM to the platform's store
+  uint64_t second_sends = 0;            // retries after an attempt whose bytes may have reached a replica
+  uint64_t hops = 0;                    // attempts forwarded to another region
+  uint64_t denied = 0;                  // requests that no route matched
+  uint64_t store_calls = 0;             // of this VM to the platform's store
+  uint64_t memory_refusals = 0;         // requests and responses that found no room within the limit in time
+  uint64_t stalled_requests_ended = 0;  // incomplete ones whose clients had stalled, to make room for others
   uint64_t dropped_log_lines = 0;
 };
 
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -1,10 +1,19 @@
 #include "apps/entry/entry_settings.h"
 
+#include <algorithm>
+
 #include "platform/platform.h"
 
 namespace cornelplank::entry {
 namespace {
 
+// Megabytes as the platform measures them: its limit on the memory of a process counts 1,000 kB for each.
+constexpr double kBytesPerMb = 1e6;
+// Part of `memory_mb` for bytes from outside. The rest is for the program, its tables and buffers in between.
+constexpr double kReceivedShare = 0.6;
+constexpr double kDefaultReceivedMb = 64;  // without `memory_mb`
+// Two of the longest bodies, so that one never waits for small requests.
+constexpr double kMinReceivedMb = 8;
 // Greatest values that the settings accept.
 constexpr double kMaxMemoryMb = 1e6;
 constexpr double kMaxDescriptors = 1e6;
@@ -62,6 +71,14 @@
 
 }  // namespace
 
+size_t MemoryLimit(const EntrySettings& settings) {
+  double megabytes = settings.received_mb;
+  if (megabytes == 0) {
+    megabytes = settings.memory_mb == 0 ? kDefaultReceivedMb : settings.memory_mb * kReceivedShare;
+  }
+  return static_cast<size_t>(std::max(megabytes, kMinReceivedMb) * kBytesPerMb);
+}
+
 std::optional<EntrySettings> LoadEntrySettings(const std::string& path,
                                                std::vector<base::SettingsFault>* faults) {
   EntrySettings out;
@@ -84,7 +101,7 @@
       settings.AddFault("vm", "seeds", "'" + seed + "' is not IP:PORT");
     }
   }
-  settings.Number("vm", "memory_mb", 0, 0, kMaxMemoryMb);  // only checked; the value is not used
+  out.memory_mb = settings.Number("vm", "memory_mb", out.memory_mb, 0, kMaxMemoryMb);
   out.descriptors = static_cast<int64_t>(
       settings.Number("vm", "descriptors", static_cast<double>(out.descriptors), 64, kMaxDescriptors));
   out.clients = RequiredEndpoint(settings, "listen", "clients");
@@ -100,6 +117,7 @@
   ReadBound(settings, "evacuation_bound", &out.evacuation_bound);
   ReadBound(settings, "drain_bound", &out.drain_bound);
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
+  out.received_mb = settings.Number("limits", "received_mb", out.received_mb, 0, kMaxMemoryMb);
   *faults = settings.Finish();
   if (!faults->empty()) return std::nullopt;
   return out;
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -20,7 +20,9 @@
   std::string zone;
   std::map<std::string, std::string> zone_regions;  // region of each zone
   std::vector<fleet::VmAddress> seeds;              // VMs to contact as long as no others are known
+  double memory_mb = 0;                             // memory that the process may use; 0: unknown
   int64_t descriptors = 1024;                       // file descriptors that the process may open
+  double received_mb = 0;                           // memory for bytes from outside; 0: a share of memory_mb
 
   // Of the file, from just before it was read; the least time when the file is gone.
   std::filesystem::file_time_type modified_at = std::filesystem::file_time_type::min();
@@ -44,6 +46,9 @@
   std::chrono::milliseconds grace{8000};             // from SIGTERM to the end of the process
 };
 
+/// Greatest number of bytes from outside that the process may hold.
+size_t MemoryLimit(const EntrySettings& settings);
+
 /// Reads and checks the settings file. Returns no value, with all faults in `faults`, when it has any.
 std::optional<EntrySettings> LoadEntrySettings(const std::string& path,
                                                std::vector<base::SettingsFault>* faults);
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -1,5 +1,7 @@
 #include "apps/entry/entry_vm.h"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <ctime>
 #include <filesystem>
@@ -37,6 +39,9 @@
 // Idle connections to VMs of other regions are reused for this time. Those VMs keep them open twice as long.
 constexpr std::chrono::milliseconds kHopKeepAlive{20000};
 
+// Free memory is returned to the system when the bytes in use have fallen by this much within a second.
+constexpr size_t kTrimBytes = 2 << 20;
+
 uint64_t WallClockMs() {
   timespec now{};
   clock_gettime(CLOCK_REALTIME, &now);
@@ -100,6 +105,7 @@
     : loop_(loop),
       settings_path_(std::move(settings_path)),
       settings_(settings),
+      memory_(net::MemoryAccount::Create(loop, MemoryLimit(settings))),
       registry_(settings.change_bound),
       members_(MakeOwnMember(settings), settings.zone_regions),
       hop_directory_(members_, clock_, settings.hops.port()),
@@ -155,6 +161,7 @@
       *problem = std::string("can't listen for ") + listener.name + ": " + error.message();
       return false;
     }
+    listener.server->SetMemoryAccount(memory_);
   }
   heartbeat_loop_ =
       fleet::HeartbeatLoop::Start(loop_, clock_, {}, settings_.heartbeats, members_, registry_, &error);
@@ -214,6 +221,11 @@
   gauges.denied = proxy_.counters().denied;
   gauges.max_denial_age = proxy_.counters().max_denial_age;
   gauges.store_calls = store_sync_.StoreCalls();
+  gauges.received_bytes = memory_->used();
+  gauges.received_bytes_limit = memory_->limit();
+  gauges.memory_waits = memory_->waiting();
+  gauges.memory_refusals = memory_->refused();
+  gauges.stalled_requests_ended = memory_->ended_stalled();
   gauges.dropped_log_lines = base::DroppedLogLines();
   return gauges;
 }
@@ -240,6 +252,7 @@
     if (tick % kTicksPerSlowTick != 0) continue;
     replica_pool_.Tick();
     peer_pool_.Tick();
+    ReleaseMemory();
     UpdateSecondSendBurst();
     std::error_code error;
     const auto modified = std::filesystem::last_write_time(settings_path_, error);
@@ -274,6 +287,19 @@
       .Number("crashes", static_cast<int64_t>(quarantine_.observation_count()));
 }
 
+void EntryVm::ReleaseMemory() {
+  if (memory_->TakePeak() > memory_->used() + kTrimBytes) malloc_trim(0);
+  const uint64_t refusals = memory_->refused() + memory_->ended_stalled();
+  if (refusals == memory_refusals_) return;
+  base::LogEvent("memory_short")
+      .Number("used", static_cast<int64_t>(memory_->used()))
+      .Number("limit", static_cast<int64_t>(memory_->limit()))
+      .Number("waiting", static_cast<int64_t>(memory_->waiting()))
+      .Number("refused", static_cast<int64_t>(memory_->refused()))
+      .Number("ended_stalled", static_cast<int64_t>(memory_->ended_stalled()));
+  memory_refusals_ = refusals;
+}
+
 net::Task<> EntryVm::HandleReloadSignals() {
   while (true) {
     net::Error error;
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -59,6 +59,8 @@
   /// States the own configuration and contact with the store to other VMs, and logs when the configuration in
   /// force becomes outdated or current again.
   void UpdateConfigState();
+  /// Returns freed memory to the system after an overload, and logs refusals for lack of memory.
+  void ReleaseMemory();
   /// Logs when the number of prompt parts changes that are refused because they crash replicas.
   void LogQuarantine();
   net::Task<> HandleStopSignals();
@@ -80,6 +82,7 @@
   std::string settings_path_;
   EntrySettings settings_;
   base::SystemClock clock_;
+  std::shared_ptr<net::MemoryAccount> memory_;
   platform::PlatformCodec codec_;
   serving::ReplicaRegistry registry_;
   fleet::MemberTable members_;
@@ -103,6 +106,7 @@
   net::asio::signal_set stop_signals_;
   net::asio::signal_set reload_signals_;
   size_t quarantined_parts_ = 0;  // as last logged
+  uint64_t memory_refusals_ = 0;  // as last logged
   serving::ConfigFreshness::State config_state_ =
       serving::ConfigFreshness::State::kCurrent;  // as last logged
   bool leaving_ = false;
--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <csignal>
@@ -12,6 +14,7 @@
 namespace po = boost::program_options;
 
 constexpr int kUsageError = 2;
+constexpr int kMappedBlockBytes = 128 << 10;
 // Environment variable with the path of the settings file; used when `--settings` is not given.
 constexpr char kSettingsVariable[] = "CORNELPLANK_NODE_FILE";
 // For so long the VM tries to bind its addresses: the process before it may still hold them, and the address
@@ -66,6 +69,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Blocks from this size on are mapped and unmapped singly, so that a long body returns its memory when it
+  // ends. Without the call the threshold would rise to the size of the first block that is freed.
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);  // a log file that has reached the limit of its size costs lines only
   std::signal(SIGHUP, SIG_IGN);   // until the VM handles it; the settings are read after this
--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -107,30 +107,33 @@
 Task<bool> HttpCall::Send(const Request& request) {
   const auto self = shared_from_this();
   head_request_ = request.method == "HEAD";
-  auto bytes = std::make_shared<std::string>(SerializeHead(request));
-  bytes->append(request.body);
+  std::string head = SerializeHead(request);
+  const Body body = request.body;
   sent_ = true;
   writing_ = true;
   // Most requests fit into the socket's send buffer, so that this call sends them completely.
   Error error;
-  const size_t written = connection_->stream.socket().send(asio::buffer(*bytes), MSG_DONTWAIT, error);
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(body.text())};
+  const size_t written = connection_->stream.socket().send(buffers, MSG_DONTWAIT, error);
   if (error && error != asio::error::would_block) {
     RecordFault(error, CallFault::kLost);
     co_return false;
   }
-  if (written == bytes->size()) {
+  if (written == head.size() + body.size()) {
     writing_ = false;
     co_return true;
   }
-  bytes->erase(0, written);
-  Spawn(loop_, "send_body", WriteBody(shared_from_this(), connection_, std::move(bytes)));
+  Spawn(loop_, "send_body", WriteRest(shared_from_this(), connection_, std::move(head), body, written));
   co_return true;
 }
 
-Task<> HttpCall::WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<PooledConnection> connection,
-                           std::shared_ptr<std::string> bytes) {
+Task<> HttpCall::WriteRest(std::shared_ptr<HttpCall> call, std::shared_ptr<PooledConnection> connection,
+                           std::string head, Body body, size_t written) {
   Error error;
-  co_await asio::async_write(connection->stream.socket(), asio::buffer(*bytes), Into(error));
+  const size_t from_head = std::min(written, head.size());
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head) + from_head,
+                                                     asio::buffer(body.text()) + (written - from_head)};
+  co_await asio::async_write(connection->stream.socket(), buffers, Into(error));
   if (!error) {
     call->writing_ = false;
     co_return;
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -68,9 +68,9 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  /// Writes the bytes that `Send` could not write at once.
-  static Task<> WriteBody(std::shared_ptr<HttpCall> call, std::shared_ptr<PooledConnection> connection,
-                          std::shared_ptr<std::string> bytes);
+  /// Writes what `Send` could not write at once: the bytes after the first `written` ones of head and body.
+  static Task<> WriteRest(std::shared_ptr<HttpCall> call, std::shared_ptr<PooledConnection> connection,
+                          std::string head, Body body, size_t written);
   /// Whether the server closed the connection in order, after the read of the response came to its end.
   Task<bool> EndedInOrder();
   /// Records the first fault: `default_fault`, or kTimeout when `error` is a timeout after the connection was
--- a/libs/net/internal/http_server.cc
+++ b/libs/net/internal/http_server.cc
@@ -11,7 +11,7 @@
 }  // namespace
 
 HttpServer::HttpServer(asio::io_context& loop, RequestHandler& handler)
-    : loop_(loop), handler_(handler), acceptor_(loop) {}
+    : loop_(loop), handler_(handler), acceptor_(loop), memory_(MemoryAccount::Create(loop)) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "libs/net/internal/loop.h"
+#include "libs/net/internal/memory_account.h"
 #include "libs/net/internal/message.h"
 
 namespace cornelplank::net {
@@ -15,8 +16,9 @@
   uint32_t header_bytes = 16384;
   uint64_t body_bytes = 4 << 20;
   std::chrono::milliseconds header_timeout{3000};  // from the first byte to the end of the header
-  std::chrono::milliseconds idle_timeout{15000};   // between requests, and for reading a body
-  size_t connections = 3000;                       // open at once; further ones are closed when accepted
+  // Between requests, between two parts of a body, and for a whole body, plus 1 s for each 64 KB of it.
+  std::chrono::milliseconds idle_timeout{15000};
+  size_t connections = 3000;  // open at once; further ones are closed when accepted
 };
 
 class HttpSession;
@@ -27,8 +29,9 @@
  public:
   explicit ResponseWriter(HttpSession& session) : session_(session) {}
 
-  /// Sends a complete response with Content-Length.
-  Task<bool> Send(const ResponseHead& head, const std::string& body);
+  /// Sends a complete response with Content-Length. `charge`: of the body; without one the body is charged
+  /// here, also beyond the limit.
+  Task<bool> Send(const ResponseHead& head, const std::string& body, MemoryAccount::Charge charge = {});
   /// Sends the head of a chunked response.
   Task<bool> Begin(const ResponseHead& head);
   /// Sends `data` as one chunk.
@@ -40,6 +43,8 @@
   /// Announces with `Connection: close` that the connection closes after this response.
   void CloseAfter() { close_after_ = true; }
   bool close_after() const { return close_after_; }
+  /// The account of the server.
+  const std::shared_ptr<MemoryAccount>& memory() const;
   /// True once a response has been started, even if its head could not be written.
   bool Started() const { return started_; }
   /// True once the whole response has been written.
@@ -87,6 +92,8 @@
   ~HttpServer();
 
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  /// Sets the account that requests and responses are charged to. Call it before the loop runs.
+  void SetMemoryAccount(std::shared_ptr<MemoryAccount> memory) { memory_ = std::move(memory); }
   /// From now on each response announces that its connection closes. Idle connections stay open and may still
   /// send one request.
   void AnnounceClose() { announce_close_ = true; }
@@ -100,6 +107,7 @@
 
  private:
   friend class HttpSession;
+  friend class ResponseWriter;
 
   HttpServer(asio::io_context& loop, RequestHandler& handler);
   /// Accepts connections until `StopAccepting`.
@@ -113,6 +121,7 @@
   RequestHandler& handler_;
   Tcp::acceptor acceptor_;
   ServerLimits limits_;
+  std::shared_ptr<MemoryAccount> memory_;
   std::shared_ptr<SessionRegistry> registry_ = std::make_shared<SessionRegistry>();
   bool announce_close_ = false;
   bool stopped_ = false;
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -20,8 +20,50 @@
 // the time.
 constexpr size_t kMaxIdleBufferBytes = 4096;
 
+// Memory of an open connection without a request, and of one whose request is served, in addition to its
+// buffers: coroutine frames, timers and the objects of the request and its attempt.
+constexpr size_t kConnectionBytes = 4096;
+constexpr size_t kRequestBytes = 12288;
+// Memory of one header field in addition to its text: a parsed field, and one in `Headers`.
+constexpr size_t kFieldBytes = 192;
+// Memory of the text of a head, per byte: a copy, and the numbers parsed from it. The shortest part of a
+// prompt has 4 bytes and takes 24.
+constexpr size_t kHeadFactor = 7;
+// Size of a read into the receive buffer and into a body, in bytes.
+constexpr size_t kMinReadBytes = 512;
+constexpr size_t kBodyReadBytes = 65536;
+// A body may take 1 s longer for each of these bytes that have arrived.
+constexpr size_t kBytesPerSecond = 65536;
+// Bytes within the limit of a stall (MemoryAccount::kStallLimit) below which a client counts as stalled.
+constexpr size_t kProgressBytes = 4096;
+// A body waits for memory for this time. Clients give up soon after that, and another VM may have room.
+constexpr std::chrono::seconds kMemoryWait{5};
+// Retry-After, in seconds, of a request that there was no memory for. Most requests end within that time.
+constexpr char kMemoryRetryAfter[] = "1.000";
+// How long the input of a rejected request is read and dropped.
+constexpr std::chrono::seconds kDropInputTime{1};
+
+/// Why a request was rejected, in addition to the errors of the parser.
+enum class RejectReason { kNoMemory = 1 };
+
+class RejectCategory final : public boost::system::error_category {
+ public:
+  const char* name() const noexcept override { return "cornelplank.reject"; }
+  std::string message(int /*value*/) const override { return "no memory for the request"; }
+};
+
+Error MakeError(RejectReason reason) {
+  static const RejectCategory kCategory;
+  return {static_cast<int>(reason), kCategory};
+}
+
+size_t CountFields(const http::fields& fields) {
+  return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
+}
+
 Headers CopyFields(const http::fields& fields) {
   Headers headers;
+  headers.Reserve(CountFields(fields));
   for (const auto& field : fields) {
     headers.Add({field.name_string().data(), field.name_string().size()},
                 {field.value().data(), field.value().size()});
@@ -29,8 +71,9 @@
   return headers;
 }
 
-/// The response status for a request that the parser refused with `error`.
-unsigned StatusForParseError(const Error& error) {
+/// The response status for a request that was refused with `error`.
+unsigned StatusForError(const Error& error) {
+  if (error == MakeError(RejectReason::kNoMemory)) return 503;
   if (error == http::error::header_limit || error == http::error::buffer_overflow) return 431;
   if (error == http::error::body_limit) return 413;
   return 400;
@@ -38,8 +81,57 @@
 
 }  // namespace
 
+/// The time that a body may take, and whether its client sends.
+class HttpSession::BodyProgress {
+ public:
+  BodyProgress(HttpSession& session, const MemoryAccount::Charge& charge)
+      : session_(session),
+        begin_(std::chrono::steady_clock::now()),
+        reader_(session.server_.memory_, charge, [&session] { session.stream_.cancel(); }) {
+    SetDeadline();
+  }
+
+  /// Call it when `size` bytes of the body have arrived.
+  void Add(size_t size) {
+    received_ += size;
+    unreported_ += size;
+    SetDeadline();
+    if (unreported_ < kProgressBytes) return;
+    unreported_ = 0;
+    reader_.OnProgress();
+  }
+
+  /// While the session waits for memory, no time limit applies and its client doesn't count as stalled.
+  void SetWaiting(bool waiting) {
+    reader_.SetWaiting(waiting);
+    if (waiting) {
+      session_.stream_.expires_never();
+    } else {
+      SetDeadline();
+    }
+  }
+
+ private:
+  void SetDeadline() {
+    const auto& idle = session_.server_.limits_.idle_timeout;
+    const auto whole = begin_ + idle + std::chrono::seconds(received_ / kBytesPerSecond);
+    session_.stream_.expires_at(std::min(whole, std::chrono::steady_clock::now() + idle));
+  }
+
+  HttpSession& session_;
+  std::chrono::steady_clock::time_point begin_;
+  size_t received_ = 0;
+  size_t unreported_ = 0;
+  MemoryAccount::Reader reader_;
+};
+
 HttpSession::HttpSession(HttpServer& server, Tcp::socket socket)
-    : server_(server), registry_(server.registry_), stream_(std::move(socket)), watch_ended_(server.loop_) {
+    : server_(server),
+      registry_(server.registry_),
+      stream_(std::move(socket)),
+      charge_(server.memory_),
+      watch_ended_(server.loop_) {
+  charge_.Resize(kConnectionBytes);
   SetTcpOptions(stream_.socket(), std::chrono::milliseconds::zero());  // clients may pause
   registry_->sessions.insert(this);
 }
@@ -73,7 +165,8 @@
     --registry_->active;
     idle_ = true;
     if (server_.stopped_) break;
-    if (buffer_.size() == 0 && buffer_.capacity() > kMaxIdleBufferBytes) buffer_.shrink_to_fit();
+    request.reset();
+    charge_.Resize(kConnectionBytes + buffer_.capacity());
   }
   Error ignored;  // the client may have closed first
   stream_.socket().shutdown(Tcp::socket::shutdown_both, ignored);
@@ -93,26 +186,137 @@
   co_return true;
 }
 
-Task<std::optional<Request>> HttpSession::ReadRequest() {
-  Parser parser;
+Task<Error> HttpSession::ReadMore() {
+  Error error;
+  if (buffer_.size() >= buffer_.max_size()) co_return http::error::buffer_overflow;
+  const size_t free = buffer_.capacity() - buffer_.size();
+  const size_t size = std::min(std::max(kMinReadBytes, free), buffer_.max_size() - buffer_.size());
+  const auto space = buffer_.prepare(size);
+  buffer_.commit(co_await stream_.async_read_some(space, Into(error)));
+  co_return error;
+}
+
+Task<Error> HttpSession::ChargeHead(size_t bytes) {
+  // Growing, the buffer is copied to a larger one.
+  const size_t buffer_bytes = bytes == 0 ? 2 * buffer_.capacity() : buffer_.capacity();
+  const bool charged = co_await server_.memory_->Acquire(charge_, kConnectionBytes + buffer_bytes + bytes,
+                                                         server_.limits_.header_timeout);
+  co_return charged ? Error() : MakeError(RejectReason::kNoMemory);
+}
+
+Task<Error> HttpSession::ReadHead(Parser& parser) {
   parser.header_limit(server_.limits_.header_bytes);
-  buffer_.max_size(std::max<size_t>(kMaxUnparsedBytes, server_.limits_.header_bytes));
   parser.body_limit(server_.limits_.body_bytes);
-  Error error;
+  parser.eager(false);
+  buffer_.max_size(std::max<size_t>(kMaxUnparsedBytes, server_.limits_.header_bytes));
   stream_.expires_after(server_.limits_.header_timeout);
-  co_await http::async_read_header(stream_, buffer_, parser, Into(error));
-  if (!error && parser.get().count(http::field::transfer_encoding) > 0 && !parser.chunked()) {
-    error = http::error::bad_transfer_encoding;
+  Error error;
+  size_t head_bytes = 0;
+  while (true) {
+    if (buffer_.size() > 0) {
+      const size_t parsed = parser.put(buffer_.data(), error);
+      head_bytes += parsed;
+      buffer_.consume(parsed);
+      if (error && error != http::error::need_more) co_return error;
+    }
+    if (parser.is_header_done()) break;
+    error = co_await ChargeHead(0);
+    if (error) co_return error;
+    error = co_await ReadMore();
+    if (error) co_return error;
   }
-  if (!error && !parser.is_done()) {
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-      const http::response<http::empty_body> continue_response(http::status::continue_, 11);
-      co_await http::async_write(stream_, continue_response, Into(error));
+  if (parser.get().count(http::field::transfer_encoding) > 0 && !parser.chunked()) {
+    co_return http::error::bad_transfer_encoding;
+  }
+  co_return co_await ChargeHead(kRequestBytes + head_bytes * kHeadFactor +
+                                CountFields(parser.get()) * kFieldBytes);
+}
+
+Task<Error> HttpSession::ReadBody(Parser& parser, ChargedBody* charged) {
+  if (parser.is_done()) co_return Error();
+  const size_t limit = server_.limits_.body_bytes;
+  const auto length = parser.content_length();
+  // The length of a chunked body is not known before its end, but most bodies are short.
+  size_t expected = std::min(limit, kBodyReadBytes);
+  if (length) expected = static_cast<size_t>(*length);
+  charged->charge = MemoryAccount::Charge(server_.memory_);
+  stream_.expires_never();
+  if (!co_await server_.memory_->Acquire(charged->charge, expected, kMemoryWait)) {
+    co_return MakeError(RejectReason::kNoMemory);
+  }
+  Error error;
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    const http::response<http::empty_body> continue_response(http::status::continue_, 11);
+    stream_.expires_after(kWriteTimeout);
+    co_await http::async_write(stream_, continue_response, Into(error));
+    if (error) co_return error;
+  }
+  BodyProgress progress(*this, charged->charge);
+  if (length) {
+    error = co_await ReadBodyOfLength(expected, charged, progress);
+  } else {
+    error = co_await ReadChunkedBody(parser, charged, progress);
+  }
+  co_return error;
+}
+
+Task<Error> HttpSession::ReadBodyOfLength(size_t length, ChargedBody* charged, BodyProgress& progress) {
+  std::string& body = charged->bytes;
+  body.reserve(length);  // takes memory only as the bytes arrive
+  const size_t buffered = std::min(length, buffer_.size());
+  body.append(static_cast<const char*>(buffer_.data().data()), buffered);
+  buffer_.consume(buffered);
+  progress.Add(buffered);
+  size_t filled = buffered;
+  while (filled < length) {
+    if (filled == body.size()) body.resize(std::min(length, filled + kBodyReadBytes));
+    Error error;
+    const size_t size = co_await stream_.async_read_some(
+        asio::buffer(body.data() + filled, body.size() - filled), Into(error));
+    if (error) co_return error;
+    filled += size;
+    progress.Add(size);
+  }
+  co_return Error();
+}
+
+Task<Error> HttpSession::ReadChunkedBody(Parser& parser, ChargedBody* charged, BodyProgress& progress) {
+  std::string& body = parser.get().body();
+  parser.eager(true);
+  Error error;
+  while (true) {
+    if (buffer_.size() > 0) {
+      const size_t before = body.size();
+      buffer_.consume(parser.put(buffer_.data(), error));
+      if (error && error != http::error::need_more) co_return error;
+      progress.Add(body.size() - before);
     }
-    stream_.expires_after(server_.limits_.idle_timeout);
-    if (!error) {
-      co_await http::async_read(stream_, buffer_, parser, Into(error));
+    if (parser.is_done()) break;
+    if (body.size() + kMaxIdleBufferBytes > charged->charge.bytes()) {
+      const size_t limit = server_.limits_.body_bytes;
+      progress.SetWaiting(true);
+      if (!co_await server_.memory_->Acquire(charged->charge, limit + kMaxIdleBufferBytes, kMemoryWait)) {
+        co_return MakeError(RejectReason::kNoMemory);
+      }
+      progress.SetWaiting(false);
+      // Growing by doubling, a long body would take up to three times its size. The room takes memory only as
+      // the bytes arrive.
+      body.reserve(limit);
     }
+    error = co_await ReadMore();
+    if (error) co_return error;
+  }
+  charged->bytes = std::move(body);
+  charged->charge.Resize(charged->bytes.size());
+  co_return Error();
+}
+
+Task<std::optional<Request>> HttpSession::ReadRequest() {
+  Parser parser;
+  const auto charged = std::make_shared<ChargedBody>();
+  Error error = co_await ReadHead(parser);
+  if (!error) {
+    error = co_await ReadBody(parser, charged.get());
   }
   if (error) {
     co_await Reject(error);
@@ -124,23 +328,43 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.headers = CopyFields(message);
-  request.body = std::move(message.body());
+  if (!charged->bytes.empty()) {
+    request.body = Body(std::shared_ptr<const std::string>(charged, &charged->bytes));
+  }
+  if (buffer_.capacity() > kMaxIdleBufferBytes) buffer_.shrink_to_fit();
   co_return request;
 }
 
 Task<> HttpSession::Reject(const Error& error) {
+  const bool no_memory = error == MakeError(RejectReason::kNoMemory);
   const bool parse_error = error.category() == make_error_code(http::error::bad_target).category() &&
                            error != http::error::end_of_stream && error != http::error::partial_message;
-  if (!parse_error) co_return;
-  base::LogEvent("request_rejected")
-      .Text("reason", error.message())
-      .Number("status", StatusForParseError(error));
-  http::response<http::empty_body> response(static_cast<http::status>(StatusForParseError(error)), 11);
+  if (!parse_error && !no_memory) co_return;
+  if (!no_memory || base::AllowRoutineLogLine()) {
+    base::LogEvent("request_rejected")
+        .Text("reason", error.message())
+        .Number("status", StatusForError(error));
+  }
+  http::response<http::empty_body> response(static_cast<http::status>(StatusForError(error)), 11);
   response.keep_alive(false);
   response.content_length(0);
+  if (no_memory) response.set(http::field::retry_after, kMemoryRetryAfter);
   Error ignored;  // the connection is closed either way
   stream_.expires_after(kWriteTimeout);
   co_await http::async_write(stream_, response, Into(ignored));
+  if (no_memory) {
+    co_await DropInput();
+  }
+}
+
+Task<> HttpSession::DropInput() {
+  Error error;
+  stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
+  stream_.expires_after(kDropInputTime);
+  std::array<char, 4096> dropped;
+  while (!error) {
+    co_await stream_.async_read_some(asio::buffer(dropped), Into(error));
+  }
 }
 
 bool HttpSession::ClientHasClosed() {
@@ -218,13 +442,20 @@
   return !client_gone_;
 }
 
-Task<bool> ResponseWriter::Send(const ResponseHead& head, const std::string& body) {
+const std::shared_ptr<MemoryAccount>& ResponseWriter::memory() const { return session_.server_.memory_; }
+
+Task<bool> ResponseWriter::Send(const ResponseHead& head, const std::string& body,
+                                MemoryAccount::Charge charge) {
   if (client_gone_ || started_) co_return false;
-  http::response<http::string_body> response;
+  if (charge.bytes() == 0) {
+    charge = MemoryAccount::Charge(memory());
+    charge.Resize(body.size());
+  }
+  http::response<http::span_body<const char>> response;
   response.version(11);
   response.result(head.status);
   session_.FillHead(*this, head, response);
-  response.body() = body;
+  response.body() = {body.data(), body.size()};
   response.content_length(body.size());
   started_ = true;
   session_.stream_.expires_after(kWriteTimeout);
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -30,15 +30,35 @@
   void Close();
   Task<> ServeRequests();
   using Parser = http::request_parser<http::string_body>;
+  class BodyProgress;
+  /// A body and the memory charged for it.
+  struct ChargedBody {
+    std::string bytes;
+    MemoryAccount::Charge charge;
+  };
 
   /// Waits for the first byte of a request. Returns false when the connection has ended or the idle timeout
   /// has passed.
   Task<bool> AwaitRequest();
-  /// Reads one request. Returns nothing when it is malformed, too long or late; a malformed or too long one
-  /// has been rejected then.
+  /// Reads one request. Returns nothing when it is malformed, too long or late, or when there was no memory
+  /// for it; it has been rejected then unless it was late or incomplete.
   Task<std::optional<Request>> ReadRequest();
-  /// Responds with 400, 413 or 431 to a request that could not be parsed, and does nothing for other errors.
+  /// Reads the start line and the headers. The parser holds them afterwards.
+  Task<Error> ReadHead(Parser& parser);
+  /// Reads the body, if the head announces one, into `charged`.
+  Task<Error> ReadBody(Parser& parser, ChargedBody* charged);
+  Task<Error> ReadBodyOfLength(size_t length, ChargedBody* charged, BodyProgress& progress);
+  Task<Error> ReadChunkedBody(Parser& parser, ChargedBody* charged, BodyProgress& progress);
+  /// Reads further bytes into `buffer_`.
+  Task<Error> ReadMore();
+  /// Charges the receive buffer and, in addition, `bytes` for the head, once it is parsed.
+  Task<Error> ChargeHead(size_t bytes);
+  /// Responds to a request that could not be read with 400, 413 or 431, or with 503 when there was no memory
+  /// for it. Does nothing for other errors.
   Task<> Reject(const Error& error);
+  /// Reads and drops what the client still sends, for a short time. The end of a connection with unread bytes
+  /// would reset it and could take the response with it.
+  Task<> DropInput();
   /// Whether the client has closed the connection and all bytes before that have been read.
   bool ClientHasClosed();
   /// Marks the client as gone if it has closed the connection.
@@ -61,8 +81,9 @@
   std::shared_ptr<SessionRegistry> registry_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  Notification watch_ended_;  // signalled when `WatchClient` ends
-  bool idle_ = true;          // no request is being read or served
+  MemoryAccount::Charge charge_;  // of the connection, its receive buffer and the head of its request
+  Notification watch_ended_;      // signalled when `WatchClient` ends
+  bool idle_ = true;              // no request is being read or served
   bool keep_alive_ = true;
 };
 
--- a/libs/net/internal/message.h
+++ b/libs/net/internal/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,8 @@
     Remove(name);
     Add(name, value);
   }
+  /// Allocates room for `count` fields.
+  void Reserve(size_t count) { fields_.reserve(count); }
   const std::vector<Header>& fields() const { return fields_; }
 
  private:
@@ -41,12 +44,30 @@
 /// Transfer-Encoding, Content-Length, ...).
 void RemoveHopByHop(Headers* headers);
 
+/// The bytes of a request's body. Copies share them, so that each attempt refers to the one body of its
+/// request.
+class Body {
+ public:
+  Body() = default;
+  Body(std::string bytes)  // NOLINT(google-explicit-constructor): a body is made from text in many places
+      : bytes_(std::make_shared<const std::string>(std::move(bytes))) {}
+  Body(const char* text) : Body(std::string(text)) {}  // NOLINT(google-explicit-constructor)
+  explicit Body(std::shared_ptr<const std::string> bytes) : bytes_(std::move(bytes)) {}
+
+  std::string_view text() const { return bytes_ ? std::string_view(*bytes_) : std::string_view(); }
+  size_t size() const { return bytes_ ? bytes_->size() : 0; }
+  bool empty() const { return size() == 0; }
+
+ private:
+  std::shared_ptr<const std::string> bytes_;
+};
+
 /// A request as received from a client or sent to a server.
 struct Request {
   std::string method;
   std::string target;  // path and query, not decoded
   Headers headers;
-  std::string body;  // complete, with the transfer coding (chunks) removed
+  Body body;  // complete, with the transfer coding (chunks) removed
 };
 
 /// The status and the header fields of a response, without its body.
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -66,6 +66,8 @@
 
   /// Makes one attempt: connects, sends the request and relays the response.
   net::Task<AttemptOutcome> RunAttempt(Placement placement);
+  /// The request as it is sent to the replica or the VM of `placement`. Its body is shared, not copied.
+  net::Request EncodeOutgoing(const Placement& placement, base::Duration left) const;
   /// Sends the request over a connected `call` and relays the response to the client. An error response is
   /// kept in `held_error_` instead.
   net::Task<AttemptOutcome> SendAndRelay(net::HttpCall& call, const Placement& placement);
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -31,23 +31,24 @@
   if (info.push_back) deps_.registry.RecordPushBack(*replica_, *info.push_back, now);
 }
 
+net::Request ProxiedRequest::EncodeOutgoing(const Placement& placement, base::Duration left) const {
+  if (placement.replica) {
+    AttemptParameters parameters{left, placement.replica->published.id, route_.priority, last_event_id_};
+    return deps_.codec.EncodeAttempt(request_, parameters);
+  }
+  if (last_event_id_ && last_event_id_ != request_info_.last_event_id) {
+    AttemptParameters parameters{left, "", route_.priority, last_event_id_};
+    return deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), {service_, left});
+  }
+  return deps_.codec.EncodeHop(request_, {service_, left});
+}
+
 net::Task<AttemptOutcome> ProxiedRequest::SendAndRelay(net::HttpCall& call, const Placement& placement) {
   const base::Duration left = TimeLeft();
   if (left <= kMinAttemptTime) co_return AttemptOutcome::kNotSent;
   sent_at_ = deps_.clock.Now();
   ++progress_.sends;
-  net::Request outgoing;
-  if (placement.replica) {
-    AttemptParameters parameters{left, placement.replica->published.id, route_.priority, last_event_id_};
-    outgoing = deps_.codec.EncodeAttempt(request_, parameters);
-  } else {
-    outgoing = deps_.codec.EncodeHop(request_, {service_, left});
-    if (last_event_id_ && last_event_id_ != request_info_.last_event_id) {
-      AttemptParameters parameters{left, "", route_.priority, last_event_id_};
-      outgoing = deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), {service_, left});
-    }
-  }
-  if (!co_await call.Send(outgoing)) co_return AttemptOutcome::kUnknown;
+  if (!co_await call.Send(EncodeOutgoing(placement, left))) co_return AttemptOutcome::kUnknown;
   awaiting_first_event_ = true;
   awaiting_bytes_ = true;
   last_bytes_at_ = sent_at_;
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -26,7 +26,7 @@
       co_await writer.Write("part");
       co_return;
     }
-    co_await writer.Send({200, {}}, request.target + "|" + request.body);
+    co_await writer.Send({200, {}}, request.target + "|" + std::string(request.body.text()));
   }
 
   int requests_ = 0;
