--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -14,6 +14,9 @@
 /// Limits on what clients may send and on how long they may take.
 struct ServerLimits {
   uint32_t header_bytes = 16384;
+  // Fields of a header, and of the trailer of a chunked body together with it. One takes far more memory than
+  // the four bytes that it may have on the wire.
+  size_t header_fields = 256;
   uint64_t body_bytes = 4 << 20;
   std::chrono::milliseconds header_timeout{3000};  // from the first byte to the end of the header
   // Between requests, between two parts of a body, and for a whole body, plus 1 s for each 64 KB of it.
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -44,12 +44,15 @@
 constexpr std::chrono::seconds kDropInputTime{1};
 
 /// Why a request was rejected, in addition to the errors of the parser.
-enum class RejectReason { kNoMemory = 1 };
+enum class RejectReason { kNoMemory = 1, kTooManyFields = 2 };
 
 class RejectCategory final : public boost::system::error_category {
  public:
   const char* name() const noexcept override { return "cornelplank.reject"; }
-  std::string message(int /*value*/) const override { return "no memory for the request"; }
+  std::string message(int value) const override {
+    return value == static_cast<int>(RejectReason::kNoMemory) ? "no memory for the request"
+                                                              : "too many header fields";
+  }
 };
 
 Error MakeError(RejectReason reason) {
@@ -74,6 +77,7 @@
 /// The response status for a request that was refused with `error`.
 unsigned StatusForError(const Error& error) {
   if (error == MakeError(RejectReason::kNoMemory)) return 503;
+  if (error == MakeError(RejectReason::kTooManyFields)) return 431;
   if (error == http::error::header_limit || error == http::error::buffer_overflow) return 431;
   if (error == http::error::body_limit) return 413;
   return 400;
@@ -204,6 +208,10 @@
   co_return charged ? Error() : MakeError(RejectReason::kNoMemory);
 }
 
+bool HttpSession::HasTooManyFields(const Parser& parser) const {
+  return CountFields(parser.get()) > server_.limits_.header_fields;
+}
+
 Task<Error> HttpSession::ReadHead(Parser& parser) {
   parser.header_limit(server_.limits_.header_bytes);
   parser.body_limit(server_.limits_.body_bytes);
@@ -218,6 +226,7 @@
       head_bytes += parsed;
       buffer_.consume(parsed);
       if (error && error != http::error::need_more) co_return error;
+      if (HasTooManyFields(parser)) co_return MakeError(RejectReason::kTooManyFields);
     }
     if (parser.is_header_done()) break;
     error = co_await ChargeHead(0);
@@ -289,6 +298,7 @@
       const size_t before = body.size();
       buffer_.consume(parser.put(buffer_.data(), error));
       if (error && error != http::error::need_more) co_return error;
+      if (HasTooManyFields(parser)) co_return MakeError(RejectReason::kTooManyFields);
       progress.Add(body.size() - before);
     }
     if (parser.is_done()) break;
@@ -339,8 +349,9 @@
   const bool no_memory = error == MakeError(RejectReason::kNoMemory);
   const bool parse_error = error.category() == make_error_code(http::error::bad_target).category() &&
                            error != http::error::end_of_stream && error != http::error::partial_message;
-  if (!parse_error && !no_memory) co_return;
-  if (!no_memory || base::AllowRoutineLogLine()) {
+  const bool own_error = error.category() == MakeError(RejectReason::kNoMemory).category();
+  if (!parse_error && !own_error) co_return;
+  if (base::AllowRoutineLogLine()) {
     base::LogEvent("request_rejected")
         .Text("reason", error.message())
         .Number("status", StatusForError(error));
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -45,6 +45,7 @@
   Task<std::optional<Request>> ReadRequest();
   /// Reads the start line and the headers. The parser holds them afterwards.
   Task<Error> ReadHead(Parser& parser);
+  bool HasTooManyFields(const Parser& parser) const;
   /// Reads the body, if the head announces one, into `charged`.
   Task<Error> ReadBody(Parser& parser, ChargedBody* charged);
   Task<Error> ReadBodyOfLength(size_t length, ChargedBody* charged, BodyProgress& progress);
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -45,6 +45,7 @@
     if (!server) throw std::runtime_error(error.message());
     net::ServerLimits limits;
     limits.header_bytes = 2000;
+    limits.header_fields = 40;
     limits.body_bytes = 1000;
     limits.header_timeout = std::chrono::milliseconds(150);
     limits.idle_timeout = std::chrono::milliseconds(300);
@@ -95,6 +96,12 @@
   EXPECT_EQ(handler.requests_, GetParam().requests);
 }
 
+std::string Repeat(const std::string& text, int count) {
+  std::string all;
+  for (int i = 0; i < count; ++i) all += text;
+  return all;
+}
+
 const std::string kPost = "POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h\r\n";  // NOLINT(runtime/string)
 
 INSTANTIATE_TEST_SUITE_P(
@@ -114,6 +121,12 @@
         WireCase{"UnknownCoding", kPost + "Transfer-Encoding: gzip\r\n\r\nhi", "HTTP/1.1 400", "close", 0},
         WireCase{"LongHeader", kPost + "X: " + std::string(3000, 'x') + "\r\n\r\n", "HTTP/1.1 431", "close",
                  0},
+        WireCase{"ManyFields", kPost + Repeat("X:\r\n", 41) + "\r\n", "HTTP/1.1 431", "close", 0},
+        WireCase{"ManyFieldsOfUnfinishedHeader", kPost + Repeat("X:\r\n", 41), "HTTP/1.1 431", "close", 0},
+        WireCase{"ManyTrailers",
+                 kPost + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + Repeat("X:\r\n", 41) + "\r\n",
+                 "HTTP/1.1 431", "close", 0},
+        WireCase{"MostFields", kPost + Repeat("X:\r\n", 39) + "\r\n", "HTTP/1.1 200", "/a%2Fb?x=1|", 1},
         WireCase{"LongBody", kPost + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x'), "HTTP/1.1 413",
                  "close", 0},
         WireCase{"NoHttp", "hello\r\n\r\n", "HTTP/1.1 400", "close", 0}),
