--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -17,6 +17,8 @@
 // Greatest values that the settings accept.
 constexpr double kMaxMemoryMb = 1e6;
 constexpr double kMaxDescriptors = 1e6;
+constexpr double kMinHeaderFields = 40;  // that clients send
+constexpr double kMaxHeaderFields = 10'000;
 constexpr double kMaxSecondSendBurst = 100'000;
 constexpr std::chrono::milliseconds kMaxGrace{600'000};
 constexpr std::chrono::milliseconds kMaxChangeBound{600'000};
@@ -118,6 +120,8 @@
   ReadBound(settings, "drain_bound", &out.drain_bound);
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
   out.received_mb = settings.Number("limits", "received_mb", out.received_mb, 0, kMaxMemoryMb);
+  out.header_fields = static_cast<size_t>(settings.Number(
+      "limits", "header_fields", static_cast<double>(out.header_fields), kMinHeaderFields, kMaxHeaderFields));
   *faults = settings.Finish();
   if (!faults->empty()) return std::nullopt;
   return out;
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -22,6 +22,7 @@
   std::vector<fleet::VmAddress> seeds;              // VMs to contact as long as no others are known
   double memory_mb = 0;                             // memory that the process may use; 0: unknown
   int64_t descriptors = 1024;                       // file descriptors that the process may open
+  size_t header_fields = 256;                       // of a request
   double received_mb = 0;                           // memory for bytes from outside; 0: a share of memory_mb
 
   // Of the file, from just before it was read; the least time when the file is gone.
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -11,8 +11,25 @@
 
 namespace asio = net::asio;
 
-// File descriptors reserved for listeners, replicas and the store. The rest is for client connections.
-constexpr int64_t kReservedDescriptors = 900;
+// Descriptors of the program itself: listeners, the event loop, standard streams, and calls to the store.
+constexpr int64_t kOwnDescriptors = 48;
+// Shares of all other descriptors, in parts of kDescriptorParts. Clients get half of them, so that even when
+// each of them has a request in progress, none of these takes the descriptors of other kinds of connections.
+constexpr int64_t kDescriptorParts = 64;
+constexpr int64_t kClientParts = 32;
+constexpr int64_t kHopParts = 8;
+constexpr int64_t kDirectoryParts = 2;
+constexpr int64_t kReadinessParts = 1;
+constexpr int64_t kMetricsParts = 1;
+constexpr int64_t kReplicaParts = 16;
+constexpr int64_t kPeerParts = 4;
+constexpr int64_t kMinConnections = 4;  // of each kind
+// Readiness, the directory and the metrics take requests without a body. Some clients send one all the same.
+constexpr uint32_t kSmallHeaderBytes = 4096;
+constexpr uint64_t kSmallBodyBytes = 1024;
+// What a VM adds to the header of a request when it forwards it.
+constexpr uint32_t kHopHeaderBytes = 1024;
+constexpr size_t kHopHeaderFields = 16;
 // Interval of the housekeeping. Short against the shortest time that it measures, the 2.3 s for which
 // unlisted replicas are kept.
 constexpr std::chrono::milliseconds kTickInterval{100};
@@ -48,6 +65,12 @@
   return static_cast<uint64_t>(now.tv_sec) * 1000 + static_cast<uint64_t>(now.tv_nsec) / 1000000;
 }
 
+/// Number of connections in `parts` parts of the descriptors.
+size_t ConnectionShare(const EntrySettings& settings, int64_t parts) {
+  const int64_t free = settings.descriptors - kOwnDescriptors;
+  return static_cast<size_t>(std::max(kMinConnections, free * parts / kDescriptorParts));
+}
+
 fleet::Member MakeOwnMember(const EntrySettings& settings) {
   fleet::Member own;
   own.address = settings.ip;
@@ -172,21 +195,45 @@
   heartbeat_loop_->SetSeeds(settings_.seeds);
   heartbeat_loop_->SetQuarantine(&quarantine_);
   heartbeat_loop_->SetWaitReportSource([this] { return OwnWaitReports(); });
-  net::ServerLimits hop_limits;
-  hop_limits.idle_timeout = kHopKeepAlive * 2;
-  hop_server_->SetLimits(hop_limits);
+  SetListenerLimits();
   return true;
 }
 
-void EntryVm::ApplyConfig(const serving::RoutingConfig& config) {
+net::ServerLimits EntryVm::ClientLimits(const serving::RoutingConfig* config) const {
   net::ServerLimits limits;
-  limits.header_bytes = config.limits.header_bytes;
-  limits.body_bytes = config.limits.body_bytes;
-  limits.header_timeout = config.limits.header_timeout;
-  limits.idle_timeout = config.limits.idle_timeout;
-  limits.connections =
-      static_cast<size_t>(std::max<int64_t>(64, settings_.descriptors - kReservedDescriptors));
-  client_server_->SetLimits(limits);
+  if (config != nullptr) {
+    limits.header_bytes = config->limits.header_bytes;
+    limits.body_bytes = config->limits.body_bytes;
+    limits.header_timeout = config->limits.header_timeout;
+    limits.idle_timeout = config->limits.idle_timeout;
+  }
+  limits.header_fields = settings_.header_fields;
+  limits.connections = ConnectionShare(settings_, kClientParts);
+  return limits;
+}
+
+void EntryVm::SetListenerLimits() {
+  client_server_->SetLimits(ClientLimits(nullptr));
+  net::ServerLimits hops;
+  hops.header_bytes += kHopHeaderBytes;
+  hops.header_fields = settings_.header_fields + kHopHeaderFields;
+  hops.idle_timeout = kHopKeepAlive * 2;
+  hops.connections = ConnectionShare(settings_, kHopParts);
+  hop_server_->SetLimits(hops);
+  net::ServerLimits small;
+  small.header_bytes = kSmallHeaderBytes;
+  small.header_fields = settings_.header_fields;
+  small.body_bytes = kSmallBodyBytes;
+  small.connections = ConnectionShare(settings_, kReadinessParts);
+  readiness_server_->SetLimits(small);
+  small.connections = ConnectionShare(settings_, kDirectoryParts);
+  directory_server_->SetLimits(small);
+  small.connections = ConnectionShare(settings_, kMetricsParts);
+  if (metrics_server_) metrics_server_->SetLimits(small);
+}
+
+void EntryVm::ApplyConfig(const serving::RoutingConfig& config) {
+  client_server_->SetLimits(ClientLimits(&config));
 }
 
 std::vector<fleet::RegionWaitReport> EntryVm::OwnWaitReports() const {
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -47,6 +47,10 @@
   EntryVm(net::asio::io_context& loop, std::string settings_path, const EntrySettings& settings);
 
   bool Listen(std::string* problem);
+  /// The limits of the listener for clients, with those of the configuration in force.
+  net::ServerLimits ClientLimits(const serving::RoutingConfig* config) const;
+  /// Sets the limits of all listeners, before a configuration is known.
+  void SetListenerLimits();
   /// Sets the limits for client connections when a configuration comes into force.
   void ApplyConfig(const serving::RoutingConfig& config);
   /// The estimated wait of each service in the own region, to be sent to other VMs. Services without a usable
