--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -1,5 +1,7 @@
 #include "apps/entry/entry_vm.h"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <ctime>
 #include <filesystem>
@@ -9,8 +11,25 @@
 
 namespace asio = net::asio;
 
-// File descriptors reserved for listeners, replicas and the store. The rest is for client connections.
-constexpr int64_t kReservedDescriptors = 900;
+// Descriptors of the program itself: listeners, the event loop, standard streams, and calls to the store.
+constexpr int64_t kOwnDescriptors = 48;
+// Shares of all other descriptors, in parts of kDescriptorParts. Clients get half of them, so that even when
+// each of them has a request in progress, none of these takes the descriptors of other kinds of connections.
+constexpr int64_t kDescriptorParts = 64;
+constexpr int64_t kClientParts = 32;
+constexpr int64_t kHopParts = 8;
+constexpr int64_t kDirectoryParts = 2;
+constexpr int64_t kReadinessParts = 1;
+constexpr int64_t kMetricsParts = 1;
+constexpr int64_t kReplicaParts = 16;
+constexpr int64_t kPeerParts = 4;
+constexpr int64_t kMinConnections = 4;  // of each kind
+// Readiness, the directory and the metrics take requests without a body. Some clients send one all the same.
+constexpr uint32_t kSmallHeaderBytes = 4096;
+constexpr uint64_t kSmallBodyBytes = 1024;
+// What a VM adds to the header of a request when it forwards it.
+constexpr uint32_t kHopHeaderBytes = 1024;
+constexpr size_t kHopHeaderFields = 16;
 // Interval of the housekeeping. Short against the shortest time that it measures, the 2.3 s for which
 // unlisted replicas are kept.
 constexpr std::chrono::milliseconds kTickInterval{100};
@@ -37,12 +56,21 @@
 // Idle connections to VMs of other regions are reused for this time. Those VMs keep them open twice as long.
 constexpr std::chrono::milliseconds kHopKeepAlive{20000};
 
+// Free memory is returned to the system when the bytes in use have fallen by this much within a second.
+constexpr size_t kTrimBytes = 2 << 20;
+
 uint64_t WallClockMs() {
   timespec now{};
   clock_gettime(CLOCK_REALTIME, &now);
   return static_cast<uint64_t>(now.tv_sec) * 1000 + static_cast<uint64_t>(now.tv_nsec) / 1000000;
 }
 
+/// Number of connections in `parts` parts of the descriptors.
+size_t ConnectionShare(const EntrySettings& settings, int64_t parts) {
+  const int64_t free = settings.descriptors - kOwnDescriptors;
+  return static_cast<size_t>(std::max(kMinConnections, free * parts / kDescriptorParts));
+}
+
 fleet::Member MakeOwnMember(const EntrySettings& settings) {
   fleet::Member own;
   own.address = settings.ip;
@@ -105,6 +133,7 @@
     : loop_(loop),
       settings_path_(std::move(settings_path)),
       settings_(settings),
+      memory_(net::MemoryAccount::Create(loop, MemoryLimit(settings))),
       registry_(settings.change_bound),
       members_(MakeOwnMember(settings), settings.zone_regions),
       hop_directory_(members_, clock_, settings.hops.port()),
@@ -162,6 +191,7 @@
       *problem = std::string("can't listen for ") + listener.name + ": " + error.message();
       return false;
     }
+    listener.server->SetMemoryAccount(memory_);
   }
   heartbeat_loop_ =
       fleet::HeartbeatLoop::Start(loop_, clock_, {}, settings_.heartbeats, members_, registry_, &error);
@@ -174,21 +204,45 @@
   quota_client_.SetSeeds(settings_.seeds);
   quota_client_.Connect(*heartbeat_loop_);
   heartbeat_loop_->SetWaitReportSource([this] { return OwnWaitReports(); });
-  net::ServerLimits hop_limits;
-  hop_limits.idle_timeout = kHopKeepAlive * 2;
-  hop_server_->SetLimits(hop_limits);
+  SetListenerLimits();
   return true;
 }
 
-void EntryVm::ApplyConfig(const serving::RoutingConfig& config) {
+net::ServerLimits EntryVm::ClientLimits(const serving::RoutingConfig* config) const {
   net::ServerLimits limits;
-  limits.header_bytes = config.limits.header_bytes;
-  limits.body_bytes = config.limits.body_bytes;
-  limits.header_timeout = config.limits.header_timeout;
-  limits.idle_timeout = config.limits.idle_timeout;
-  limits.connections =
-      static_cast<size_t>(std::max<int64_t>(64, settings_.descriptors - kReservedDescriptors));
-  client_server_->SetLimits(limits);
+  if (config != nullptr) {
+    limits.header_bytes = config->limits.header_bytes;
+    limits.body_bytes = config->limits.body_bytes;
+    limits.header_timeout = config->limits.header_timeout;
+    limits.idle_timeout = config->limits.idle_timeout;
+  }
+  limits.header_fields = settings_.header_fields;
+  limits.connections = ConnectionShare(settings_, kClientParts);
+  return limits;
+}
+
+void EntryVm::SetListenerLimits() {
+  client_server_->SetLimits(ClientLimits(nullptr));
+  net::ServerLimits hops;
+  hops.header_bytes += kHopHeaderBytes;
+  hops.header_fields = settings_.header_fields + kHopHeaderFields;
+  hops.idle_timeout = kHopKeepAlive * 2;
+  hops.connections = ConnectionShare(settings_, kHopParts);
+  hop_server_->SetLimits(hops);
+  net::ServerLimits small;
+  small.header_bytes = kSmallHeaderBytes;
+  small.header_fields = settings_.header_fields;
+  small.body_bytes = kSmallBodyBytes;
+  small.connections = ConnectionShare(settings_, kReadinessParts);
+  readiness_server_->SetLimits(small);
+  small.connections = ConnectionShare(settings_, kDirectoryParts);
+  directory_server_->SetLimits(small);
+  small.connections = ConnectionShare(settings_, kMetricsParts);
+  if (metrics_server_) metrics_server_->SetLimits(small);
+}
+
+void EntryVm::ApplyConfig(const serving::RoutingConfig& config) {
+  client_server_->SetLimits(ClientLimits(&config));
   quota_client_.SetTenants(config.tenants.get());
 }
 
@@ -224,6 +278,11 @@
   gauges.denied = proxy_.counters().denied;
   gauges.max_denial_age = proxy_.counters().max_denial_age;
   gauges.store_calls = store_sync_.StoreCalls();
+  gauges.received_bytes = memory_->used();
+  gauges.received_bytes_limit = memory_->limit();
+  gauges.memory_waits = memory_->waiting();
+  gauges.memory_refusals = memory_->refused();
+  gauges.stalled_requests_ended = memory_->ended_stalled();
   gauges.dropped_log_lines = base::DroppedLogLines();
   return gauges;
 }
@@ -250,6 +309,7 @@
     if (tick % kTicksPerSlowTick != 0) continue;
     replica_pool_.Tick();
     peer_pool_.Tick();
+    ReleaseMemory();
     UpdateSecondSendBurst();
     std::error_code error;
     const auto modified = std::filesystem::last_write_time(settings_path_, error);
@@ -284,6 +344,19 @@
       .Number("crashes", static_cast<int64_t>(quarantine_.observation_count()));
 }
 
+void EntryVm::ReleaseMemory() {
+  if (memory_->TakePeak() > memory_->used() + kTrimBytes) malloc_trim(0);
+  const uint64_t refusals = memory_->refused() + memory_->ended_stalled();
+  if (refusals == memory_refusals_) return;
+  base::LogEvent("memory_short")
+      .Number("used", static_cast<int64_t>(memory_->used()))
+      .Number("limit", static_cast<int64_t>(memory_->limit()))
+      .Number("waiting", static_cast<int64_t>(memory_->waiting()))
+      .Number("refused", static_cast<int64_t>(memory_->refused()))
+      .Number("ended_stalled", static_cast<int64_t>(memory_->ended_stalled()));
+  memory_refusals_ = refusals;
+}
+
 net::Task<> EntryVm::HandleReloadSignals() {
   while (true) {
     net::Error error;
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -47,6 +47,10 @@
   EntryVm(net::asio::io_context& loop, std::string settings_path, const EntrySettings& settings);
 
   bool Listen(std::string* problem);
+  /// The limits of the listener for clients, with those of the configuration in force.
+  net::ServerLimits ClientLimits(const serving::RoutingConfig* config) const;
+  /// Sets the limits of all listeners, before a configuration is known.
+  void SetListenerLimits();
   /// Sets the limits for client connections when a configuration comes into force.
   void ApplyConfig(const serving::RoutingConfig& config);
   /// The estimated wait of each service in the own region, to be sent to other VMs. Services without a usable
@@ -59,6 +63,8 @@
   /// States the own configuration and contact with the store to other VMs, and logs when the configuration in
   /// force becomes outdated or current again.
   void UpdateConfigState();
+  /// Returns freed memory to the system after an overload, and logs refusals for lack of memory.
+  void ReleaseMemory();
   /// Logs when the number of prompt parts changes that are refused because they crash replicas.
   void LogQuarantine();
   net::Task<> HandleStopSignals();
@@ -80,6 +86,7 @@
   std::string settings_path_;
   EntrySettings settings_;
   base::SystemClock clock_;
+  std::shared_ptr<net::MemoryAccount> memory_;
   platform::PlatformCodec codec_;
   serving::ReplicaRegistry registry_;
   fleet::MemberTable members_;
@@ -104,6 +111,7 @@
   net::asio::signal_set stop_signals_;
   net::asio::signal_set reload_signals_;
   size_t quarantined_parts_ = 0;  // as last logged
+  uint64_t memory_refusals_ = 0;  // as last logged
   serving::ConfigFreshness::State config_state_ =
       serving::ConfigFreshness::State::kCurrent;  // as last logged
   bool leaving_ = false;
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -71,25 +71,26 @@
   pace::Calibrate(pace, *placement.forecast, course);
 }
 
+net::Request ProxiedRequest::EncodeOutgoing(const Placement& placement, base::Duration left) const {
+  const std::optional<std::string> tenant = TenantToSend();
+  if (placement.replica) {
+    return deps_.codec.EncodeAttempt(
+        request_, {left, placement.replica->published.id, priority_, last_event_id_, tenant});
+  }
+  const HopParameters hop{service_, left, tenant};
+  if (last_event_id_ && last_event_id_ != request_info_.last_event_id) {
+    const AttemptParameters parameters{left, "", priority_, last_event_id_, tenant};
+    return deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), hop);
+  }
+  return deps_.codec.EncodeHop(request_, hop);
+}
+
 net::Task<AttemptOutcome> ProxiedRequest::SendAndRelay(net::HttpCall& call, const Placement& placement) {
   const base::Duration left = TimeLeft();
   if (left <= kMinAttemptTime) co_return AttemptOutcome::kNotSent;
   sent_at_ = deps_.clock.Now();
   ++progress_.sends;
-  const std::optional<std::string> tenant = TenantToSend();
-  net::Request outgoing;
-  if (placement.replica) {
-    AttemptParameters parameters{left, placement.replica->published.id, priority_, last_event_id_, tenant};
-    outgoing = deps_.codec.EncodeAttempt(request_, parameters);
-  } else {
-    const HopParameters hop{service_, left, tenant};
-    outgoing = deps_.codec.EncodeHop(request_, hop);
-    if (last_event_id_ && last_event_id_ != request_info_.last_event_id) {
-      AttemptParameters parameters{left, "", priority_, last_event_id_, tenant};
-      outgoing = deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), hop);
-    }
-  }
-  if (!co_await call.Send(outgoing)) co_return AttemptOutcome::kUnknown;
+  if (!co_await call.Send(EncodeOutgoing(placement, left))) co_return AttemptOutcome::kUnknown;
   awaiting_first_event_ = true;
   awaiting_bytes_ = true;
   last_bytes_at_ = sent_at_;
