--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -266,7 +266,7 @@
   work.requests = static_cast<uint32_t>(choice->load.requests);
   double cost = ToMs(forecast.first_event.mean) + LatenessCost(forecast, query);
   cost += ToMs(ReservedSlotCost(work, choice->load.slots, service,
-                                std::clamp(route.priority, 0, kLeastUrgentPriority)));
+                                std::clamp(query.Priority(), 0, kLeastUrgentPriority)));
   cost += kFailurePenalty.count() * std::max(0.0, replica.failure_rate - kOrdinaryFailureRate);
   if (replica.limit.Confirmed(now)) cost += ToMs(settings_.limited_cost);
   cost += ToMs(choice->candidate->penalty);
