--- a/libs/fleet/internal/member_table.cc
+++ b/libs/fleet/internal/member_table.cc
@@ -131,6 +131,14 @@
   return names;
 }
 
+std::vector<std::string> MemberTable::Zones(std::string_view region) const {
+  std::vector<std::string> names;
+  for (const auto& [key, location] : zones_) {
+    if (location.region == region) names.push_back(location.zone);
+  }
+  return names;
+}
+
 std::vector<VmAddress> MemberTable::ReadyVms(std::string_view zone, std::string_view region,
                                              base::TimePoint now) const {
   std::vector<VmAddress> ready;
--- a/libs/fleet/internal/member_table.h
+++ b/libs/fleet/internal/member_table.h
@@ -114,6 +114,8 @@
   Distance DistanceOf(const Member& member) const;
   /// Names of all regions in the settings.
   std::vector<std::string> Regions() const;
+  /// Names of the zones of a region in the settings.
+  std::vector<std::string> Zones(std::string_view region) const;
 
   /// The live VMs in state ready of a zone and region, including this one. An empty name matches all.
   std::vector<VmAddress> ReadyVms(std::string_view zone, std::string_view region, base::TimePoint now) const;
--- a/libs/fleet/internal/quota_client.cc
+++ b/libs/fleet/internal/quota_client.cc
@@ -1,6 +1,7 @@
 #include "libs/fleet/internal/quota_client.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cornelplank::fleet {
 namespace {
@@ -26,23 +27,13 @@
 
 }  // namespace
 
-void RegionSize::Update(std::set<VmAddress> live, const std::set<VmAddress>& leaving, base::TimePoint now) {
-  const auto left =
-      std::count_if(live_.begin(), live_.end(), [&](VmAddress vm) { return leaving.contains(vm); });
-  most_ -= std::min(most_, static_cast<size_t>(left));
-  if (live.size() >= most_ || now - most_at_ > kHoldTime) {
-    most_ = live.size();
-    most_at_ = now;
-  }
-  live_ = std::move(live);
-}
-
 QuotaClient::QuotaClient(net::asio::io_context& loop, const base::Clock& clock, MemberTable& members,
                          const tenancy::QuotaBounds& bounds)
     : loop_(loop),
       clock_(clock),
       members_(members),
-      book_(bounds, members.own().address, members.own().incarnation << kSequenceBits, clock.Now()) {}
+      book_(bounds, members.own().address, members.own().incarnation << kSequenceBits, clock.Now()),
+      region_size_(clock.Now()) {}
 
 void QuotaClient::Connect(HeartbeatLoop& heartbeats) {
   heartbeats_ = &heartbeats;
@@ -74,7 +65,7 @@
   const std::string& own_region = members_.RegionOf(members_.own());
   tenancy::QuotaFleetView view;
   view.owners.resize(regions.size());
-  std::set<VmAddress> live;
+  std::map<VmAddress, uint32_t> live;
   std::set<VmAddress> leaving;
   const auto add = [&](const Member& member) {
     const std::string& region = members_.RegionOf(member);
@@ -84,7 +75,11 @@
     if (member.address == members_.own().address) view.own_region = index;
     // A VM that isn't ready may not know the tenants yet.
     if (member.state == MemberState::kReady) view.owners[index].push_back(member.address);
-    if (region == own_region) (member.state == MemberState::kLeaving ? leaving : live).insert(member.address);
+    if (member.state == MemberState::kLeaving) {
+      leaving.insert(member.address);
+    } else if (region == own_region) {
+      live[member.address] = member.zone;
+    }
   };
   add(members_.own());
   for (const auto& [address, entry] : members_.others()) {
@@ -95,9 +90,11 @@
       leaving.insert(address);
     }
   }
-  view.live_vms = live.size();
-  region_size_.Update(std::move(live), leaving, now);
-  view.most_vms = region_size_.most();
+  std::set<uint32_t> zones;
+  for (const std::string& zone : members_.Zones(own_region)) zones.insert(NameKey(zone));
+  region_size_.Update(zones, std::move(live), leaving, now);
+  view.live_vms = region_size_.live();
+  view.expected_vms = region_size_.expected();
   view.connected = found_others_ || std::all_of(seeds_.begin(), seeds_.end(), [&](VmAddress seed) {
                      return seed == members_.own().address;
                    });
--- a/libs/fleet/internal/quota_client.h
+++ b/libs/fleet/internal/quota_client.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -11,24 +10,6 @@
 
 namespace cornelplank::fleet {
 
-/// Counts the VMs that the own region should have: the greatest number seen alive lately, without those that
-/// have announced that they leave.
-class RegionSize {
- public:
-  /// Time for which VMs that fell silent are counted. They may be alive behind a network partition and own
-  /// buckets there; a VM that is gone for longer than this isn't expected back.
-  static constexpr std::chrono::minutes kHoldTime{10};
-
-  /// `live`: live VMs of the region that don't leave. `leaving`: VMs that are known to leave.
-  void Update(std::set<VmAddress> live, const std::set<VmAddress>& leaving, base::TimePoint now);
-  size_t most() const { return most_; }
-
- private:
-  std::set<VmAddress> live_;
-  size_t most_ = 1;
-  base::TimePoint most_at_{};  // when `most_` was last reached or set
-};
-
 /// Takes quotas from the VMs that own them, by datagrams of the heartbeat loop. Without tenants with limits
 /// it sends nothing and sets no timer.
 class QuotaClient final : public serving::QuotaGate {
@@ -63,7 +44,7 @@
   tenancy::QuotaBook book_;
   HeartbeatLoop* heartbeats_ = nullptr;
   std::vector<VmAddress> seeds_;
-  RegionSize region_size_;
+  tenancy::RegionSize region_size_;
   bool found_others_ = false;
   bool running_ = false;
   std::unordered_map<uint64_t, net::Notification*> waiting_;  // by request of the book
--- a/libs/tenancy/internal/quota_book.cc
+++ b/libs/tenancy/internal/quota_book.cc
@@ -54,6 +54,9 @@
 // VMs that come back count for refills after this time: another VM, which owned the bucket in the meantime,
 // may not have seen it yet.
 constexpr std::chrono::seconds kRiseDelay{2};
+// A bucket keeps its whole capacity while its owner sees at least this share of the region, so that the loss
+// of single VMs doesn't keep out the largest requests. The other part, if there is one, keeps the rest.
+constexpr double kWholeShare = 0.8;
 // Time for which what other VMs tell of the size of the region counts.
 constexpr std::chrono::seconds kHeardSizeTime{10};
 // Origins of returns that are remembered; several times the VMs of a region.
@@ -81,7 +84,7 @@
       }
       account.name = name;
       account.quota = tenant.quota;
-      if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota));
+      if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota), CapacityShare());
     }
   }
   accounts_ = std::move(kept);
@@ -90,22 +93,16 @@
 
 void QuotaBook::SetView(QuotaFleetView view, base::TimePoint now) {
   const bool changed = view.owners != view_.owners || view.own_region != view_.own_region;
-  if (changed) {
-    // The refill so far is due at the rate of the previous view.
-    for (auto& [tenant, account] : accounts_) Refill(account, now);
-  }
-  const bool regions_changed = view.owners.size() != view_.owners.size();
+  for (auto& [tenant, account] : accounts_) Refill(account, now);  // at the rate of the previous view
   view_ = std::move(view);
-  size_t most = std::max<size_t>(1, view_.most_vms);
-  if (now - most_vms_heard_at_ < kHeardSizeTime) most = std::max(most, most_vms_heard_);
+  size_t most = std::max<size_t>(1, view_.expected_vms);
+  if (now - expected_heard_at_ < kHeardSizeTime) most = std::max(most, expected_heard_);
   double share = 0;
   if (view_.connected) share = std::min(1.0, static_cast<double>(view_.live_vms) / static_cast<double>(most));
   if (share <= live_share_) higher_since_ = now;
   if (share <= live_share_ || now - higher_since_ >= kRiseDelay) live_share_ = share;
-  if (regions_changed) {
-    for (auto& [tenant, account] : accounts_) {
-      if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota));
-    }
+  for (auto& [tenant, account] : accounts_) {
+    if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota), CapacityShare());
   }
   if (changed) UpdateOwnership(now);
 }
@@ -118,6 +115,8 @@
   return std::max(whole, kLeastCapacitySeconds * quota.per_second) / RegionCount();
 }
 
+double QuotaBook::CapacityShare() const { return live_share_ >= kWholeShare ? 1 : live_share_; }
+
 double QuotaBook::RefillRate(const Quota& quota, base::TimePoint now) const {
   return now < refills_from_ ? 0 : quota.per_second / RegionCount() * live_share_;
 }
@@ -144,7 +143,7 @@
   for (auto& [tenant, account] : accounts_) {
     const bool owned = OwnerOf(tenant, view_.own_region) == own_;
     if (owned && !account.bucket) {
-      account.bucket.emplace(CapacityOf(account.quota), std::max(now, refills_from_));
+      account.bucket.emplace(CapacityOf(account.quota), CapacityShare(), std::max(now, refills_from_));
       account.bucket->Put(std::exchange(account.held, 0));
     } else if (!owned && account.bucket) {
       const double balance = account.bucket->balance();
@@ -161,7 +160,7 @@
   message.sequence = ++sequence_;
   message.origin = own_;
   message.amount = amount;
-  message.region_vms = static_cast<uint32_t>(view_.most_vms);
+  message.region_vms = static_cast<uint32_t>(view_.expected_vms);
   return message;
 }
 
@@ -375,9 +374,9 @@
 void QuotaBook::OnAsk(const QuotaMessage& message, Account& account, base::TimePoint now) {
   const auto& own_region = view_.owners[view_.own_region];
   if (std::find(own_region.begin(), own_region.end(), message.origin) != own_region.end()) {
-    if (message.region_vms >= most_vms_heard_ || now - most_vms_heard_at_ >= kHeardSizeTime) {
-      most_vms_heard_ = message.region_vms;
-      most_vms_heard_at_ = now;
+    if (message.region_vms >= expected_heard_ || now - expected_heard_at_ >= kHeardSizeTime) {
+      expected_heard_ = message.region_vms;
+      expected_heard_at_ = now;
     }
   }
   const Answer answer = TakeFromBucket(account, message.amount, message.demand, now);
--- a/libs/tenancy/internal/quota_book.h
+++ b/libs/tenancy/internal/quota_book.h
@@ -51,7 +51,7 @@
   // Of kTransfer: its sender. Of a refusal: the VM to ask once more, or 0. The owner that refuses names
   // itself when it is gathering the tokens from other regions.
   QuotaVm elsewhere = 0;
-  uint32_t region_vms = 0;  // greatest number of VMs of its region that the origin has seen lately
+  uint32_t region_vms = 0;  // VMs of its region that the origin expects
 };
 
 struct QuotaEnvelope {
@@ -63,10 +63,10 @@
 struct QuotaFleetView {
   /// VMs that may own buckets, for each region in the settings. A VM that leaves is not among them.
   std::vector<std::vector<QuotaVm>> owners;
-  size_t own_region = 0;   // index into `owners`
-  size_t live_vms = 1;     // of the own region, in any state
-  size_t most_vms = 1;     // greatest number of live VMs of the own region seen lately
-  bool connected = false;  // has heard of other VMs, or is the only one by its settings
+  size_t own_region = 0;    // index into `owners`
+  size_t live_vms = 1;      // of the own region, in any state
+  size_t expected_vms = 1;  // VMs of the own region that may be alive, seen or not
+  bool connected = false;   // has heard of other VMs, or is the only one by its settings
 };
 
 /// All quota decisions of one VM: the buckets that it owns, the tokens that it holds for its own requests,
@@ -171,6 +171,9 @@
 
   double RegionCount() const { return static_cast<double>(std::max<size_t>(1, view_.owners.size())); }
   double CapacityOf(const Quota& quota) const;
+  /// Share of the capacity for the part of the region that this VM sees. Each part of a partitioned region
+  /// has its own bucket.
+  double CapacityShare() const;
   /// Tokens per second that a bucket owned by this VM gets now.
   double RefillRate(const Quota& quota, base::TimePoint now) const;
   void Refill(Account& account, base::TimePoint now);
@@ -212,8 +215,8 @@
   QuotaFleetView view_;
   double live_share_ = 1;           // of the region's VMs, as it counts for refills
   base::TimePoint higher_since_{};  // since when more VMs are seen than live_share_ tells
-  size_t most_vms_heard_ = 0;       // greatest number that other VMs of the region state
-  base::TimePoint most_vms_heard_at_{};
+  size_t expected_heard_ = 0;       // greatest number that other VMs of the region expect
+  base::TimePoint expected_heard_at_{};
   std::unordered_map<uint64_t, Account> accounts_;
   std::unordered_map<uint64_t, Request> requests_;
   std::unordered_map<uint64_t, Question> questions_;
--- a/libs/tenancy/internal/quota_bucket.cc
+++ b/libs/tenancy/internal/quota_bucket.cc
@@ -22,9 +22,10 @@
   return sum_ * std::exp(-std::max(0.0, Seconds(now - at_).count()));
 }
 
-void QuotaBucket::SetCapacity(double capacity) {
+void QuotaBucket::SetCapacity(double capacity, double share) {
   capacity_ = capacity;
-  balance_ = std::min(balance_, capacity_);
+  share_ = share;
+  balance_ = std::min(balance_, this->capacity());
 }
 
 void QuotaBucket::Refill(double per_second, base::TimePoint now) {
@@ -45,7 +46,7 @@
   return taken;
 }
 
-void QuotaBucket::Put(double amount) { balance_ = std::min(capacity_, balance_ + std::max(0.0, amount)); }
+void QuotaBucket::Put(double amount) { balance_ = std::min(capacity(), balance_ + std::max(0.0, amount)); }
 
 base::Duration QuotaBucket::TimeUntil(double cost, double per_second) const {
   const double missing = std::max(0.0, std::min(cost, capacity_) - balance_);
--- a/tests/fleet/quota_client_test.cc
+++ b/tests/fleet/quota_client_test.cc
@@ -104,22 +104,5 @@
   EXPECT_EQ(loop.run(), 0);
 }
 
-// Guards against halves of a region that refill as the whole, and against refills that stay low after VMs
-// have left in order.
-TEST(RegionSizeTest, CountsSilentButNoLeavingVms) {
-  RegionSize size;
-  base::TimePoint now{std::chrono::hours(1)};
-  size.Update({1, 2, 3, 4}, {}, now);
-  size.Update({1, 2}, {}, now += seconds(1));
-  EXPECT_EQ(size.most(), 4);
-  size.Update({1, 2, 3, 4}, {}, now += seconds(1));
-  size.Update({1, 2}, {3, 4}, now += seconds(1));
-  EXPECT_EQ(size.most(), 2);
-  size.Update({1}, {3, 4}, now += seconds(1));
-  EXPECT_EQ(size.most(), 2);
-  size.Update({1}, {}, now += RegionSize::kHoldTime + seconds(1));
-  EXPECT_EQ(size.most(), 1);
-}
-
 }  // namespace
 }  // namespace cornelplank::fleet
--- a/tests/tenancy/quota_fleet.h
+++ b/tests/tenancy/quota_fleet.h
@@ -27,8 +27,9 @@
   static constexpr size_t kZones = 6;
   static constexpr std::chrono::milliseconds kStep{2};
 
-  QuotaFleet(size_t vms, double rate, const QuotaNetwork& network, uint64_t seed)
-      : network_(network), random_(seed), vms_(vms) {
+  QuotaFleet(size_t vms, double rate, const QuotaNetwork& network, uint64_t seed,
+             const QuotaBounds& bounds = {})
+      : network_(network), bounds_(bounds), random_(seed), vms_(vms) {
     SetRate(rate);
     for (size_t vm = 0; vm < vms; ++vm) Start(vm);
   }
@@ -46,10 +47,10 @@
 
   void Start(size_t vm) {
     Vm& state = vms_[vm];
-    state.book = std::make_unique<QuotaBook>(QuotaBounds{}, static_cast<QuotaVm>(vm + 1),
+    state.book = std::make_unique<QuotaBook>(bounds_, static_cast<QuotaVm>(vm + 1),
                                              static_cast<uint64_t>(now_.time_since_epoch().count()), now_);
     state.heard.assign(vms_.size(), base::TimePoint{});
-    state.most = 0;
+    state.region = RegionSize(now_);
     state.open.clear();
     state.frozen = false;
     state.book->SetTenants(directory_.get(), now_);
@@ -116,7 +117,7 @@
     std::unique_ptr<QuotaBook> book;
     std::vector<base::TimePoint> heard;
     std::deque<Open> open;
-    size_t most = 0;
+    RegionSize region{base::TimePoint{}};
     int part = 0;
     bool frozen = false;
     bool outdated = false;
@@ -146,18 +147,22 @@
     QuotaFleetView view;
     view.owners.resize(kRegions);
     view.own_region = RegionOf(vm);
-    view.live_vms = 0;
+    std::map<QuotaVm, uint32_t> live;
     for (size_t other = 0; other < vms_.size(); ++other) {
       const Vm& sender = vms_[other];
       if (sender.book && !sender.frozen && sender.part == state.part) state.heard[other] = now_;
       if (state.heard[other] == base::TimePoint{} || now_ - state.heard[other] > std::chrono::seconds(3))
         continue;
       view.owners[RegionOf(other)].push_back(static_cast<QuotaVm>(other + 1));
-      if (RegionOf(other) == RegionOf(vm)) ++view.live_vms;
+      if (RegionOf(other) == RegionOf(vm))
+        live[static_cast<QuotaVm>(other + 1)] = static_cast<uint32_t>(ZoneOf(other));
       view.connected |= other != vm;
     }
-    state.most = std::max(state.most, view.live_vms);
-    view.most_vms = state.most;
+    const auto zone = static_cast<uint32_t>(ZoneOf(vm));
+    const auto other_zone = static_cast<uint32_t>((ZoneOf(vm) + kRegions) % kZones);
+    state.region.Update({zone, other_zone}, std::move(live), {}, now_);
+    view.live_vms = state.region.live();
+    view.expected_vms = state.region.expected();
     state.book->SetView(std::move(view), now_);
     state.book->Tick(now_);
     Send(vm);
@@ -201,6 +206,7 @@
   }
 
   QuotaNetwork network_;
+  QuotaBounds bounds_;
   base::Random random_;
   base::TimePoint now_{std::chrono::hours(1)};
   Tenant tenant_;
