--- a/libs/tenancy/internal/quota_book.cc
+++ b/libs/tenancy/internal/quota_book.cc
@@ -54,6 +54,9 @@
 // VMs that come back count for refills after this time: another VM, which owned the bucket in the meantime,
 // may not have seen it yet.
 constexpr std::chrono::seconds kRiseDelay{2};
+// A VM whose view is older than this has been suspended. Others take over its buckets 3 s after its last
+// heartbeat at the earliest.
+constexpr std::chrono::seconds kSuspendedTime{2};
 // A bucket keeps its whole capacity while its owner sees at least this share of the region, so that the loss
 // of single VMs doesn't keep out the largest requests. The other part, if there is one, keeps the rest.
 constexpr double kWholeShare = 0.8;
@@ -65,7 +68,11 @@
 }  // namespace
 
 QuotaBook::QuotaBook(const QuotaBounds& bounds, QuotaVm own, uint64_t first_sequence, base::TimePoint started)
-    : bounds_(bounds), own_(own), sequence_(first_sequence), refills_from_(started + kStartDelay) {}
+    : bounds_(bounds),
+      own_(own),
+      sequence_(first_sequence),
+      refills_from_(started + kStartDelay),
+      viewed_at_(started) {}
 
 void QuotaBook::SetTenants(const TenantDirectory* directory, base::TimePoint now) {
   std::unordered_map<uint64_t, Account> kept;
@@ -92,6 +99,8 @@
 }
 
 void QuotaBook::SetView(QuotaFleetView view, base::TimePoint now) {
+  CheckSuspension(now);
+  viewed_at_ = now;
   const bool changed = view.owners != view_.owners || view.own_region != view_.own_region;
   for (auto& [tenant, account] : accounts_) Refill(account, now);  // at the rate of the previous view
   view_ = std::move(view);
@@ -107,6 +116,17 @@
   if (changed) UpdateOwnership(now);
 }
 
+void QuotaBook::CheckSuspension(base::TimePoint now) {
+  if (now - viewed_at_ <= kSuspendedTime) return;
+  viewed_at_ = now;
+  for (auto& [tenant, account] : accounts_) {
+    account.held = 0;
+    if (!account.bucket) continue;
+    account.bucket->Refill(0, now);  // the time of the suspension doesn't count
+    account.bucket->TakeUpTo(account.bucket->balance());
+  }
+}
+
 double QuotaBook::CapacityOf(const Quota& quota) const {
   const double slack = quota.unit == QuotaUnit::kTokens ? bounds_.slack : 0;
   const double margin =
@@ -180,6 +200,7 @@
 }
 
 uint64_t QuotaBook::Begin(const Tenant& tenant, double cost, base::TimePoint now) {
+  CheckSuspension(now);
   const uint64_t id = ++sequence_;
   Request& request = requests_[id];
   request.tenant = KeyOf(tenant.name);
@@ -354,6 +375,7 @@
 }
 
 uint64_t QuotaBook::OnMessage(const QuotaMessage& message, base::TimePoint now) {
+  CheckSuspension(now);
   const auto found = accounts_.find(message.tenant);
   if (found == accounts_.end()) return 0;
   Account& account = found->second;
--- a/libs/tenancy/internal/quota_book.h
+++ b/libs/tenancy/internal/quota_book.h
@@ -108,8 +108,6 @@
   /// `Deadline`.
   std::optional<Answer> Poll(uint64_t request, base::TimePoint now);
   base::TimePoint Deadline(uint64_t request) const;
-  /// Drops a request that is no longer waited for. What is granted to it later can be used by others.
-  void Cancel(uint64_t request) { requests_.erase(request); }
   /// Gives back the cost of a request that was granted and has not run.
   void GiveBack(std::string_view tenant, double cost, base::TimePoint now);
 
@@ -179,6 +177,8 @@
   void Refill(Account& account, base::TimePoint now);
   /// Tokens that requests of this VM are expected to need until the next question.
   double TargetHolding(const Account& account, base::TimePoint now) const;
+  /// Drops all tokens when the process has been suspended: other VMs may have taken over its buckets.
+  void CheckSuspension(base::TimePoint now);
   /// Creates the buckets that this VM owns and hands over those that it doesn't own any more.
   void UpdateOwnership(base::TimePoint now);
 
@@ -212,6 +212,7 @@
   uint64_t sequence_;
   base::TimePoint refills_from_;
   uint64_t ticks_ = 0;
+  base::TimePoint viewed_at_;  // when the view was last set
   QuotaFleetView view_;
   double live_share_ = 1;           // of the region's VMs, as it counts for refills
   base::TimePoint higher_since_{};  // since when more VMs are seen than live_share_ tells
--- a/tests/tenancy/quota_book_test.cc
+++ b/tests/tenancy/quota_book_test.cc
@@ -120,6 +120,26 @@
   EXPECT_GE(use, test.least_use);
 }
 
+// Guards against a VM that was suspended and then spends the tokens of a bucket that another VM has taken
+// over.
+TEST(QuotaBookTest, DropsItsTokensAfterASuspension) {
+  Tenant tenant;
+  tenant.name = "t";
+  tenant.quota = {QuotaUnit::kTokens, 36'000, 36'000, 1};
+  const auto directory = TenantDirectory::Create({TenantConfig{tenant, {}}});
+  base::TimePoint now{std::chrono::hours(1)};
+  QuotaBook book({}, 1, 0, now);
+  book.SetTenants(directory.get(), now);
+  for (int tick = 0; tick < 50; ++tick) {
+    book.SetView({{{1}}, 0, 1, 1, true}, now += QuotaBook::kTickInterval);
+    book.Tick(now);
+  }
+  const auto verdict = [&] { return book.Poll(book.Begin(tenant, 10'000, now), now)->verdict; };
+  EXPECT_EQ(verdict(), QuotaBook::Answer::Verdict::kGranted);
+  now += seconds(4);
+  EXPECT_EQ(verdict(), QuotaBook::Answer::Verdict::kExceeded);
+}
+
 constexpr double kFast = 2'400'000;
 constexpr QuotaNetwork kBad{0.05, 0.05, milliseconds(300)};
 
