--- a/libs/tenancy/internal/quota_book.cc
+++ b/libs/tenancy/internal/quota_book.cc
@@ -54,6 +54,12 @@
 // VMs that come back count for refills after this time: another VM, which owned the bucket in the meantime,
 // may not have seen it yet.
 constexpr std::chrono::seconds kRiseDelay{2};
+// A VM whose view is older than this has been suspended. Others take over its buckets 3 s after its last
+// heartbeat at the earliest.
+constexpr std::chrono::seconds kSuspendedTime{2};
+// A bucket keeps its whole capacity while its owner sees at least this share of the region, so that the loss
+// of single VMs doesn't keep out the largest requests. The other part, if there is one, keeps the rest.
+constexpr double kWholeShare = 0.8;
 // Time for which what other VMs tell of the size of the region counts.
 constexpr std::chrono::seconds kHeardSizeTime{10};
 // Origins of returns that are remembered; several times the VMs of a region.
@@ -62,7 +68,11 @@
 }  // namespace
 
 QuotaBook::QuotaBook(const QuotaBounds& bounds, QuotaVm own, uint64_t first_sequence, base::TimePoint started)
-    : bounds_(bounds), own_(own), sequence_(first_sequence), refills_from_(started + kStartDelay) {}
+    : bounds_(bounds),
+      own_(own),
+      sequence_(first_sequence),
+      refills_from_(started + kStartDelay),
+      viewed_at_(started) {}
 
 void QuotaBook::SetTenants(const TenantDirectory* directory, base::TimePoint now) {
   std::unordered_map<uint64_t, Account> kept;
@@ -81,7 +91,7 @@
       }
       account.name = name;
       account.quota = tenant.quota;
-      if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota));
+      if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota), CapacityShare());
     }
   }
   accounts_ = std::move(kept);
@@ -89,27 +99,34 @@
 }
 
 void QuotaBook::SetView(QuotaFleetView view, base::TimePoint now) {
+  CheckSuspension(now);
+  viewed_at_ = now;
   const bool changed = view.owners != view_.owners || view.own_region != view_.own_region;
-  if (changed) {
-    // The refill so far is due at the rate of the previous view.
-    for (auto& [tenant, account] : accounts_) Refill(account, now);
-  }
-  const bool regions_changed = view.owners.size() != view_.owners.size();
+  for (auto& [tenant, account] : accounts_) Refill(account, now);  // at the rate of the previous view
   view_ = std::move(view);
-  size_t most = std::max<size_t>(1, view_.most_vms);
-  if (now - most_vms_heard_at_ < kHeardSizeTime) most = std::max(most, most_vms_heard_);
+  size_t most = std::max<size_t>(1, view_.expected_vms);
+  if (now - expected_heard_at_ < kHeardSizeTime) most = std::max(most, expected_heard_);
   double share = 0;
   if (view_.connected) share = std::min(1.0, static_cast<double>(view_.live_vms) / static_cast<double>(most));
   if (share <= live_share_) higher_since_ = now;
   if (share <= live_share_ || now - higher_since_ >= kRiseDelay) live_share_ = share;
-  if (regions_changed) {
-    for (auto& [tenant, account] : accounts_) {
-      if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota));
-    }
+  for (auto& [tenant, account] : accounts_) {
+    if (account.bucket) account.bucket->SetCapacity(CapacityOf(account.quota), CapacityShare());
   }
   if (changed) UpdateOwnership(now);
 }
 
+void QuotaBook::CheckSuspension(base::TimePoint now) {
+  if (now - viewed_at_ <= kSuspendedTime) return;
+  viewed_at_ = now;
+  for (auto& [tenant, account] : accounts_) {
+    account.held = 0;
+    if (!account.bucket) continue;
+    account.bucket->Refill(0, now);  // the time of the suspension doesn't count
+    account.bucket->TakeUpTo(account.bucket->balance());
+  }
+}
+
 double QuotaBook::CapacityOf(const Quota& quota) const {
   const double slack = quota.unit == QuotaUnit::kTokens ? bounds_.slack : 0;
   const double margin =
@@ -118,6 +135,8 @@
   return std::max(whole, kLeastCapacitySeconds * quota.per_second) / RegionCount();
 }
 
+double QuotaBook::CapacityShare() const { return live_share_ >= kWholeShare ? 1 : live_share_; }
+
 double QuotaBook::RefillRate(const Quota& quota, base::TimePoint now) const {
   return now < refills_from_ ? 0 : quota.per_second / RegionCount() * live_share_;
 }
@@ -144,7 +163,7 @@
   for (auto& [tenant, account] : accounts_) {
     const bool owned = OwnerOf(tenant, view_.own_region) == own_;
     if (owned && !account.bucket) {
-      account.bucket.emplace(CapacityOf(account.quota), std::max(now, refills_from_));
+      account.bucket.emplace(CapacityOf(account.quota), CapacityShare(), std::max(now, refills_from_));
       account.bucket->Put(std::exchange(account.held, 0));
     } else if (!owned && account.bucket) {
       const double balance = account.bucket->balance();
@@ -161,7 +180,7 @@
   message.sequence = ++sequence_;
   message.origin = own_;
   message.amount = amount;
-  message.region_vms = static_cast<uint32_t>(view_.most_vms);
+  message.region_vms = static_cast<uint32_t>(view_.expected_vms);
   return message;
 }
 
@@ -181,6 +200,7 @@
 }
 
 uint64_t QuotaBook::Begin(const Tenant& tenant, double cost, base::TimePoint now) {
+  CheckSuspension(now);
   const uint64_t id = ++sequence_;
   Request& request = requests_[id];
   request.tenant = KeyOf(tenant.name);
@@ -355,6 +375,7 @@
 }
 
 uint64_t QuotaBook::OnMessage(const QuotaMessage& message, base::TimePoint now) {
+  CheckSuspension(now);
   const auto found = accounts_.find(message.tenant);
   if (found == accounts_.end()) return 0;
   Account& account = found->second;
@@ -375,9 +396,9 @@
 void QuotaBook::OnAsk(const QuotaMessage& message, Account& account, base::TimePoint now) {
   const auto& own_region = view_.owners[view_.own_region];
   if (std::find(own_region.begin(), own_region.end(), message.origin) != own_region.end()) {
-    if (message.region_vms >= most_vms_heard_ || now - most_vms_heard_at_ >= kHeardSizeTime) {
-      most_vms_heard_ = message.region_vms;
-      most_vms_heard_at_ = now;
+    if (message.region_vms >= expected_heard_ || now - expected_heard_at_ >= kHeardSizeTime) {
+      expected_heard_ = message.region_vms;
+      expected_heard_at_ = now;
     }
   }
   const Answer answer = TakeFromBucket(account, message.amount, message.demand, now);
