--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -187,6 +187,12 @@
   co_return head;
 }
 
+std::optional<uint64_t> HttpCall::BodyLength() const {
+  if (parser_->is_done()) return 0;  // the response to a HEAD request states a length, but has no body
+  const auto length = parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 Task<bool> HttpCall::ReadSome(std::string* out, bool* done, base::Duration timeout) {
   const auto self = shared_from_this();
   *done = parser_->is_done();
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -50,6 +50,9 @@
   /// that stops in the middle of it may close the connection in order too. Call it after `ReadHead`.
   bool EndsWithConnection() const { return parser_ && parser_->get().need_eof(); }
 
+  /// The length of the body that follows, if the response states it. Call it after `ReadHead`.
+  std::optional<uint64_t> BodyLength() const;
+
   /// Whether the connection has carried another request before. Call it after `Connect`.
   bool Reused() const { return reused_; }
 
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -389,7 +389,7 @@
       ++proxy_.counters_.answered;
       NotifyObserver("answered");
       if (base::AllowRoutineLogLine()) LogRequestEnd("answered", held_error_->head.status);
-      co_await writer_.Send(held_error_->head, held_error_->body);
+      co_await writer_.Send(held_error_->head, held_error_->body, std::move(held_error_->charge));
       break;
     case NextStep::kRefuse:
       ++proxy_.counters_.refused;
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -38,6 +38,7 @@
   struct HeldResponse {
     net::ResponseHead head;
     std::string body;
+    net::MemoryAccount::Charge charge;  // of the body
   };
 
   PlacementQuery MakePlacementQuery() const;
@@ -71,6 +72,12 @@
   /// Sends the request over a connected `call` and relays the response to the client. An error response is
   /// kept in `held_error_` instead.
   net::Task<AttemptOutcome> SendAndRelay(net::HttpCall& call, const Placement& placement);
+  /// Reads the whole body of a response as there is memory for it. Returns false when the response breaks
+  /// off, is too long or finds no memory in time.
+  net::Task<bool> ReadWholeBody(net::HttpCall& call, HeldResponse* response);
+  /// Raises the charge of bytes of the attempt's response to `bytes`. The replica doesn't count as silent
+  /// while that has to wait. Returns false when there is no memory in time.
+  net::Task<bool> AcquireMemory(net::MemoryAccount::Charge& charge, size_t bytes);
   net::Task<AttemptOutcome> RelayStream(net::HttpCall& call, net::ResponseHead head);
   /// Forwards the complete events in `splitter_` that the client does not have yet. Returns false when the
   /// client has left, or when events are missing; `in_order` is then set to false.
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -9,6 +9,10 @@
 constexpr size_t kMaxDroppedBytes = 4 << 20;
 constexpr size_t kMaxEventBytes = 256 << 10;
 
+// Bytes that one read of a response adds at most, and the first step of a response without a stated length.
+constexpr size_t kReadBytes = 4096;
+constexpr size_t kFirstStepBytes = 8192;
+
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 /// Whether clients may conclude from the status that the request has not run.
@@ -101,12 +105,8 @@
   }
   // The rest of a stream can't come from a response that is no stream.
   if (success && writer_.Started()) co_return AttemptOutcome::kUnknown;
-  std::string body;
-  bool done = false;
-  while (!done) {
-    if (!co_await call.ReadSome(&body, &done, TimeLeft())) co_return AttemptOutcome::kUnknown;
-    if (body.size() > kMaxBodyBytes) co_return AttemptOutcome::kUnknown;
-  }
+  HeldResponse response;
+  if (!co_await ReadWholeBody(call, &response)) co_return AttemptOutcome::kUnknown;
   if (info.encoded) co_return AttemptOutcome::kUnknown;
   net::RemoveHopByHop(&head->headers);
   if (!success) {
@@ -116,20 +116,58 @@
     if (!info.has_signature || (IndicatesNotRun(head->status) && !progress_.repeatable)) {
       co_return AttemptOutcome::kUnknown;
     }
-    held_error_ = HeldResponse{std::move(*head), std::move(body)};
+    response.head = std::move(*head);
+    held_error_ = std::move(response);
     co_return AttemptOutcome::kErrorResponse;
   }
   if (replica_) deps_.registry.ObserveServiceTime(service_, deps_.clock.Now() - sent_at_);
   if (deps_.quarantine != nullptr) deps_.quarantine->RecordAnswer(shared_parts_, deps_.clock.Now());
   first_byte_at_ = deps_.clock.Now();
-  co_await writer_.Send(*head, body);
+  co_await writer_.Send(*head, response.body, std::move(response.charge));
   co_return AttemptOutcome::kComplete;
 }
 
+net::Task<bool> ProxiedRequest::AcquireMemory(net::MemoryAccount::Charge& charge, size_t bytes) {
+  awaiting_bytes_ = false;
+  const bool acquired = co_await writer_.memory()->Acquire(charge, bytes, TimeLeft());
+  last_bytes_at_ = deps_.clock.Now();
+  awaiting_bytes_ = true;
+  co_return acquired;
+}
+
+net::Task<bool> ProxiedRequest::ReadWholeBody(net::HttpCall& call, HeldResponse* response) {
+  response->charge = net::MemoryAccount::Charge(writer_.memory());
+  std::string& body = response->body;
+  const auto length = call.BodyLength();
+  if (length && *length > kMaxBodyBytes) co_return false;
+  bool done = false;
+  while (!done) {
+    if (body.size() + kReadBytes > response->charge.bytes()) {
+      // Without a stated length, a body beyond the first step may have the greatest one. The room takes
+      // memory only as bytes arrive.
+      const size_t most = length                              ? static_cast<size_t>(*length)
+                          : body.size() < kFirstStepBytes / 2 ? kFirstStepBytes
+                                                              : kMaxBodyBytes;
+      if (!co_await AcquireMemory(response->charge, most + kReadBytes)) co_return false;
+      body.reserve(most);
+    }
+    if (!co_await call.ReadSome(&body, &done, TimeLeft())) co_return false;
+    if (body.size() > kMaxBodyBytes) co_return false;
+  }
+  co_return true;
+}
+
 net::Task<AttemptOutcome> ProxiedRequest::RelayStream(net::HttpCall& call, net::ResponseHead head) {
   net::RemoveHopByHop(&head.headers);
+  net::MemoryAccount::Charge charge(writer_.memory());
+  charge.Resize(kFirstStepBytes);
   bool done = false;
   while (!done) {
+    // Whole events are kept a second time while they are written.
+    const size_t wanted = 2 * (splitter_.Remainder().size() + kReadBytes);
+    if (wanted > charge.bytes()) {
+      if (!co_await AcquireMemory(charge, wanted)) co_return AttemptOutcome::kUnknown;
+    }
     std::string part;
     const base::Duration left = TimeLeft();
     if (left.count() <= 0) co_return AttemptOutcome::kUnknown;
