--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -72,6 +72,7 @@
   set(state_, "received_bytes", static_cast<double>(gauges.received_bytes));
   set(state_, "received_bytes_limit", static_cast<double>(gauges.received_bytes_limit));
   set(state_, "memory_waits", static_cast<double>(gauges.memory_waits));
+  set(state_, "connections", static_cast<double>(gauges.connections));
   set(state_, "ready", gauges.ready ? 1 : 0);
   set(totals_, "second_sends", static_cast<double>(gauges.second_sends));
   set(totals_, "hops", static_cast<double>(gauges.hops));
@@ -79,6 +80,8 @@
   set(totals_, "store_calls", static_cast<double>(gauges.store_calls));
   set(totals_, "memory_refusals", static_cast<double>(gauges.memory_refusals));
   set(totals_, "stalled_requests_ended", static_cast<double>(gauges.stalled_requests_ended));
+  set(totals_, "connections_refused", static_cast<double>(gauges.connections_refused));
+  set(totals_, "connections_evicted", static_cast<double>(gauges.connections_evicted));
   set(totals_, "dropped_log_lines", static_cast<double>(gauges.dropped_log_lines));
 }
 
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -32,6 +32,7 @@
   size_t received_bytes = 0;        // from outside, held now
   size_t received_bytes_limit = 0;  // that may be held
   size_t memory_waits = 0;          // requests and responses that wait for room within the limit
+  size_t connections = 0;           // of all listeners
   bool ready = false;               // takes requests of clients
   // Totals since the start of the process:
   uint64_t second_sends = 0;            // retries after an attempt whose bytes may have reached a replica
@@ -40,6 +41,8 @@
   uint64_t store_calls = 0;             // of this VM to the platform's store
   uint64_t memory_refusals = 0;         // requests and responses that found no room within the limit in time
   uint64_t stalled_requests_ended = 0;  // incomplete ones whose clients had stalled, to make room for others
+  uint64_t connections_refused = 0;     // as too many were open
+  uint64_t connections_evicted = 0;     // in favour of new ones
   uint64_t dropped_log_lines = 0;
 };
 
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -13,15 +13,17 @@
 
 // Descriptors of the program itself: listeners, the event loop, standard streams, and calls to the store.
 constexpr int64_t kOwnDescriptors = 48;
-// Shares of all other descriptors, in parts of kDescriptorParts. Clients get half of them, so that even when
-// each of them has a request in progress, none of these takes the descriptors of other kinds of connections.
+// Shares of all other descriptors, in parts of kDescriptorParts, so that no kind of connection takes those of
+// another one. Hops include the watches of other VMs: of three prefixes by each VM of a zone, and of the
+// whole fleet while one VM alone reaches the store. Each request in progress takes a connection to a replica
+// or a peer.
 constexpr int64_t kDescriptorParts = 64;
-constexpr int64_t kClientParts = 32;
-constexpr int64_t kHopParts = 8;
+constexpr int64_t kClientParts = 28;
+constexpr int64_t kHopParts = 16;
 constexpr int64_t kDirectoryParts = 2;
 constexpr int64_t kReadinessParts = 1;
 constexpr int64_t kMetricsParts = 1;
-constexpr int64_t kReplicaParts = 16;
+constexpr int64_t kReplicaParts = 12;
 constexpr int64_t kPeerParts = 4;
 constexpr int64_t kMinConnections = 4;  // of each kind
 // Readiness, the directory and the metrics take requests without a body. Some clients send one all the same.
@@ -71,6 +73,13 @@
   return static_cast<size_t>(std::max(kMinConnections, free * parts / kDescriptorParts));
 }
 
+/// Sets the limit of connections of a listener to `parts` parts of the descriptors. Clients of one address
+/// get half of them.
+void SetConnectionShare(const EntrySettings& settings, int64_t parts, net::ServerLimits* limits) {
+  limits->connections = ConnectionShare(settings, parts);
+  limits->connections_per_address = limits->connections / 2;
+}
+
 fleet::Member MakeOwnMember(const EntrySettings& settings) {
   fleet::Member own;
   own.address = settings.ip;
@@ -88,15 +97,17 @@
   return servers;
 }
 
-net::PoolSettings ReplicaPoolSettings() {
+net::PoolSettings ReplicaPoolSettings(const EntrySettings& settings) {
   net::PoolSettings pool;
+  pool.connections = ConnectionShare(settings, kReplicaParts);
   // A busy replica may read a long body only when it begins to work on the request.
   pool.tcp_user_timeout = std::chrono::milliseconds::zero();
   return pool;
 }
 
-net::PoolSettings PeerPoolSettings() {
+net::PoolSettings PeerPoolSettings(const EntrySettings& settings) {
   net::PoolSettings pool;
+  pool.connections = ConnectionShare(settings, kPeerParts);
   pool.connect_timeout = kHopConnectTimeout;
   pool.default_keep_alive = kHopKeepAlive;
   return pool;
@@ -134,8 +145,8 @@
       hop_directory_(members_, clock_, settings.hops.port()),
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
       quarantine_(settings.ip, members_.own().incarnation),
-      replica_pool_(loop, clock_, ReplicaPoolSettings()),
-      peer_pool_(loop, clock_, PeerPoolSettings()),
+      replica_pool_(loop, clock_, ReplicaPoolSettings(settings)),
+      peer_pool_(loop, clock_, PeerPoolSettings(settings)),
       metrics_([this] { return ReadGauges(); }),
       proxy_({loop, clock_, codec_, registry_, hop_directory_, placer_, replica_pool_, peer_pool_, &metrics_,
               &quarantine_}),
@@ -208,7 +219,7 @@
     limits.idle_timeout = config->limits.idle_timeout;
   }
   limits.header_fields = settings_.header_fields;
-  limits.connections = ConnectionShare(settings_, kClientParts);
+  SetConnectionShare(settings_, kClientParts, &limits);
   return limits;
 }
 
@@ -218,17 +229,17 @@
   hops.header_bytes += kHopHeaderBytes;
   hops.header_fields = settings_.header_fields + kHopHeaderFields;
   hops.idle_timeout = kHopKeepAlive * 2;
-  hops.connections = ConnectionShare(settings_, kHopParts);
+  SetConnectionShare(settings_, kHopParts, &hops);
   hop_server_->SetLimits(hops);
   net::ServerLimits small;
   small.header_bytes = kSmallHeaderBytes;
   small.header_fields = settings_.header_fields;
   small.body_bytes = kSmallBodyBytes;
-  small.connections = ConnectionShare(settings_, kReadinessParts);
+  SetConnectionShare(settings_, kReadinessParts, &small);
   readiness_server_->SetLimits(small);
-  small.connections = ConnectionShare(settings_, kDirectoryParts);
+  SetConnectionShare(settings_, kDirectoryParts, &small);
   directory_server_->SetLimits(small);
-  small.connections = ConnectionShare(settings_, kMetricsParts);
+  SetConnectionShare(settings_, kMetricsParts, &small);
   if (metrics_server_) metrics_server_->SetLimits(small);
 }
 
@@ -273,6 +284,13 @@
   gauges.memory_waits = memory_->waiting();
   gauges.memory_refusals = memory_->refused();
   gauges.stalled_requests_ended = memory_->ended_stalled();
+  for (const auto* server :
+       {&client_server_, &hop_server_, &readiness_server_, &directory_server_, &metrics_server_}) {
+    if (!*server) continue;
+    gauges.connections += (*server)->SessionCount();
+    gauges.connections_refused += (*server)->counters().refused;
+    gauges.connections_evicted += (*server)->counters().evicted;
+  }
   gauges.dropped_log_lines = base::DroppedLogLines();
   return gauges;
 }
--- a/libs/net/internal/connection_pool.cc
+++ b/libs/net/internal/connection_pool.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace cornelplank::net {
@@ -39,10 +40,24 @@
   return nullptr;
 }
 
+bool ConnectionPool::CloseLongestIdle() {
+  const auto longest = std::min_element(idle_.begin(), idle_.end(), [](const auto& left, const auto& right) {
+    return left.second.front()->idle_since < right.second.front()->idle_since;
+  });
+  if (longest == idle_.end()) return false;
+  longest->second.pop_front();
+  if (longest->second.empty()) idle_.erase(longest);
+  return true;
+}
+
 Task<std::shared_ptr<PooledConnection>> ConnectionPool::Take(Tcp::endpoint endpoint, base::Duration max_idle,
                                                              Error* error) {
   if (auto connection = TakeIdle(endpoint, max_idle)) co_return connection;
-  auto connection = std::make_shared<PooledConnection>(loop_, endpoint);
+  if (*open_ >= settings_.connections && !CloseLongestIdle()) {
+    *error = asio::error::no_descriptors;
+    co_return nullptr;
+  }
+  auto connection = std::make_shared<PooledConnection>(loop_, endpoint, open_);
   connection->stream.expires_after(settings_.connect_timeout);
   co_await connection->stream.async_connect(endpoint, Into(*error));
   if (*error) co_return nullptr;
--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -66,6 +66,8 @@
       return "none";
     case CallFault::kNotConnected:
       return "not_connected";
+    case CallFault::kNoDescriptor:
+      return "no_descriptor";
     case CallFault::kLost:
       return "connection_lost";
     case CallFault::kTimeout:
@@ -101,6 +103,9 @@
   if (default_fault != CallFault::kNotConnected && error == boost::beast::error::timeout) {
     fault_ = CallFault::kTimeout;
   }
+  if (default_fault == CallFault::kNotConnected && error == asio::error::no_descriptors) {
+    fault_ = CallFault::kNoDescriptor;
+  }
   detail_ = error.message();
 }
 
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -15,6 +15,7 @@
 enum class CallFault {
   kNone,
   kNotConnected,  // no connection could be opened; nothing was sent
+  kNoDescriptor,  // too many connections are open at this VM; nothing was sent
   kLost,          // the connection broke; bytes of the request may have been sent
   kTimeout,       // the response or its next part did not arrive in time
   kMalformed,     // what arrived is not a valid HTTP response
--- a/libs/net/internal/http_server.cc
+++ b/libs/net/internal/http_server.cc
@@ -31,9 +31,10 @@
   while (!stopped_) {
     Error error;
     Tcp::socket socket(loop_);
-    co_await acceptor_.async_accept(socket, Into(error));
+    Tcp::endpoint client;
+    co_await acceptor_.async_accept(socket, client, Into(error));
     if (!error) {
-      OpenSession(std::move(socket));
+      OpenSession(std::move(socket), client.address());
     } else if (!stopped_) {
       base::LogEvent("accept_failed").Text("error", error.message());
       co_await Sleep(loop_, kAcceptRetryDelay);
@@ -41,12 +42,44 @@
   }
 }
 
-void HttpServer::OpenSession(Tcp::socket socket) {
-  if (SessionCount() >= limits_.connections) {
-    base::LogEvent("connection_refused").Number("open", static_cast<int64_t>(SessionCount()));
+void HttpServer::OpenSession(Tcp::socket socket, const asio::ip::address& address) {
+  const auto open = registry_->open_by_address.find(address);
+  const bool address_full =
+      open != registry_->open_by_address.end() && open->second >= limits_.connections_per_address;
+  const bool full = address_full || registry_->open >= limits_.connections;
+  if (full && !Evict(address_full ? &address : nullptr)) {
+    ++counters_.refused;
+    if (base::AllowRoutineLogLine()) {
+      base::LogEvent("connection_refused")
+          .Number("open", static_cast<int64_t>(SessionCount()))
+          .Number("address_full", address_full ? 1 : 0);
+    }
     return;
   }
-  Spawn(loop_, "session", HttpSession::Run(std::make_shared<HttpSession>(*this, std::move(socket))));
+  Spawn(loop_, "session", HttpSession::Run(std::make_shared<HttpSession>(*this, std::move(socket), address)));
+}
+
+bool HttpServer::Evict(const asio::ip::address* address) {
+  const auto evict_first = [&](const std::list<HttpSession*>& sessions, auto&& may_evict) {
+    for (HttpSession* session : sessions) {
+      const bool eligible = address == nullptr || session->address() == *address;
+      if (eligible && may_evict(*session) && session->Evict()) return true;
+    }
+    return false;
+  };
+  const base::TimePoint stalled_since = base::SystemClock().Now() - MemoryAccount::kStallLimit;
+  // A client that has sent a request before is likely to send another one.
+  const bool evicted =
+      evict_first(registry_->idle, [](const HttpSession& session) { return !session.served(); }) ||
+      evict_first(registry_->idle, [](const HttpSession&) { return true; }) ||
+      evict_first(registry_->reading,
+                  [&](const HttpSession& session) { return session.waits_since() < stalled_since; });
+  if (!evicted) return false;
+  ++counters_.evicted;
+  if (base::AllowRoutineLogLine()) {
+    base::LogEvent("connection_evicted").Number("open", static_cast<int64_t>(SessionCount()));
+  }
+  return true;
 }
 
 void HttpServer::AcceptWaiting() {
@@ -54,8 +87,9 @@
   acceptor_.non_blocking(true, error);
   while (!error) {
     Tcp::socket socket(loop_);
-    acceptor_.accept(socket, error);
-    if (!error) OpenSession(std::move(socket));
+    Tcp::endpoint client;
+    acceptor_.accept(socket, client, error);
+    if (!error) OpenSession(std::move(socket), client.address());
   }
   if (error != asio::error::would_block) base::LogEvent("accept_failed").Text("error", error.message());
 }
--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,7 +23,10 @@
   std::chrono::milliseconds header_timeout{3000};  // from the first byte to the end of the header
   // Between requests, between two parts of a body, and for a whole body, plus 1 s for each 64 KB of it.
   std::chrono::milliseconds idle_timeout{15000};
-  size_t connections = 3000;  // open at once; further ones are closed when accepted
+  // Open at once. Beyond it, the connection that has idled longest is closed in favour of a new one; without
+  // an idle one, the new one is closed.
+  size_t connections = 3000;
+  size_t connections_per_address = 1500;  // the same for the connections of one address
 };
 
 class HttpSession;
@@ -83,6 +88,17 @@
 struct SessionRegistry {
   std::set<HttpSession*> sessions;
   size_t active = 0;  // sessions with a request in progress
+  // Sessions that wait for bytes of their clients, the one that has waited longest first:
+  std::list<HttpSession*> idle;                         // for the first byte of a request
+  std::list<HttpSession*> reading;                      // for the rest of a request
+  std::map<asio::ip::address, size_t> open_by_address;  // without those that are being closed
+  size_t open = 0;                                      // without those that are being closed
+};
+
+/// Numbers of connections since the start of the server.
+struct ConnectionCounters {
+  uint64_t refused = 0;  // closed when they were accepted, as too many were open
+  uint64_t evicted = 0;  // closed in favour of new ones
 };
 
 /// An HTTP/1.1 server that listens on one address and runs on the loop. Once it is destroyed, the loop must
@@ -106,6 +122,7 @@
   size_t SessionCount() const { return registry_->sessions.size(); }
   /// Number of client connections with a request in progress.
   size_t ActiveSessionCount() const { return registry_->active; }
+  const ConnectionCounters& counters() const { return counters_; }
   uint16_t Port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -118,7 +135,10 @@
   /// Accepts the connections that the kernel has established already.
   void AcceptWaiting();
   /// Serves a new connection, or closes it when there are too many.
-  void OpenSession(Tcp::socket socket);
+  void OpenSession(Tcp::socket socket, const asio::ip::address& address);
+  /// Closes a connection, if possible of a client that keeps the server waiting, in favour of a new one.
+  /// `address`: null, or of the client to take it from. Returns false when there is none.
+  bool Evict(const asio::ip::address* address);
 
   asio::io_context& loop_;
   RequestHandler& handler_;
@@ -126,6 +146,7 @@
   ServerLimits limits_;
   std::shared_ptr<MemoryAccount> memory_;
   std::shared_ptr<SessionRegistry> registry_ = std::make_shared<SessionRegistry>();
+  ConnectionCounters counters_;
   bool announce_close_ = false;
   bool stopped_ = false;
 };
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -103,6 +103,7 @@
     if (unreported_ < kProgressBytes) return;
     unreported_ = 0;
     reader_.OnProgress();
+    session_.SetState(State::kReading);  // to the end of the list
   }
 
   /// While the session waits for memory, no time limit applies and its client doesn't count as stalled.
@@ -129,25 +130,65 @@
   MemoryAccount::Reader reader_;
 };
 
-HttpSession::HttpSession(HttpServer& server, Tcp::socket socket)
+HttpSession::HttpSession(HttpServer& server, Tcp::socket socket, const asio::ip::address& address)
     : server_(server),
       registry_(server.registry_),
       stream_(std::move(socket)),
       charge_(server.memory_),
-      watch_ended_(server.loop_) {
+      watch_ended_(server.loop_),
+      address_(address) {
   charge_.Resize(kConnectionBytes);
   SetTcpOptions(stream_.socket(), std::chrono::milliseconds::zero());  // clients may pause
   registry_->sessions.insert(this);
+  ++registry_->open;
+  ++registry_->open_by_address[address_];
+  listed_ = true;
+  SetState(State::kIdle);
 }
 
-HttpSession::~HttpSession() { registry_->sessions.erase(this); }
+HttpSession::~HttpSession() {
+  Unlist();
+  registry_->sessions.erase(this);
+}
+
+void HttpSession::SetState(State state) {
+  if (!listed_) return;
+  if (state_ == State::kIdle) registry_->idle.erase(position_);
+  if (state_ == State::kReading) registry_->reading.erase(position_);
+  state_ = state;
+  if (state == State::kServing) return;
+  auto& list = state == State::kIdle ? registry_->idle : registry_->reading;
+  position_ = list.insert(list.end(), this);
+  waits_since_ = base::SystemClock().Now();
+}
+
+void HttpSession::Unlist() {
+  if (!listed_) return;
+  SetState(State::kServing);
+  listed_ = false;
+  --registry_->open;
+  const auto count = registry_->open_by_address.find(address_);
+  if (--count->second == 0) registry_->open_by_address.erase(count);
+}
 
-void HttpSession::CloseIfIdle() {
-  if (!idle_) return;
+bool HttpSession::CloseIfIdle() {
+  if (state_ != State::kIdle) return false;
   char byte;
   const ssize_t size = recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // A read that has taken the first bytes of a request already ends with them all the same.
   if (size <= 0) stream_.cancel();
+  return size <= 0;
+}
+
+bool HttpSession::Evict() {
+  if (state_ == State::kIdle) {
+    if (!CloseIfIdle()) return false;
+  } else {
+    ending_ = true;
+    stream_.cancel();
+  }
+  Unlist();
+  return true;
 }
 
 void HttpSession::Close() {
@@ -161,14 +202,16 @@
   while (keep_alive_) {
     // Not in the loop's condition: g++ 12 evaluates a co_await there although the operand before it is false.
     if (!co_await AwaitRequest()) break;
-    idle_ = false;
+    SetState(State::kReading);
     auto request = co_await ReadRequest();
     if (!request) break;
+    SetState(State::kServing);
     ++registry_->active;
     co_await Serve(*request);
     --registry_->active;
-    idle_ = true;
-    if (server_.stopped_) break;
+    served_ = true;
+    SetState(State::kIdle);
+    if (server_.stopped_ || !listed_) break;
     request.reset();
     charge_.Resize(kConnectionBytes + buffer_.capacity());
   }
@@ -230,6 +273,7 @@
     }
     if (parser.is_header_done()) break;
     error = co_await ChargeHead(0);
+    if (ending_) error = asio::error::operation_aborted;
     if (error) co_return error;
     error = co_await ReadMore();
     if (error) co_return error;
@@ -254,6 +298,7 @@
     co_return MakeError(RejectReason::kNoMemory);
   }
   Error error;
+  if (ending_) co_return asio::error::operation_aborted;
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     const http::response<http::empty_body> continue_response(http::status::continue_, 11);
     stream_.expires_after(kWriteTimeout);
@@ -309,6 +354,7 @@
         co_return MakeError(RejectReason::kNoMemory);
       }
       progress.SetWaiting(false);
+      if (ending_) co_return asio::error::operation_aborted;
       // Growing by doubling, a long body would take up to three times its size. The room takes memory only as
       // the bytes arrive.
       body.reserve(limit);
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -16,17 +16,30 @@
 /// One client connection of an `HttpServer`.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
-  HttpSession(HttpServer& server, Tcp::socket socket);
+  HttpSession(HttpServer& server, Tcp::socket socket, const asio::ip::address& address);
   ~HttpSession();
 
   /// Serves the connection until it ends. Static, because a task starts only after it has been created: its
   /// parameter keeps the session alive until then.
   static Task<> Run(std::shared_ptr<HttpSession> session);
-  /// Ends the connection unless a request has begun to arrive on it.
-  void CloseIfIdle();
+  /// Ends the connection unless a request has begun to arrive on it. Returns whether it does.
+  bool CloseIfIdle();
+  /// Ends the connection unless it is idle and a request has begun to arrive on it. Only for a session that
+  /// waits for bytes of its client. Returns whether it does.
+  bool Evict();
+  const asio::ip::address& address() const { return address_; }
+  /// Whether a request of the connection has been served.
+  bool served() const { return served_; }
+  /// Since when the session has waited for a request, or for the rest of one.
+  base::TimePoint waits_since() const { return waits_since_; }
 
  private:
   friend class ResponseWriter;
+  /// What the session does, for the choice of connections that are closed in favour of new ones.
+  enum class State { kIdle, kReading, kServing };
+  void SetState(State state);
+  /// Takes the session out of the registry's lists and counts of open connections.
+  void Unlist();
   void Close();
   Task<> ServeRequests();
   using Parser = http::request_parser<http::string_body>;
@@ -84,7 +97,13 @@
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
   MemoryAccount::Charge charge_;  // of the connection, its receive buffer and the head of its request
   Notification watch_ended_;      // signalled when `WatchClient` ends
-  bool idle_ = true;              // no request is being read or served
+  asio::ip::address address_;
+  State state_ = State::kServing;
+  base::TimePoint waits_since_{};
+  std::list<HttpSession*>::iterator position_;  // in the registry's list for `state_`, unless kServing
+  bool listed_ = false;                         // counted as open in the registry
+  bool served_ = false;
+  bool ending_ = false;  // evicted
   bool keep_alive_ = true;
 };
 
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -289,6 +289,8 @@
     if (!withheld_ && writer_.CheckClient()) {
       outcome = co_await SendAndRelay(*call_, placement);
     }
+  } else if (call_->fault() == net::CallFault::kNoDescriptor) {
+    withheld_ = true;  // says nothing about the replica
   } else if (!writer_.ClientGone()) {
     if (hop) deps_.hops.ReportHopFailure(endpoint);
     (hop ? deps_.peer_pool : deps_.replica_pool).CloseIdle(endpoint);
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -152,6 +152,30 @@
   EXPECT_EQ(result.fault, CallFault::kNotConnected);
 }
 
+// Guards against more connections than a pool may open, which would take the descriptors of other uses, and
+// against idle connections that keep a pool from opening further ones.
+TEST(ConnectionPoolTest, OpensNoMoreConnectionsThanItsLimit) {
+  asio::io_context loop(1);
+  base::SystemClock clock;
+  net::PoolSettings settings;
+  settings.connections = 1;
+  net::ConnectionPool pool(loop, clock, settings);
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  ScriptedServer first(loop, response, Ending::kKeepOpen);
+  ScriptedServer second(loop, response, Ending::kKeepOpen);
+  FetchResult result;
+  ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, first.Endpoint(), &result)));
+  ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, second.Endpoint(), &result)));
+  EXPECT_TRUE(result.complete);  // in place of the idle one
+  const auto call = std::make_shared<net::HttpCall>(loop, pool);
+  ASSERT_TRUE(RunTask(loop, [](auto& held, auto endpoint) -> net::Task<> {
+    co_await held.Connect(endpoint, std::chrono::seconds(60));
+  }(*call, second.Endpoint())));
+  FetchResult refused;
+  ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, first.Endpoint(), &refused)));
+  EXPECT_EQ(refused.fault, CallFault::kNoDescriptor);
+}
+
 struct HopByHopCase {
   const char* name;
   std::vector<net::Header> before;
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -324,5 +324,138 @@
   EXPECT_EQ(server->SessionCount(), 0U);
 }
 
+// Guards against requests that are neither served nor refused while there is no memory for them.
+TEST_F(HttpServerTest, RefusesARequestWithoutMemory) {
+  constexpr size_t kLimit = 65536;
+  const auto memory = net::MemoryAccount::Create(loop, kLimit);
+  server->SetMemoryAccount(memory);
+  auto socket = Client();
+  RunFor(loop, std::chrono::milliseconds(20));
+  net::MemoryAccount::Charge others(memory);
+  others.Resize(kLimit);
+  const std::string refusal =
+      SendAndReceive(*socket, kPost + "Content-Length: 2\r\n\r\nhi", std::chrono::milliseconds(250));
+  EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
+  EXPECT_NE(refusal.find("Retry-After: 1"), std::string::npos) << refusal;
+  EXPECT_EQ(handler.requests_, 0);
+  others.Resize(0);
+  auto later = Client();
+  const std::string answer =
+      SendAndReceive(*later, kPost + "Content-Length: 2\r\n\r\nhi", std::chrono::milliseconds(50));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_LT(memory->used(), kLimit / 2);
+}
+
+struct SlowBodyCase {
+  const char* name;
+  size_t first_bytes;
+  size_t piece_bytes;  // sent every 100 ms, five times
+  bool served;
+};
+
+class SlowBodyTest : public HttpServerTest, public ::testing::WithParamInterface<SlowBodyCase> {};
+
+// Guards against clients that hold a body's memory by sending it very slowly, and against the end of a long
+// body whose client sends all the time, but not within the idle timeout of 300 ms.
+TEST_P(SlowBodyTest, MayTakeLongerTheMoreHasArrived) {
+  constexpr int kPieces = 5;
+  const SlowBodyCase& param = GetParam();
+  net::ServerLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(300);
+  server->SetLimits(limits);
+  auto socket = Client();
+  const size_t length = param.first_bytes + kPieces * param.piece_bytes;
+  SendAndReceive(
+      *socket,
+      kPost + "Content-Length: " + std::to_string(length) + "\r\n\r\n" + std::string(param.first_bytes, 'x'),
+      std::chrono::milliseconds(100));
+  std::string answer;
+  for (int i = 0; i < kPieces; ++i) {
+    net::Error ignored;  // the server may have ended the connection
+    asio::write(*socket, asio::buffer(std::string(param.piece_bytes, 'x')), ignored);
+    RunFor(loop, std::chrono::milliseconds(100));
+    answer += testing::ReadAvailable(*socket);
+  }
+  EXPECT_EQ(answer.starts_with("HTTP/1.1 200"), param.served) << answer.substr(0, 100);
+  EXPECT_EQ(handler.requests_, param.served ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Bodies, SlowBodyTest,
+                         ::testing::Values(SlowBodyCase{"Long", 100000, 1000, true},
+                                           SlowBodyCase{"FewBytes", 100, 1, false}),
+                         [](const auto& info) { return info.param.name; });
+
+struct ConnectionLimitTest : HttpServerTest {
+  ConnectionLimitTest() {
+    net::ServerLimits limits;
+    limits.connections = 4;
+    limits.connections_per_address = 2;
+    server->SetLimits(limits);
+  }
+
+  std::shared_ptr<net::Tcp::socket> ClientFrom(uint32_t address) {
+    auto socket = std::make_shared<net::Tcp::socket>(loop);
+    socket->open(net::Tcp::v4());
+    socket->bind({asio::ip::address_v4(address), 0});
+    socket->connect(testing::Loopback(server->Port()));
+    RunFor(loop, std::chrono::milliseconds(20));
+    return socket;
+  }
+  bool IsServed(net::Tcp::socket& socket) {
+    net::Error ignored;  // the server may have ended the connection
+    asio::write(socket, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"), ignored);
+    RunFor(loop, std::chrono::milliseconds(30));
+    return testing::ReadAvailable(socket).starts_with("HTTP/1.1 200");
+  }
+
+  static constexpr uint32_t kAddress = 0x7f030001;  // 127.3.0.1
+};
+
+// Guards against idle connections that keep others out, and against the end of a connection that has served
+// requests while one that never has is left.
+TEST_F(ConnectionLimitTest, ANewConnectionReplacesTheLongestIdleOne) {
+  auto used = ClientFrom(kAddress);
+  ASSERT_TRUE(IsServed(*used));
+  auto unused = ClientFrom(kAddress);
+  auto next_unused = ClientFrom(kAddress + 1);
+  auto another = ClientFrom(kAddress + 1);
+  auto added = ClientFrom(kAddress + 2);
+  EXPECT_EQ(server->SessionCount(), 4U);
+  EXPECT_EQ(server->counters().evicted, 1U);
+  EXPECT_FALSE(IsServed(*unused));
+  for (const auto& socket : {used, next_unused, another, added}) EXPECT_TRUE(IsServed(*socket));
+}
+
+// Guards against one address that takes all connections, and against the end of requests in progress.
+TEST_F(ConnectionLimitTest, OneAddressHasAShare) {
+  handler.hold_ = true;
+  std::vector<std::shared_ptr<net::Tcp::socket>> busy;
+  for (int i = 0; i < 3; ++i) {
+    busy.push_back(ClientFrom(kAddress));
+    net::Error ignored;  // the server closes the third one
+    asio::write(*busy.back(), asio::buffer(kPost + "Content-Length: 0\r\n\r\n"), ignored);
+    RunFor(loop, std::chrono::milliseconds(20));
+  }
+  EXPECT_EQ(server->SessionCount(), 2U);
+  EXPECT_EQ(server->counters().refused, 1U);
+  handler.hold_ = false;
+  auto other = ClientFrom(kAddress + 1);
+  EXPECT_TRUE(IsServed(*other));
+  EXPECT_EQ(handler.clients_gone_, 0);
+}
+
+// Guards against clients that keep others out by beginning requests and never completing them.
+TEST_F(ConnectionLimitTest, ANewConnectionReplacesAStalledOne) {
+  std::vector<std::shared_ptr<net::Tcp::socket>> stalled;
+  for (uint32_t i = 0; i < 4; ++i) {
+    stalled.push_back(ClientFrom(kAddress + i));
+    SendAndReceive(*stalled.back(), "POST / HTTP/1.1\r\n", std::chrono::milliseconds(5));
+  }
+  RunFor(loop, net::MemoryAccount::kStallLimit + std::chrono::milliseconds(50));
+  auto added = ClientFrom(kAddress + 5);
+  EXPECT_TRUE(IsServed(*added));
+  EXPECT_EQ(server->SessionCount(), 4U);
+}
+
 }  // namespace
 }  // namespace cornelplank
