--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -66,6 +66,8 @@
       return "none";
     case CallFault::kNotConnected:
       return "not_connected";
+    case CallFault::kNoDescriptor:
+      return "no_descriptor";
     case CallFault::kLost:
       return "connection_lost";
     case CallFault::kTimeout:
@@ -101,6 +103,9 @@
   if (default_fault != CallFault::kNotConnected && error == boost::beast::error::timeout) {
     fault_ = CallFault::kTimeout;
   }
+  if (default_fault == CallFault::kNotConnected && error == asio::error::no_descriptors) {
+    fault_ = CallFault::kNoDescriptor;
+  }
   detail_ = error.message();
 }
 
@@ -187,6 +192,12 @@
   co_return head;
 }
 
+std::optional<uint64_t> HttpCall::BodyLength() const {
+  if (parser_->is_done()) return 0;  // the response to a HEAD request states a length, but has no body
+  const auto length = parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 Task<bool> HttpCall::ReadSome(std::string* out, bool* done, base::Duration timeout) {
   const auto self = shared_from_this();
   *done = parser_->is_done();
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -15,6 +15,7 @@
 enum class CallFault {
   kNone,
   kNotConnected,  // no connection could be opened; nothing was sent
+  kNoDescriptor,  // too many connections are open at this VM; nothing was sent
   kLost,          // the connection broke; bytes of the request may have been sent
   kTimeout,       // the response or its next part did not arrive in time
   kMalformed,     // what arrived is not a valid HTTP response
@@ -50,6 +51,9 @@
   /// that stops in the middle of it may close the connection in order too. Call it after `ReadHead`.
   bool EndsWithConnection() const { return parser_ && parser_->get().need_eof(); }
 
+  /// The length of the body that follows, if the response states it. Call it after `ReadHead`.
+  std::optional<uint64_t> BodyLength() const;
+
   /// Whether the connection has carried another request before. Call it after `Connect`.
   bool Reused() const { return reused_; }
 
