--- a/tests/system/harness/process.cc
+++ b/tests/system/harness/process.cc
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -110,7 +111,10 @@
 std::string Process::Output() const { return ReadFile(folder_ + "/" + name_ + ".out"); }
 std::string Process::Errors() const { return ReadFile(folder_ + "/" + name_ + ".err"); }
 
-uint16_t FreePort() {
+namespace {
+
+/// A port that no socket of the loopback address uses now; 0 when there is none.
+uint16_t UnusedPort() {
   const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -122,4 +126,14 @@
   return bound ? ntohs(address.sin_port) : 0;
 }
 
+}  // namespace
+
+uint16_t FreePort() {
+  // The kernel may pick the same port again, and one program would then be given it for two listeners.
+  static std::set<uint16_t> given;
+  uint16_t port = UnusedPort();
+  while (port != 0 && !given.insert(port).second) port = UnusedPort();
+  return port;
+}
+
 }  // namespace cornelplank::harness
