--- a/tests/decoders/decoder_fuzz.cc
+++ b/tests/decoders/decoder_fuzz.cc
@@ -98,9 +98,12 @@
     R"("cold_remaining_ms":5,"sequence":3,"born":1780000000000,"models":[{"name":"m","adapters":[]}]})";
 const char kConfig[] =
     R"({"version":7,"routes":[{"name":"a","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":900,)"
+    R"("public":false,)"
     R"("target_latency_ms":300,"target_gap_ms":100,"priority":2,"attempts":3,"home_regions":["r"],)"
     R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}]}],"services":[{"name":"s",)"
     R"("connection_limit":9,"cold_start_s":3,"cold_per_s":1.8,"engine":{"slots":12,"kv_capacity":9000}}],)"
+    R"("tenants":[{"name":"t","api_keys":["k"],"priority":1,"unit":"token_streaming","plain_tokens":700,)"
+    R"("rate_per_s":36000,"burst":9000,"home_regions":["r"]}],)"
     R"("limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 const char kPage[] =
     R"({"current_rev":5,"has_more":false,"store_age_ms":40,"items":[{"key":"servers/a","value":"e30=",)"
@@ -131,6 +134,14 @@
               route.priority <= 9;
     route.PickService(42);
   }
+  const tenancy::Tenant* tenant = config->tenants ? config->tenants->FindByName("t") : nullptr;
+  if (tenant != nullptr) {
+    const tenancy::Quota& quota = tenant->quota;
+    correct = correct && tenant->priority.value_or(0) >= 0 && tenant->priority.value_or(0) <= 9;
+    for (const double number : {quota.per_second, quota.burst, quota.plain_cost}) {
+      correct = correct && number >= 0 && number <= 1e15;
+    }
+  }
   for (const auto& [name, service] : config->services) {
     correct = correct && InRange(service.cold_start, hours(24)) && service.cold_requests_per_second >= 0;
   }
--- a/tests/platform/entry_process_test.cc
+++ b/tests/platform/entry_process_test.cc
@@ -42,6 +42,8 @@
         FaultCase{"GraceIsNoTime", "limits", "grace=3s", "grace=soon", "grace"},
         FaultCase{"BoundBelowTheLeast", "limits", "grace=3s", "change_bound=900ms", "change_bound"},
         FaultCase{"DrainBoundBelowTheLeast", "limits", "grace=3s", "drain_bound=0s", "drain_bound"},
+        FaultCase{"StrictIsNoTruthValue", "limits", "grace=3s", "strict_revocation=maybe",
+                  "strict_revocation"},
         FaultCase{"UnknownKey", "limits", "grace=3s", "grave=3s", "grave"}),
     [](const auto& info) { return info.param.name; });
 
