--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -229,7 +229,9 @@
   }
   while (!writer_.ClientGone()) {
     bool may_send = CheckIdentity();
-    if (may_send) may_send = co_await AcquireQuota();
+    if (may_send) {
+      may_send = co_await AcquireQuota();
+    }
     if (!writer_.CheckClient()) break;
     if (TimeLeft() <= kMinAttemptTime) {
       co_await Finish(progress_.response_started ? NextStep::kAbortResponse
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -172,6 +172,7 @@
   struct Hops final : serving::HopDirectory {
     std::vector<serving::RemoteRegion> RemoteRegions(const std::string&) const override { return regions; }
     std::optional<net::Tcp::endpoint> PickVm(const std::string& region) override {
+      if (on_pick) on_pick();
       const auto vm = vms.find(region);
       if (vm == vms.end()) return std::nullopt;
       return vm->second;
@@ -180,6 +181,7 @@
     std::vector<std::string> OwnRegionVms() const override { return {"own"}; }
     std::vector<serving::RemoteRegion> regions;
     std::map<std::string, net::Tcp::endpoint> vms;
+    std::function<void()> on_pick;  // called when a request has been placed, before it is sent
   };
 
   asio::io_context loop{1};
--- a/tests/platform/tenant_revocation_test.cc
+++ b/tests/platform/tenant_revocation_test.cc
@@ -32,6 +32,16 @@
   EXPECT_EQ(send(), "401");
 }
 
+// Guards against a send with a key that is removed after the placement, while the connection is established.
+TEST_F(TenantPath, RefusesAKeyThatIsRemovedBeforeTheSend) {
+  ScriptedServer replica(loop, Answer("body"), Ending::kKeepOpen);
+  Connect(replica.Endpoint(), replica.Endpoint(), true);
+  SetTenantsEverywhere({MakeTenant("a", {"key-a"})});
+  hops.on_pick = [this] { SetTenants(*entry, {MakeTenant("a", {"key-b"})}); };
+  EXPECT_EQ(Status(SendKey("/once/a", kKey)), "401");
+  EXPECT_EQ(replica.connections(), 0);
+}
+
 enum class Change {
   kNone,
   kKeyRemoved,
