--- a/libs/tenancy/internal/quota_book.cc
+++ b/libs/tenancy/internal/quota_book.cc
@@ -59,7 +59,7 @@
 constexpr std::chrono::seconds kSuspendedTime{2};
 // A bucket keeps its whole capacity while its owner sees at least this share of the region, so that the loss
 // of single VMs doesn't keep out the largest requests. The other part, if there is one, keeps the rest.
-constexpr double kWholeShare = 0.8;
+constexpr double kWholeShare = 0.85;
 // Time for which what other VMs tell of the size of the region counts.
 constexpr std::chrono::seconds kHeardSizeTime{10};
 // Origins of returns that are remembered; several times the VMs of a region.
