--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -27,6 +27,19 @@
   memoryTokens @3 :UInt32;
 }
 
+# Takes the place of Load in a list of loads of which at least one says something of a replica's speed. The
+# fields of Load come first, so that a list of either type can be read as one of the other.
+struct PacedLoad {
+  replica @0 :UInt32;
+  requests @1 :UInt32;
+  prefillTokens @2 :UInt32;
+  memoryTokens @3 :UInt32;
+  log2Unit @4 :Int16;        # of the milliseconds for a unit of work, in steps of 1/64
+  observations @5 :UInt8;    # behind log2Unit
+  statedAge @6 :UInt8;       # of statedPercent, in steps of 10 ms
+  statedPercent @7 :UInt16;  # time for a unit, of the usual time
+}
+
 # A request whose replica crashed before its answer began.
 struct Crash {
   reporter @0 :UInt32;     # VM that saw it
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(9834872a088faae7);
 CAPNP_DECLARE_SCHEMA(e68cdf7ea3840a40);
 CAPNP_DECLARE_SCHEMA(e12bfe643c95fbd4);
+CAPNP_DECLARE_SCHEMA(fa7dda7a961c406b);
 CAPNP_DECLARE_SCHEMA(f178f769d3900305);
 CAPNP_DECLARE_SCHEMA(a2103cc643b3efa8);
 CAPNP_DECLARE_SCHEMA(8171ff5f901bbc9d);
@@ -79,6 +80,21 @@
   };
 };
 
+struct PacedLoad {
+  PacedLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa7dda7a961c406b, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Crash {
   Crash() = delete;
 
@@ -474,6 +490,117 @@
 };
 #endif  // !CAPNP_LITE
 
+class PacedLoad::Reader {
+public:
+  typedef PacedLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica() const;
+
+  inline  ::uint32_t getRequests() const;
+
+  inline  ::uint32_t getPrefillTokens() const;
+
+  inline  ::uint32_t getMemoryTokens() const;
+
+  inline  ::int16_t getLog2Unit() const;
+
+  inline  ::uint8_t getObservations() const;
+
+  inline  ::uint8_t getStatedAge() const;
+
+  inline  ::uint16_t getStatedPercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PacedLoad::Builder {
+public:
+  typedef PacedLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica();
+  inline void setReplica( ::uint32_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline  ::uint32_t getPrefillTokens();
+  inline void setPrefillTokens( ::uint32_t value);
+
+  inline  ::uint32_t getMemoryTokens();
+  inline void setMemoryTokens( ::uint32_t value);
+
+  inline  ::int16_t getLog2Unit();
+  inline void setLog2Unit( ::int16_t value);
+
+  inline  ::uint8_t getObservations();
+  inline void setObservations( ::uint8_t value);
+
+  inline  ::uint8_t getStatedAge();
+  inline void setStatedAge( ::uint8_t value);
+
+  inline  ::uint16_t getStatedPercent();
+  inline void setStatedPercent( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PacedLoad::Pipeline {
+public:
+  typedef PacedLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Crash::Reader {
 public:
   typedef Crash Reads;
@@ -1401,6 +1528,118 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PacedLoad::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getPrefillTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getPrefillTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setPrefillTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getMemoryTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getMemoryTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setMemoryTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int16_t PacedLoad::Reader::getLog2Unit() const {
+  return _reader.getDataField< ::int16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int16_t PacedLoad::Builder::getLog2Unit() {
+  return _builder.getDataField< ::int16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setLog2Unit( ::int16_t value) {
+  _builder.setDataField< ::int16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PacedLoad::Reader::getObservations() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PacedLoad::Builder::getObservations() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setObservations( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PacedLoad::Reader::getStatedAge() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PacedLoad::Builder::getStatedAge() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setStatedAge( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t PacedLoad::Reader::getStatedPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PacedLoad::Builder::getStatedPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setStatedPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Crash::Reader::getReporter() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -1,5 +1,6 @@
 #include "libs/fleet/internal/heartbeat_codec.h"
 
+#include <capnp/any.h>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
@@ -17,6 +18,13 @@
 // Greatest limit of a replica that is passed on, in requests a second; a greater one limits nothing.
 constexpr double kMaxLimitPerSecond = 1e9;
 
+// Places of the loads among the pointers of Beat and LoadSum, since they are of one of two types.
+constexpr uint32_t kLoadsOfBeat = 3;
+constexpr uint32_t kLoadsOfSum = 1;
+// Unit in which the age of a replica's statement is passed on, and the age from which it isn't.
+constexpr std::chrono::milliseconds kStatedAgeStep{10};
+constexpr std::chrono::milliseconds kMaxStatedAge{2500};
+
 uint32_t Clamp(uint64_t value) {
   return static_cast<uint32_t>(std::min<uint64_t>(value, std::numeric_limits<uint32_t>::max()));
 }
@@ -119,20 +127,51 @@
   return statements;
 }
 
-void Write(capnp::List<schema::Load>::Builder out, const std::vector<serving::ReplicaWork>& loads) {
-  for (uint32_t i = 0; i < loads.size(); ++i) {
-    out[i].setReplica(loads[i].replica_key);
-    out[i].setRequests(loads[i].work.requests);
-    out[i].setPrefillTokens(Clamp(loads[i].work.prefill_tokens));
-    out[i].setMemoryTokens(Clamp(loads[i].work.memory_tokens));
+template <typename Builder>
+void WriteWork(Builder out, const serving::ReplicaWork& load) {
+  out.setReplica(load.replica_key);
+  out.setRequests(load.work.requests);
+  out.setPrefillTokens(Clamp(load.work.prefill_tokens));
+  out.setMemoryTokens(Clamp(load.work.memory_tokens));
+}
+
+void WritePace(schema::PacedLoad::Builder out, const pace::PaceReport& pace) {
+  if (pace.observations > 0) {
+    out.setLog2Unit(pace.log2_unit);
+    out.setObservations(pace.observations);
+  }
+  if (pace.percent > 0 && pace.age < kMaxStatedAge) {
+    out.setStatedAge(static_cast<uint8_t>(pace.age / kStatedAgeStep));
+    out.setStatedPercent(pace.percent);
+  }
+}
+
+/// Writes the loads to a pointer field of `parent`. Loads that say nothing of speeds take no bytes for it.
+void WriteLoads(capnp::AnyStruct::Builder parent, uint32_t field,
+                const std::vector<serving::ReplicaWork>& loads) {
+  const auto count = static_cast<uint32_t>(loads.size());
+  auto pointer = parent.getPointerSection()[field];
+  if (std::all_of(loads.begin(), loads.end(), [](const auto& load) { return load.pace.empty(); })) {
+    auto out = pointer.initAs<capnp::List<schema::Load>>(count);
+    for (uint32_t i = 0; i < count; ++i) WriteWork(out[i], loads[i]);
+    return;
+  }
+  auto out = pointer.initAs<capnp::List<schema::PacedLoad>>(count);
+  for (uint32_t i = 0; i < count; ++i) {
+    WriteWork(out[i], loads[i]);
+    WritePace(out[i], loads[i].pace);
   }
 }
 
-std::vector<serving::ReplicaWork> ReadLoads(capnp::List<schema::Load>::Reader in) {
+std::vector<serving::ReplicaWork> ReadLoads(capnp::AnyStruct::Reader parent, uint32_t field) {
   std::vector<serving::ReplicaWork> loads;
-  for (const auto load : in) {
-    loads.push_back(
-        {load.getReplica(), {load.getRequests(), load.getPrefillTokens(), load.getMemoryTokens()}});
+  const auto pointers = parent.getPointerSection();
+  if (field >= pointers.size()) return loads;
+  for (const auto load : pointers[field].getAs<capnp::List<schema::PacedLoad>>()) {
+    loads.push_back({load.getReplica(),
+                     {load.getRequests(), load.getPrefillTokens(), load.getMemoryTokens()},
+                     {load.getLog2Unit(), load.getObservations(), load.getStatedPercent(),
+                      kStatedAgeStep * load.getStatedAge()}});
   }
   return loads;
 }
@@ -145,7 +184,7 @@
     vms[i].setAddress(sum.vms[i].address);
     vms[i].setBeat(sum.vms[i].heartbeat_count);
   }
-  Write(out.initLoads(static_cast<uint32_t>(sum.loads.size())), sum.loads);
+  WriteLoads(kj::cp(out), kLoadsOfSum, sum.loads);
 }
 
 LoadSum Read(schema::LoadSum::Reader in) {
@@ -153,7 +192,7 @@
   sum.whole_region = in.getWholeRegion();
   sum.age = std::chrono::milliseconds(in.getAgeMs());
   for (const auto vm : in.getVms()) sum.vms.push_back({vm.getAddress(), vm.getBeat()});
-  sum.loads = ReadLoads(in.getLoads());
+  sum.loads = ReadLoads(in, kLoadsOfSum);
   return sum;
 }
 
@@ -167,7 +206,7 @@
                                       std::chrono::milliseconds(offer.getAgeMs())});
   }
   if (in.getHasLoads()) {
-    heartbeat.loads = ReadLoads(in.getLoads());
+    heartbeat.loads = ReadLoads(in, kLoadsOfBeat);
   }
   if (in.hasSum()) heartbeat.load_sum = Read(in.getSum());
   heartbeat.quarantine = ReadQuarantine(in);
@@ -192,7 +231,7 @@
   }
   out.setHasLoads(heartbeat.loads.has_value());
   if (heartbeat.loads) {
-    Write(out.initLoads(static_cast<uint32_t>(heartbeat.loads->size())), *heartbeat.loads);
+    WriteLoads(kj::cp(out), kLoadsOfBeat, *heartbeat.loads);
   }
   if (heartbeat.load_sum) Write(out.initSum(), *heartbeat.load_sum);
   Write(out, heartbeat.quarantine);
--- a/libs/fleet/internal/heartbeat_loop.cc
+++ b/libs/fleet/internal/heartbeat_loop.cc
@@ -95,7 +95,7 @@
   ++members_.own().heartbeat_count;
   heartbeat.sender = members_.own();
   const bool with_members = content == Content::kMembers;
-  if (content == Content::kOwnLoads) heartbeat.loads = replicas_.OwnLoads();
+  if (content == Content::kOwnLoads) heartbeat.loads = replicas_.OwnLoads(now);
   const bool limits_changed = now - replicas_.limits_changed_at() < kNewsTime;
   if (!with_members && (limits_changed || now - limits_sent_at_ >= settings_.limit_interval)) {
     heartbeat.limits = replicas_.LimitStatements(settings_.limits_per_heartbeat, now);
--- a/libs/fleet/internal/load_exchange.cc
+++ b/libs/fleet/internal/load_exchange.cc
@@ -16,11 +16,14 @@
 // Without a sum of the region for this long, a VM also sends its loads to others itself.
 constexpr std::chrono::milliseconds kSumTimeout{1000};
 
-using WorkByReplica = std::unordered_map<uint32_t, OutstandingWork>;
+using WorkByReplica = std::unordered_map<uint32_t, ReplicaWork>;
 
-void Add(const std::vector<ReplicaWork>& loads, WorkByReplica* sum) {
+/// `age`: time since the loads were reported.
+void Add(const std::vector<ReplicaWork>& loads, base::Duration age, WorkByReplica* sum) {
   for (const ReplicaWork& load : loads) {
-    OutstandingWork& work = (*sum)[load.replica_key];
+    ReplicaWork& entry = (*sum)[load.replica_key];
+    entry.pace.Add(load.pace, age);
+    OutstandingWork& work = entry.work;
     work.requests += load.work.requests;
     work.prefill_tokens += load.work.prefill_tokens;
     work.memory_tokens += load.work.memory_tokens;
@@ -29,7 +32,7 @@
 
 void Subtract(const std::vector<ReplicaWork>& loads, WorkByReplica* sum) {
   for (const ReplicaWork& load : loads) {
-    OutstandingWork& work = (*sum)[load.replica_key];
+    OutstandingWork& work = (*sum)[load.replica_key].work;
     work.requests -= std::min(work.requests, load.work.requests);
     work.prefill_tokens -= std::min(work.prefill_tokens, load.work.prefill_tokens);
     work.memory_tokens -= std::min(work.memory_tokens, load.work.memory_tokens);
@@ -38,8 +41,8 @@
 
 std::vector<ReplicaWork> ToList(const WorkByReplica& sum) {
   std::vector<ReplicaWork> loads;
-  for (const auto& [key, work] : sum) {
-    if (work.requests > 0) loads.push_back({key, work});
+  for (const auto& [key, entry] : sum) {
+    if (entry.work.requests > 0 || !entry.pace.empty()) loads.push_back({key, entry.work, entry.pace});
   }
   return loads;
 }
@@ -72,11 +75,12 @@
 LoadSum LoadExchange::SumOfZone(uint32_t own_count, base::TimePoint now) const {
   LoadSum result;
   WorkByReplica sum;
-  Add(replicas_.OwnLoads(), &sum);
+  Add(replicas_.OwnLoads(now, true), base::Duration::zero(), &sum);
   result.vms.push_back({members_.own().address, own_count});
   for (const auto& [vm, report] : reports_) {
     if (!IsRecent(report.at, now)) continue;
-    Add(report.loads, &sum);
+    Add(report.loads, now - report.at, &sum);
+    for (const auto& [replica, speed] : report.speeds) sum[replica].pace.Add(speed, base::Duration::zero());
     result.vms.push_back({vm, report.heartbeat_count});
     result.age = std::max(result.age, now - report.at);
   }
@@ -87,14 +91,17 @@
 LoadSum LoadExchange::SumOfRegion(LoadSum zone, base::TimePoint now) const {
   zone.whole_region = true;
   WorkByReplica sum;
-  Add(zone.loads, &sum);
+  Add(zone.loads, base::Duration::zero(), &sum);
   for (const auto& [key, other] : zone_sums_) {
     if (!IsRecent(other.at, now)) continue;
-    Add(other.sum.loads, &sum);
+    Add(other.sum.loads, now - other.received_at, &sum);
     zone.vms.insert(zone.vms.end(), other.sum.vms.begin(), other.sum.vms.end());
     zone.age = std::max(zone.age, now - other.at);
   }
   zone.loads = ToList(sum);
+  for (ReplicaWork& load : zone.loads) {
+    if (!ReplicaRegistry::SendsSpeed(load.replica_key, now)) load.pace.observations = 0;
+  }
   return zone;
 }
 
@@ -111,7 +118,7 @@
   auto vms = members_.OwnRegionVms(now);
   vms.erase(vms.begin());  // this VM
   if (vms.empty()) return {};
-  own_reports_.push_back({own_count, replicas_.OwnLoads(), now});
+  own_reports_.push_back({own_count, replicas_.OwnLoads(now), now, {}});
   if (own_reports_.size() > kOwnReports) own_reports_.pop_front();
   if (vms.size() < settings_.most_direct_vms) return DirectRound(std::move(vms));
 
@@ -154,23 +161,35 @@
 }
 
 void LoadExchange::OnLoads(const Member& sender, const std::vector<ReplicaWork>& loads, base::TimePoint now) {
-  if (sender.zone == members_.own().zone) reports_[sender.address] = {sender.heartbeat_count, loads, now};
+  if (sender.zone == members_.own().zone) {
+    Report& report = reports_[sender.address];
+    report.heartbeat_count = sender.heartbeat_count;
+    report.loads = loads;
+    report.at = now;
+    for (ReplicaWork& load : report.loads) {
+      if (load.pace.observations == 0) continue;
+      report.speeds[load.replica_key] = {load.pace.log2_unit, load.pace.observations, 0, {}};
+      load.pace.observations = 0;  // counted in `speeds`
+    }
+  }
   replicas_.ReplacePeerLoads(sender.address, loads, now);
+  replicas_.MergePaces(loads, now);
 }
 
 void LoadExchange::OnSum(const Member& sender, const LoadSum& sum, base::TimePoint now) {
   for (const CoveredVm& vm : sum.vms) members_.RefreshHeartbeat(vm.address, vm.heartbeat_count, now);
   const base::TimePoint at = now - sum.age;
+  replicas_.MergePaces(sum.loads, now);
   if (!sum.whole_region) {
     if (sender.zone == members_.own().zone) return;
-    zone_sums_[sender.zone] = {sum, at};
+    zone_sums_[sender.zone] = {sum, at, now};
     replicas_.DropGroupLoads(ReplicaRegistry::kRegionGroup);
     replicas_.ReplaceGroupLoads(sender.zone, sum.loads, at);
     return;
   }
   if (sender.zone != members_.own().zone) return;
   WorkByReplica others;
-  Add(sum.loads, &others);
+  Add(sum.loads, base::Duration::zero(), &others);
   std::vector<VmAddress> covered;
   for (const CoveredVm& vm : sum.vms) {
     covered.push_back(vm.address);
--- a/libs/fleet/internal/load_exchange.h
+++ b/libs/fleet/internal/load_exchange.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 #include "libs/base/base.h"
@@ -63,10 +64,13 @@
     uint32_t heartbeat_count = 0;
     std::vector<serving::ReplicaWork> loads;
     base::TimePoint at{};
+    // Lasting speeds by replica, from several messages: each contains those of some replicas.
+    std::unordered_map<uint32_t, pace::PaceReport> speeds;
   };
   struct ZoneSum {
     LoadSum sum;
-    base::TimePoint at{};
+    base::TimePoint at{};  // of its oldest report
+    base::TimePoint received_at{};
   };
 
   /// The VMs of a zone that sum its loads; each VM determines them by itself. `zone`: NameKey of its name.
--- a/libs/pace/internal/replica_pace.cc
+++ b/libs/pace/internal/replica_pace.cc
@@ -24,6 +24,14 @@
 constexpr uint32_t kKnownObservations = 10;
 // Age, in time constants, after which a stated slowdown counts for nothing.
 constexpr double kForgottenAge = 8;
+// Steps of the logarithm to base 2 in a report, for one of the natural logarithm.
+constexpr double kLog2Steps = 64 / 0.6931471805599453;
+// Greatest number of observations in the sum of several reports; it is sent in 8 bits.
+constexpr int kMaxReportedTotal = 255;
+// Observations of other VMs that count: later ones replace earlier ones.
+constexpr double kMaxSharedWeight = 400;
+// How long a VM reports a unit that it no longer observes.
+constexpr std::chrono::seconds kReportedTime{10};
 // Fewer prompt tokens say little about the time for a token.
 constexpr uint64_t kMinPrefillTokens = 500;
 
@@ -31,24 +39,76 @@
 
 }  // namespace
 
+void PaceReport::Add(const PaceReport& other, base::Duration elapsed) {
+  if (other.observations > 0) {
+    const int total = observations + other.observations;
+    log2_unit =
+        static_cast<int16_t>((log2_unit * observations + other.log2_unit * other.observations) / total);
+    observations = static_cast<uint8_t>(std::min(total, kMaxReportedTotal));
+  }
+  if (other.percent > 0 && (percent == 0 || other.age + elapsed < age)) {
+    percent = other.percent;
+    age = other.age + elapsed;
+  }
+}
+
 void ReplicaPace::OnStatedSlowdown(double percent, base::TimePoint now) {
-  slowdown_ = std::clamp(percent, kMinPercent, kMaxPercent) / 100;
+  stated_percent_ = std::clamp(percent, kMinPercent, kMaxPercent);
+  stated_at_ = now;
+  slowdown_ = stated_percent_ / 100;
   slowdown_at_ = now;
 }
 
+PaceReport ReplicaPace::Report(bool with_unit, base::TimePoint now) const {
+  PaceReport report;
+  if (with_unit && observations_ > 0 && now - own_observed_at_ < kReportedTime) {
+    report.log2_unit = static_cast<int16_t>(std::lround(log_unit_ms_ * kLog2Steps));
+    report.observations = static_cast<uint8_t>(std::min<uint32_t>(observations_, kReportedObservations));
+  }
+  if (stated_percent_ > 0 && now - stated_at_ < kNewsTime) {
+    report.percent = static_cast<uint16_t>(stated_percent_);
+    report.age = now - stated_at_;
+  }
+  return report;
+}
+
+void ReplicaPace::Merge(const PaceReport& report, base::TimePoint now) {
+  if (report.observations > 0) {
+    const double seen = std::clamp(report.log2_unit / kLog2Steps, std::log(kMinUnitMs), std::log(kMaxUnitMs));
+    shared_weight_ = std::min(shared_weight_ + report.observations, kMaxSharedWeight);
+    shared_log_unit_ms_ += (seen - shared_log_unit_ms_) * std::min(1.0, report.observations / shared_weight_);
+    observed_at_ = now;
+  }
+  if (report.percent > 0 && now - report.age > slowdown_at_) {
+    slowdown_ = std::clamp<double>(report.percent, kMinPercent, kMaxPercent) / 100;
+    slowdown_at_ = now - report.age;
+  }
+}
+
+double ReplicaPace::LogUnitMs() const {
+  const double own = std::min<double>(observations_, kReportedObservations);
+  return (own * log_unit_ms_ + shared_weight_ * shared_log_unit_ms_) / (own + shared_weight_);
+}
+
+void ReplicaPace::Refresh(const ServicePace& service) {
+  if (!Known()) return;
+  // One observation more that the replica is like the mean: a single one may be of a slow phase.
+  const double weight = std::min<double>(observations_, kReportedObservations) + shared_weight_;
+  factor_ = std::exp((LogUnitMs() - service.LogUnitMs()) * weight / (weight + 1));
+}
+
 void ReplicaPace::ObserveUnit(ServicePace* service, double unit_ms, double up, double down,
                               base::TimePoint now) {
   const double seen = std::log(std::clamp(unit_ms, kMinUnitMs, kMaxUnitMs));
-  if (!service->HasUnit()) service->ObserveUnit(seen);
-  // After a pause the known value has partly returned to that of the service.
-  log_unit_ms_ = service->LogUnitMs() + std::log(TimeFactor(now));
+  if (observations_ == 0) log_unit_ms_ = seen;
   const double error = std::clamp(seen - log_unit_ms_, -kMaxLogStep, kMaxLogStep);
-  const double early = 1.0 / (observations_ + 2.0);
+  const double early = 1.0 / (observations_ + 1.0);
   log_unit_ms_ += std::max(error > 0 ? up : down, early) * error;
   observations_ = std::min(observations_ + 1, kMaxObservations);
   observed_at_ = now;
-  service->ObserveUnit(log_unit_ms_);
-  factor_ = std::exp(log_unit_ms_ - service->LogUnitMs());
+  own_observed_at_ = now;
+  service->ObserveUnit(LogUnitMs());
+  Refresh(*service);
 }
 
 void ReplicaPace::OnTokens(ServicePace* service, uint32_t tokens, base::Duration time, base::TimePoint now) {
@@ -76,7 +136,7 @@
 }
 
 double ReplicaPace::TimeFactor(base::TimePoint now) const {
-  if (observations_ == 0) return 1;
+  if (!Known()) return 1;
   const double age = std::chrono::duration<double>(now - observed_at_) / kSpeedTime;
   return 1 + (factor_ - 1) / (1 + age * age);
 }
--- a/libs/pace/internal/service_pace.cc
+++ b/libs/pace/internal/service_pace.cc
@@ -71,6 +71,12 @@
   unit_ms_ = std::exp(log_unit_ms_);
 }
 
+void ServicePace::SetUnit(double log_unit_ms) {
+  has_unit_ = true;
+  log_unit_ms_ = log_unit_ms;
+  unit_ms_ = std::exp(log_unit_ms_);
+}
+
 void ServicePace::ObservePrefill(double tokens_per_ms) {
   const double bounded = std::clamp(tokens_per_ms, kMinTokensPerMs, kMaxTokensPerMs);
   const double weight = bounded > prefill_tokens_per_ms_ ? kFasterWeight : kSlowerWeight;
--- a/libs/pace/internal/service_pace.h
+++ b/libs/pace/internal/service_pace.h
@@ -42,6 +42,9 @@
   /// Adds a replica's value of the unit to the mean.
   void ObserveUnit(double log_unit_ms);
 
+  /// Sets the mean over the replicas.
+  void SetUnit(double log_unit_ms);
+
   /// Prompt tokens that a replica of mean speed processes in a millisecond, with the tokens of running
   /// streams produced in between.
   double PrefillTokensPerMs() const { return prefill_tokens_per_ms_; }
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -28,6 +28,10 @@
 // Bounds the memory for one replica's prefixes; beyond it the old ones are dropped.
 constexpr size_t kMaxRecentPrefixes = 512;
 
+// The speed of a replica is part of one heartbeat with loads in kSpeedTurns, which are sent every 200 ms.
+constexpr std::chrono::milliseconds kSpeedTurn{200};
+constexpr uint64_t kSpeedTurns = 3;
+
 void Subtract(uint64_t* value, uint64_t amount) { *value -= std::min(*value, amount); }
 
 }  // namespace
@@ -266,14 +270,52 @@
   return service.engine ? kDefaultStreamTime : kDefaultServiceTime;
 }
 
-std::vector<ReplicaWork> ReplicaRegistry::OwnLoads() const {
+std::vector<ReplicaWork> ReplicaRegistry::OwnLoads(base::TimePoint now, bool all_speeds) const {
   std::vector<ReplicaWork> loads;
   for (const auto& [id, replica] : replicas_) {
-    if (replica->own_work.requests > 0) loads.push_back({replica->key, replica->own_work});
+    const pace::PaceReport pace = replica->pace.Report(all_speeds || SendsSpeed(replica->key, now), now);
+    if (replica->own_work.requests > 0 || !pace.empty()) {
+      loads.push_back({replica->key, replica->own_work, pace});
+    }
   }
   return loads;
 }
 
+bool ReplicaRegistry::SendsSpeed(uint32_t replica_key, base::TimePoint now) {
+  return (static_cast<uint64_t>(now.time_since_epoch() / kSpeedTurn) + replica_key) % kSpeedTurns == 0;
+}
+
+void ReplicaRegistry::MergePaces(const std::vector<ReplicaWork>& loads, base::TimePoint now) {
+  bool merged = false;
+  for (const ReplicaWork& load : loads) {
+    if (load.pace.empty()) continue;
+    const auto entry = by_key_.find(load.replica_key);
+    const auto replica = entry == by_key_.end() ? nullptr : entry->second.lock();
+    if (!replica) continue;
+    paces_.try_emplace(replica->published.service);
+    replica->pace.Merge(load.pace, now);
+    merged = true;
+  }
+  if (merged) RefreshPaces();
+}
+
+void ReplicaRegistry::RefreshPaces() {
+  for (auto& [service, pace] : paces_) {
+    double sum = 0;
+    double known = 0;
+    for (const auto& [id, replica] : replicas_) {
+      if (replica->published.service != service || !replica->pace.Known()) continue;
+      sum += replica->pace.LogUnitMs();
+      ++known;
+    }
+    if (known == 0) continue;
+    pace.SetUnit(sum / known);
+    for (const auto& [id, replica] : replicas_) {
+      if (replica->published.service == service) replica->pace.Refresh(pace);
+    }
+  }
+}
+
 void ReplicaRegistry::ReplacePeerLoads(uint32_t vm, const std::vector<ReplicaWork>& loads,
                                        base::TimePoint now) {
   for (const auto& [id, replica] : replicas_) replica->peer_work.erase(vm);
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -42,6 +42,7 @@
 struct ReplicaWork {
   uint32_t replica_key = 0;  // ReplicaKey of its id
   OutstandingWork work;
+  pace::PaceReport pace;  // empty unless its service's replicas state how fast they are
 };
 
 /// Hash that stands for a replica's id in messages between entry VMs. A collision only distorts an estimate
@@ -186,8 +187,14 @@
   /// This average; a default before the first measurement.
   base::Duration AverageServiceTime(const ServiceConfig& service) const;
 
-  /// The outstanding work of this VM at each replica that has some, to be sent to the VMs of the region.
-  std::vector<ReplicaWork> OwnLoads() const;
+  /// The outstanding work of this VM at each replica that has some, and what it has learnt of the replicas'
+  /// speed, to be sent to the VMs of the region. `all_speeds`: also the lasting speeds whose turn it isn't.
+  std::vector<ReplicaWork> OwnLoads(base::TimePoint now, bool all_speeds = false) const;
+  /// Merges what other VMs have learnt of the replicas' speed.
+  void MergePaces(const std::vector<ReplicaWork>& loads, base::TimePoint now);
+  /// Whether the lasting speed of the replica is part of loads that are sent now: of each one by turns, since
+  /// it changes little.
+  static bool SendsSpeed(uint32_t replica_key, base::TimePoint now);
   /// Replaces everything that `vm` reported before.
   void ReplacePeerLoads(uint32_t vm, const std::vector<ReplicaWork>& loads, base::TimePoint now);
   /// Drops what these VMs reported.
@@ -205,6 +212,8 @@
     base::TimePoint stated_at{};
   };
 
+  /// Computes the mean speeds of services and the speeds relative to them.
+  void RefreshPaces();
   void OnLimitStated(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint at,
                      const char* source, base::TimePoint now);
 
--- a/tests/fleet/load_exchange_test.cc
+++ b/tests/fleet/load_exchange_test.cc
@@ -110,7 +110,7 @@
       if (message.sum) {
         to.exchange.OnSum(from.members.own(), *message.sum, now_);
       } else {
-        to.exchange.OnLoads(from.members.own(), from.registry.OwnLoads(), now_);
+        to.exchange.OnLoads(from.members.own(), from.registry.OwnLoads(now_), now_);
       }
     }
   }
