--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -62,6 +62,8 @@
   switch (block) {
     case SendBlock::kPushedBack:
       return RefusalReason::kPushedBack;
+    case SendBlock::kFull:
+      return RefusalReason::kFull;
     case SendBlock::kCold:
       return RefusalReason::kCold;
     case SendBlock::kLimited:
@@ -99,6 +101,8 @@
       return "replicas_limited";
     case RefusalReason::kCold:
       return "cold_replicas_only";
+    case RefusalReason::kFull:
+      return "replicas_full";
     case RefusalReason::kPushedBack:
       return "replicas_pushed_back";
     case RefusalReason::kStopping:
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -54,6 +54,7 @@
   kCrashingPrompt,  // a part of its prompt crashes replicas; see PromptQuarantine
   kLimited,         // only replicas are left that have stated a limit, and this VM may send them nothing now
   kCold,            // only cold replicas are left, and this VM may send them nothing now
+  kFull,            // only replicas are left that have just refused a request as full
   kPushedBack,      // only replicas are left that want no requests from this VM for a time
   kStopping,        // this VM is about to exit, and the request is not expected to end before
 };
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -30,6 +30,9 @@
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
 // Greatest random addition to Retry-After for requests that replicas leave no room for at present.
 constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
+// Greatest random addition to Retry-After while all replicas of a service without queue are full: a slot
+// becomes free every few milliseconds.
+constexpr std::chrono::milliseconds kFullRetrySpread{100};
 // Retry-After while this VM stops: other VMs take the request at once.
 constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
 
@@ -357,6 +360,10 @@
   if (refusal_reason_ == RefusalReason::kCrashingPrompt) return quarantine_left_;
   if (refusal_reason_ == RefusalReason::kConfigOutdated) return ConfigFreshness::kRetryAfter;
   if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
+  if (refusal_reason_ == RefusalReason::kFull) {
+    return ReplicaRegistry::kFullTime +
+           std::chrono::duration_cast<base::Duration>(kFullRetrySpread * proxy_.random_.Unit());
+  }
   const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
   if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
     const auto wait = deps_.placer.TimeToBlockedReplica(service_, route_.priority, deps_.registry, deps_.hops,
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -130,7 +130,10 @@
   if (replica_ && (info.rate_limit || info.has_signature)) {
     deps_.registry.RecordLimit(*replica_, info.rate_limit, deps_.clock.Now());
   }
-  if (info.not_run) co_return AttemptOutcome::kNotRun;
+  if (info.not_run) {
+    if (replica_ && head->status == 503) deps_.registry.RecordFull(*replica_, deps_.clock.Now());
+    co_return AttemptOutcome::kNotRun;
+  }
   const bool success = IsSuccess(head->status);
   if (success && (!info.has_signature || info.encoded || info.request_id.empty())) {
     co_return AttemptOutcome::kUnknown;
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -244,11 +244,18 @@
   replica.stated_load = load;
   replica.load_stated_at = now;
   replica.sends_since_load = 0;
+  if (load.running + load.waiting < load.slots) replica.full_until = {};
   if (!load.percent) return;
   paces_.try_emplace(replica.published.service);
   replica.pace.OnStatedSlowdown(*load.percent, now);
 }
 
+void ReplicaRegistry::RecordFull(TrackedReplica& replica, base::TimePoint now) {
+  const ServiceConfig* service = config_ ? config_->FindService(replica.published.service) : nullptr;
+  if (service == nullptr || service->engine || FindPace(service->name) == nullptr) return;
+  replica.full_until = now + kFullTime;
+}
+
 pace::ServicePace* ReplicaRegistry::FindPace(std::string_view service) {
   const auto entry = paces_.find(service);
   return entry == paces_.end() ? nullptr : &entry->second;
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -73,6 +73,7 @@
   pace::ReplicaPace pace;
   std::optional<ReportedLoad> stated_load;  // by its last response to this VM
   base::TimePoint load_stated_at{};
+  base::TimePoint full_until{};   // it has refused a request as full, and has not stated a free slot since
   uint32_t sends_since_load = 0;  // requests that this VM has sent it since then
   /// When this VM last sent it a request with a shared prompt prefix, by key of the prefix.
   std::unordered_map<uint64_t, base::TimePoint> recent_prefixes;
@@ -105,6 +106,8 @@
   static constexpr std::chrono::milliseconds kUnlistedGrace{2300};
   /// Loads that another VM reported longer ago than this are not counted.
   static constexpr std::chrono::milliseconds kMaxPeerLoadAge{1500};
+  /// For how long a replica that refused as full is left alone: about as long as one of its requests takes.
+  static constexpr std::chrono::milliseconds kFullTime{50};
   /// The group of all other VMs of the region.
   static constexpr uint32_t kRegionGroup = 0;
   /// How long a replica's statement that it leaves is remembered when the store no longer lists the replica.
@@ -179,6 +182,10 @@
   size_t PushedBackCount(base::TimePoint now) const;
   /// Records the load that a response of the replica states.
   void RecordLoad(TrackedReplica& replica, const ReportedLoad& load, base::TimePoint now);
+  /// Records that the replica has refused a request because all its slots are taken. It gets none for
+  /// kFullTime or until it states a free slot. Only for services of known speed without engine, which have no
+  /// queue.
+  void RecordFull(TrackedReplica& replica, base::TimePoint now);
   /// What is known of the speed of the service's replicas; null when none has stated how fast it is now.
   pace::ServicePace* FindPace(std::string_view service);
   const pace::ServicePace* FindPace(std::string_view service) const;
--- a/libs/serving/internal/send_gate.cc
+++ b/libs/serving/internal/send_gate.cc
@@ -33,6 +33,11 @@
 SendPermission SendGate::Check(TrackedReplica& replica, const ServiceConfig& service, int priority) {
   SendPermission permission = CheckStanding(replica, registry_, now_);
   if (!permission.allowed()) return permission;
+  if (now_ < replica.full_until) {
+    permission.block = SendBlock::kFull;
+    permission.wait = replica.full_until - now_;
+    return permission;
+  }
   if (replica.IsCold(now_)) {
     const base::Duration interval = ColdStartLimiter::SendInterval(replica.published.id, own_id_, Vms(),
                                                                    service.cold_requests_per_second);
--- a/libs/serving/internal/send_gate.h
+++ b/libs/serving/internal/send_gate.h
@@ -16,6 +16,7 @@
   kEvacuated,   // its zone is evacuated
   kPushedBack,  // it has asked this VM to send nothing for a time
   kCold,        // it is cold, and this VM has no part of what it takes, or not yet again
+  kFull,        // it has refused a request as full, and has not stated a free slot since
   kLimited,     // it has stated a limit, and this VM has no part of it, or not yet again
 };
 
--- a/tests/serving/paced_placement_test.cc
+++ b/tests/serving/paced_placement_test.cc
@@ -128,6 +128,46 @@
   EXPECT_FALSE(Draw(100).contains(owner));
 }
 
+struct FullCase {
+  const char* name;
+  bool engine;
+  std::optional<double> percent;
+  milliseconds later;
+  std::optional<uint32_t> running;  // stated after the refusal
+  bool blocked;
+};
+
+struct FullTest : PacedPlacementTest, ::testing::WithParamInterface<FullCase> {};
+
+INSTANTIATE_TEST_SUITE_P(Cases, FullTest,
+                         ::testing::Values(FullCase{"AtOnce", false, 100, milliseconds(0), {}, true},
+                                           FullCase{"Later", false, 100, milliseconds(51), {}, false},
+                                           FullCase{"FreeSlot", false, 100, milliseconds(5), 15, false},
+                                           FullCase{"StillFull", false, 100, milliseconds(5), 16, true},
+                                           FullCase{"WithQueue", true, 100, milliseconds(0), {}, false},
+                                           FullCase{"SpeedUnknown", false, {}, milliseconds(0), {}, false}),
+                         [](const auto& instance) { return instance.param.name; });
+
+// Guards against requests to a replica without queue that has just refused one as full, and against replicas
+// that are left alone although they have stated a free slot.
+TEST_P(FullTest, AReplicaThatRefusedIsLeftAloneUntilItHasRoom) {
+  auto config = std::make_shared<RoutingConfig>(*registry.config());
+  if (!GetParam().engine) config->services["llm"].engine.reset();
+  registry.SetConfig(config);
+  for (const auto& [id, replica] : registry.replicas()) {
+    registry.RecordLoad(*replica, {16, 0, 16, GetParam().percent}, kStart);
+    registry.RecordFull(*replica, kStart);
+    if (GetParam().running) {
+      registry.RecordLoad(*replica, {*GetParam().running, 0, 16, GetParam().percent}, kStart);
+    }
+  }
+  const auto placement = placer.Choose(query, registry, hops, kStart + GetParam().later, &reason);
+  EXPECT_EQ(!placement, GetParam().blocked);
+  if (GetParam().blocked) {
+    EXPECT_EQ(reason, RefusalReason::kFull);
+  }
+}
+
 struct TimeCase {
   const char* name;
   milliseconds time_left;
