--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -28,6 +28,9 @@
 
 // The load that a replica states counts half as much as what the VMs report after this time.
 constexpr std::chrono::milliseconds kStatedLoadTime{250};
+// Requests at a replica, as a multiple of its share by speed, from which its load counts as uneven. The
+// reported requests vary by so much by chance and by their age.
+constexpr double kEvenEnough = 1.25;
 // Load of a region, in requests by slots, from which uneven load counts in full.
 constexpr double kBusyLoad = 0.5;
 // Share of its slots for which a full replica still counts as free, as the picture of its load is old.
@@ -260,7 +263,9 @@
   const double late_pause_ms = ToMs(settings_.late_pause_cost);
   OutstandingWork work;
   work.requests = static_cast<uint32_t>(choice->load.requests);
-  double cost = ToMs(forecast.first_event.mean) + LatenessCost(forecast, query);
+  // Without an engine a slow replica is as good as a fast one while the response is in time.
+  double cost =
+      ToMs(service.engine ? forecast.first_event.mean : forecast.wait) + LatenessCost(forecast, query);
   cost += ToMs(ReservedSlotCost(work, choice->load.slots, service,
                                 std::clamp(route.priority, 0, kLeastUrgentPriority)));
   cost += kFailurePenalty.count() * std::max(0.0, replica.failure_rate - kOrdinaryFailureRate);
@@ -278,7 +283,7 @@
   cost += prefix * (1 - choice->cached_share) * settings_.repeated_prefill_ms_per_1000_tokens / 1000;
   // Uneven load matters the more the busier the region is.
   const double share = std::max(even_load * choice->capacity, 1.0);
-  const double excess = std::max(0.0, choice->load.requests + 1 - share) / share;
+  const double excess = std::max(0.0, choice->load.requests - kEvenEnough * share) / share;
   cost += ToMs(settings_.uneven_cost) * excess * std::min(1.0, even_load / kBusyLoad);
   choice->cost_ms = cost;
   const double room = std::max(slots - choice->load.requests, kLeastFreeShare * slots);
