--- a/libs/serving/internal/proxied_request_end.cc
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -10,6 +10,9 @@
 constexpr std::chrono::milliseconds kMaxRetryAfter{2000};
 // Greatest random addition to Retry-After for requests that replicas leave no room for at present.
 constexpr std::chrono::milliseconds kBlockedRetrySpread{1000};
+// Greatest random addition to Retry-After while all replicas of a service without queue are full: a slot
+// becomes free every few milliseconds.
+constexpr std::chrono::milliseconds kFullRetrySpread{100};
 // Retry-After while this VM stops: other VMs take the request at once.
 constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
 
@@ -29,6 +32,10 @@
     return quota_retry_after_;
   }
   if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
+  if (refusal_reason_ == RefusalReason::kFull) {
+    return ReplicaRegistry::kFullTime +
+           std::chrono::duration_cast<base::Duration>(kFullRetrySpread * proxy_.random_.Unit());
+  }
   const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
   if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
     const auto wait =
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -42,6 +42,7 @@
 struct ReplicaWork {
   uint32_t replica_key = 0;  // ReplicaKey of its id
   OutstandingWork work;
+  pace::PaceReport pace;  // empty unless its service's replicas state how fast they are
 };
 
 /// Hash that stands for a replica's id in messages between entry VMs. A collision only distorts an estimate
@@ -72,6 +73,7 @@
   pace::ReplicaPace pace;
   std::optional<ReportedLoad> stated_load;  // by its last response to this VM
   base::TimePoint load_stated_at{};
+  base::TimePoint full_until{};   // it has refused a request as full, and has not stated a free slot since
   uint32_t sends_since_load = 0;  // requests that this VM has sent it since then
   /// When this VM last sent it a request with a shared prompt prefix, by key of the prefix.
   std::unordered_map<uint64_t, base::TimePoint> recent_prefixes;
@@ -104,6 +106,8 @@
   static constexpr std::chrono::milliseconds kUnlistedGrace{2300};
   /// Loads that another VM reported longer ago than this are not counted.
   static constexpr std::chrono::milliseconds kMaxPeerLoadAge{1500};
+  /// For how long a replica that refused as full is left alone: about as long as one of its requests takes.
+  static constexpr std::chrono::milliseconds kFullTime{50};
   /// The group of all other VMs of the region.
   static constexpr uint32_t kRegionGroup = 0;
   /// How long a replica's statement that it leaves is remembered when the store no longer lists the replica.
@@ -178,6 +182,10 @@
   size_t PushedBackCount(base::TimePoint now) const;
   /// Records the load that a response of the replica states.
   void RecordLoad(TrackedReplica& replica, const ReportedLoad& load, base::TimePoint now);
+  /// Records that the replica has refused a request because all its slots are taken. It gets none for
+  /// kFullTime or until it states a free slot. Only for services of known speed without engine, which have no
+  /// queue.
+  void RecordFull(TrackedReplica& replica, base::TimePoint now);
   /// What is known of the speed of the service's replicas; null when none has stated how fast it is now.
   pace::ServicePace* FindPace(std::string_view service);
   const pace::ServicePace* FindPace(std::string_view service) const;
@@ -186,8 +194,14 @@
   /// This average; a default before the first measurement.
   base::Duration AverageServiceTime(const ServiceConfig& service) const;
 
-  /// The outstanding work of this VM at each replica that has some, to be sent to the VMs of the region.
-  std::vector<ReplicaWork> OwnLoads() const;
+  /// The outstanding work of this VM at each replica that has some, and what it has learnt of the replicas'
+  /// speed, to be sent to the VMs of the region. `all_speeds`: also the lasting speeds whose turn it isn't.
+  std::vector<ReplicaWork> OwnLoads(base::TimePoint now, bool all_speeds = false) const;
+  /// Merges what other VMs have learnt of the replicas' speed.
+  void MergePaces(const std::vector<ReplicaWork>& loads, base::TimePoint now);
+  /// Whether the lasting speed of the replica is part of loads that are sent now: of each one by turns, since
+  /// it changes little.
+  static bool SendsSpeed(uint32_t replica_key, base::TimePoint now);
   /// Replaces everything that `vm` reported before.
   void ReplacePeerLoads(uint32_t vm, const std::vector<ReplicaWork>& loads, base::TimePoint now);
   /// Drops what these VMs reported.
@@ -205,6 +219,8 @@
     base::TimePoint stated_at{};
   };
 
+  /// Computes the mean speeds of services and the speeds relative to them.
+  void RefreshPaces();
   void OnLimitStated(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint at,
                      const char* source, base::TimePoint now);
 
