--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -55,6 +55,7 @@
   }
   if (hop_) limit = std::min(limit, hop_->time_left);
   deadline_ = received_at_ + limit;
+  if (identity_.tenant != nullptr) tenant_name_ = identity_.tenant->name;
   progress_.repeatable = route_.Repeatable();
   // Only the entry VM that received the request from the client retries, since it knows of all attempts.
   progress_.max_sends = hop_ ? 1 : std::max<uint32_t>(1, route_.attempts);
@@ -232,7 +233,7 @@
     if (may_send) {
       may_send = co_await AcquireQuota();
     }
-    if (!writer_.CheckClient()) break;
+    if (writer_.ClientGone()) break;
     if (TimeLeft() <= kMinAttemptTime) {
       co_await Finish(progress_.response_started ? NextStep::kAbortResponse
                       : progress_.may_have_run   ? NextStep::kTimeOut
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -165,7 +165,7 @@
   std::vector<uint64_t> shared_parts_;       // ids of the prompt parts that other requests may have too
   RequestIdentity identity_;                 // by `config_`
   int priority_ = 0;                         // of the tenant or the route
-  std::string tenant_name_;                  // by the last CheckIdentity; empty: of no tenant
+  std::string tenant_name_;                  // as last looked up; empty: of no tenant
   std::optional<Charge> charge_;             // acquired, and not used by a send yet
   std::optional<Charge> attempt_charge_;     // of the attempt, once it is sent
   std::shared_ptr<Reservation> reservation_;
--- a/libs/serving/internal/proxied_request_quota.cc
+++ b/libs/serving/internal/proxied_request_quota.cc
@@ -16,6 +16,7 @@
   if (charge_ && (!charge || charge->tenant.name != charge_->tenant.name)) ReturnCharge();
   if (!charge || charge_ || TimeLeft() <= kMinAttemptTime) co_return true;
   const QuotaDecision decision = co_await deps_.quota->Acquire(charge->tenant, charge->cost);
+  writer_.CheckClient();  // it may have left during the wait
   if (decision.verdict == QuotaDecision::Verdict::kGranted) {
     charge_ = charge;
     co_return true;
