--- a/libs/net/internal/http_server.cc
+++ b/libs/net/internal/http_server.cc
@@ -10,6 +10,14 @@
 
 }  // namespace
 
+ResponseHead RequestHandler::MakeRefusal(const Request& /*request*/, std::chrono::milliseconds retry_after) {
+  ResponseHead head;
+  head.status = static_cast<unsigned>(boost::beast::http::status::service_unavailable);
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
+  head.headers.Add("Retry-After", std::to_string(seconds.count()));
+  return head;
+}
+
 HttpServer::HttpServer(asio::io_context& loop, RequestHandler& handler)
     : loop_(loop), handler_(handler), acceptor_(loop), memory_(MemoryAccount::Create(loop)) {}
 
--- a/libs/net/internal/http_server.h
+++ b/libs/net/internal/http_server.h
@@ -81,6 +81,9 @@
   virtual ~RequestHandler() = default;
   /// Responds to `request`. If it returns without a complete response, the connection is closed.
   virtual Task<> Handle(Request& request, ResponseWriter& writer) = 0;
+  /// The head of the response to a request that is refused before its body has been read, as there is no
+  /// memory for it. It has not run. `request`: without its body.
+  virtual ResponseHead MakeRefusal(const Request& request, std::chrono::milliseconds retry_after);
 };
 
 /// The sessions (client connections) of one server. Each session shares the ownership, because the tasks of
--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -38,8 +38,8 @@
 constexpr size_t kProgressBytes = 4096;
 // A body waits for memory for this time. Clients give up soon after that, and another VM may have room.
 constexpr std::chrono::seconds kMemoryWait{5};
-// Retry-After, in seconds, of a request that there was no memory for. Most requests end within that time.
-constexpr char kMemoryRetryAfter[] = "1.000";
+// Retry-After of a request that there was no memory for. Most requests end within that time.
+constexpr std::chrono::seconds kMemoryRetryAfter{1};
 // How long the input of a rejected request is read and dropped.
 constexpr std::chrono::seconds kDropInputTime{1};
 
@@ -76,7 +76,6 @@
 
 /// The response status for a request that was refused with `error`.
 unsigned StatusForError(const Error& error) {
-  if (error == MakeError(RejectReason::kNoMemory)) return 503;
   if (error == MakeError(RejectReason::kTooManyFields)) return 431;
   if (error == http::error::header_limit || error == http::error::buffer_overflow) return 431;
   if (error == http::error::body_limit) return 413;
@@ -374,7 +373,8 @@
   if (!error) {
     error = co_await ReadBody(parser, charged.get());
   }
-  if (error) {
+  const bool no_memory = error == MakeError(RejectReason::kNoMemory);
+  if (error && !no_memory) {
     co_await Reject(error);
     co_return std::nullopt;
   }
@@ -384,6 +384,10 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.headers = CopyFields(message);
+  if (no_memory) {
+    co_await Refuse(request);
+    co_return std::nullopt;
+  }
   if (!charged->bytes.empty()) {
     request.body = Body(std::shared_ptr<const std::string>(charged, &charged->bytes));
   }
@@ -392,11 +396,9 @@
 }
 
 Task<> HttpSession::Reject(const Error& error) {
-  const bool no_memory = error == MakeError(RejectReason::kNoMemory);
   const bool parse_error = error.category() == make_error_code(http::error::bad_target).category() &&
                            error != http::error::end_of_stream && error != http::error::partial_message;
-  const bool own_error = error.category() == MakeError(RejectReason::kNoMemory).category();
-  if (!parse_error && !own_error) co_return;
+  if (!parse_error && error != MakeError(RejectReason::kTooManyFields)) co_return;
   if (base::AllowRoutineLogLine()) {
     base::LogEvent("request_rejected")
         .Text("reason", error.message())
@@ -405,11 +407,21 @@
   http::response<http::empty_body> response(static_cast<http::status>(StatusForError(error)), 11);
   response.keep_alive(false);
   response.content_length(0);
-  if (no_memory) response.set(http::field::retry_after, kMemoryRetryAfter);
   Error ignored;  // the connection is closed either way
   stream_.expires_after(kWriteTimeout);
   co_await http::async_write(stream_, response, Into(ignored));
-  if (no_memory) {
+}
+
+Task<> HttpSession::Refuse(const Request& request) {
+  const ResponseHead head = server_.handler_.MakeRefusal(request, kMemoryRetryAfter);
+  if (base::AllowRoutineLogLine()) {
+    base::LogEvent("request_rejected")
+        .Text("reason", MakeError(RejectReason::kNoMemory).message())
+        .Number("status", head.status);
+  }
+  ResponseWriter writer(*this);
+  writer.CloseAfter();
+  if (co_await writer.Send(head, "")) {
     co_await DropInput();
   }
 }
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -67,9 +67,10 @@
   Task<Error> ReadMore();
   /// Charges the receive buffer and, in addition, `bytes` for the head, once it is parsed.
   Task<Error> ChargeHead(size_t bytes);
-  /// Responds to a request that could not be read with 400, 413 or 431, or with 503 when there was no memory
-  /// for it. Does nothing for other errors.
+  /// Responds to a request that could not be read with 400, 413 or 431. Does nothing for other errors.
   Task<> Reject(const Error& error);
+  /// Refuses a request that there is no memory for. `request`: its head, as far as it has been read.
+  Task<> Refuse(const Request& request);
   /// Reads and drops what the client still sends, for a short time. The end of a connection with unread bytes
   /// would reset it and could take the response with it.
   Task<> DropInput();
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -109,6 +109,27 @@
   co_await proxied.Run();
 }
 
+net::ResponseHead RequestProxy::MakeUndecodedRefusal(const net::Request& request,
+                                                     std::chrono::milliseconds retry_after) const {
+  std::string problem;
+  const auto client = deps_.codec.DecodeRequest(request, &problem);
+  return deps_.codec.MakeLocalResponse(503, client ? client->id : "", retry_after);
+}
+
+net::ResponseHead RequestProxy::MakeRefusal(const net::Request& request,
+                                            std::chrono::milliseconds retry_after) {
+  ++counters_.requests;
+  ++counters_.refused;
+  return MakeUndecodedRefusal(request, retry_after);
+}
+
+net::ResponseHead RequestProxy::MakeHopRefusal(const net::Request& request,
+                                               std::chrono::milliseconds retry_after) const {
+  net::ResponseHead head = MakeUndecodedRefusal(request, retry_after);
+  deps_.codec.MarkNotRun(&head);
+  return head;
+}
+
 void RequestProxy::EndRequests() {
   ended_ = true;
   base::LogEvent("requests_ended").Number("active", static_cast<int64_t>(active_requests_->size()));
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -56,12 +56,16 @@
   explicit RequestProxy(const ProxyDependencies& deps) : deps_(deps) {}
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override;
+  net::ResponseHead MakeRefusal(const net::Request& request, std::chrono::milliseconds retry_after) override;
   /// Periodically cancels attempts at replicas that have gone silent, so that they are retried. Never
   /// returns.
   net::Task<> RunSilenceChecks();
   /// Serves a request that an entry VM of another region forwarded. It is not forwarded again.
   net::Task<> ServeHop(net::Request& request, net::ResponseWriter& writer);
 
+  /// The head of the response to a hop that is refused before its body has been read.
+  net::ResponseHead MakeHopRefusal(const net::Request& request, std::chrono::milliseconds retry_after) const;
+
   /// Sets how many second sends (retries) of each service this VM may make in a burst. Beyond the burst they
   /// are limited to a fixed fraction of the requests.
   void SetSecondSendBurst(double burst);
@@ -87,6 +91,9 @@
   /// Responds to a request that no route of `config` matches: with 404, or with 503 when a newer version may
   /// have a route for it.
   net::Task<> Deny(const RequestInfo& request, const RoutingConfig& config, net::ResponseWriter& writer);
+  /// The head of a 503 to a request that may not have been decoded.
+  net::ResponseHead MakeUndecodedRefusal(const net::Request& request,
+                                         std::chrono::milliseconds retry_after) const;
   retry::ExtraAttemptBudget& RetryBudget(const std::string& service);
   AdaptiveAdmission& Admission(const std::string& service, int priority) {
     return admissions_[{service, priority}];
@@ -112,6 +119,9 @@
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
     co_await proxy_.ServeHop(request, writer);
   }
+  net::ResponseHead MakeRefusal(const net::Request& request, std::chrono::milliseconds retry_after) override {
+    return proxy_.MakeHopRefusal(request, retry_after);
+  }
 
  private:
   RequestProxy& proxy_;
