--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -35,6 +35,10 @@
 constexpr double kBusyLoad = 0.5;
 // Share of its slots for which a full replica still counts as free, as the picture of its load is old.
 constexpr double kLeastFreeShare = 0.02;
+// Part of the expected first event that counts when a prefix is kept at its holder: a response within its
+// targets is worth the same whether it begins a little sooner or later, while reading the prefix again takes
+// a replica's time.
+constexpr double kFirstEventWeight = 0.25;
 // Replicas whose costs differ by less than this, and the time of one more prompt, are comparable: so much may
 // have come to a replica since the last report.
 constexpr std::chrono::milliseconds kComparableCost{50};
@@ -345,11 +349,31 @@
   const double band_ms = ToMs(kComparableCost) + query.prompt_tokens / pace.PrefillTokensPerMs();
   const PacedChoice* chosen = Draw(false, band_ms);
   if (query.prefix_key != 0) {
-    // The random part keeps VMs from leaving an owner all at the same moment.
-    const PacedChoice* holder = Draw(true, band_ms);
-    const double margin_ms = band_ms * (random_.Unit() - 0.5);
-    if (holder != nullptr && (chosen == nullptr || holder->cost_ms <= chosen->cost_ms + margin_ms)) {
-      chosen = holder;
+    const double prefix = std::min(query.prefix_tokens, query.prompt_tokens);
+    const double read_ms_per_token =
+        1 / pace.PrefillTokensPerMs() + settings_.repeated_prefill_ms_per_1000_tokens / 1000;
+    const double read_ms = prefix * read_ms_per_token;
+    // What the request meets at a replica and costs others, without the time that passes within its targets
+    // and without the price of reading the prefix again.
+    const auto burden_ms = [&](const PacedChoice& choice) {
+      const double read_again = service.engine ? prefix * (1 - choice.cached_share) : 0;
+      return choice.cost_ms - read_again * settings_.repeated_prefill_ms_per_1000_tokens / 1000 -
+             (1 - kFirstEventWeight) * ToMs(choice.forecast.first_event.mean);
+    };
+    // The random part keeps VMs from leaving a holder all at the same moment.
+    const double margin_ms = read_ms + band_ms * random_.Unit();
+    const auto is_kept = [&](const PacedChoice* holder) {
+      return holder != nullptr && (chosen == nullptr || burden_ms(*holder) <= burden_ms(*chosen) + margin_ms);
+    };
+    const PacedChoice* second = nullptr;
+    for (const PacedChoice& choice : paced_choices_) {
+      if (choice.cached_share > 0 && choice.cached_share < 1) second = &choice;
+    }
+    const PacedChoice* first = Draw(true, band_ms);
+    if (is_kept(first)) {
+      chosen = first;
+    } else if (is_kept(second)) {
+      chosen = second;
     }
   }
   if (chosen == nullptr) return std::nullopt;
