--- a/tests/serving/paced_placement_test.cc
+++ b/tests/serving/paced_placement_test.cc
@@ -142,7 +142,7 @@
 TEST_P(HolderTest, APrefixIsKeptUntilItsOwnerIsMateriallyWorse) {
   LearnSpeeds();
   query.prompt_tokens = 6000;
-  query.prefix_tokens = 5000;
+  query.prefix_tokens = 2500;
   query.prefix_key = 42;
   const std::string owner = OnlyChoice();
   const auto first = registry.Find(owner);
