--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -30,6 +30,11 @@
                     .Name("cornelplank_request_duration_seconds")
                     .Help("Time from a request to its end, by priority and outcome.")
                     .Register(*registry_)),
+      forecast_(prometheus::BuildHistogram()
+                    .Name("cornelplank_forecast_seconds")
+                    .Help("Forecast and observed times of the same requests, by kind: first event, longest "
+                          "pause, end. Only for replicas of known speed.")
+                    .Register(*registry_)),
       state_(prometheus::BuildGauge()
                  .Name("cornelplank_state")
                  .Help("What the VM believes now, by kind.")
@@ -51,6 +56,19 @@
   }
   duration_.Add({{"priority", priority}, {"outcome", outcome}}, LatencyBuckets())
       .Observe(Seconds(summary.total));
+  if (!summary.forecast) return;
+  if (summary.course.first_event) {
+    CompareForecast("first_event", summary.forecast->first_event.mean, *summary.course.first_event);
+  }
+  if (summary.course.longest_pause) {
+    CompareForecast("longest_pause", summary.forecast->longest_pause.mean, *summary.course.longest_pause);
+  }
+  if (summary.course.whole) CompareForecast("end", summary.forecast->end.mean, summary.course.end);
+}
+
+void EntryMetrics::CompareForecast(const char* kind, base::Duration forecast, base::Duration observed) {
+  forecast_.Add({{"kind", kind}, {"value", "forecast"}}, LatencyBuckets()).Observe(Seconds(forecast));
+  forecast_.Add({{"kind", kind}, {"value", "observed"}}, LatencyBuckets()).Observe(Seconds(observed));
 }
 
 void EntryMetrics::UpdateGauges() {
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -52,12 +52,15 @@
 
  private:
   void UpdateGauges();
+  /// Adds a forecast and what was observed to the histograms of one kind of time.
+  void CompareForecast(const char* kind, base::Duration forecast, base::Duration observed);
 
   std::function<EntryGauges()> read_gauges_;
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Histogram>& duration_;
+  prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Family<prometheus::Gauge>& state_;
   prometheus::Family<prometheus::Gauge>& totals_;
 };
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -455,6 +455,13 @@
       .Time("expected_ms", expected_first_byte_)
       .Time("total_ms", deps_.clock.Now() - received_at_);
   if (first_byte_at_ != base::TimePoint{}) line.Time("first_ms", first_byte_at_ - received_at_);
+  if (forecast_) {
+    line.Time("forecast_event_ms", forecast_->first_event.mean);
+    if (course_.first_event) line.Time("event_ms", *course_.first_event);
+    line.Time("forecast_pause_ms", forecast_->longest_pause.mean);
+    if (course_.longest_pause) line.Time("pause_ms", *course_.longest_pause);
+    line.Time("forecast_end_ms", forecast_->end.mean).Time("end_ms", course_.end);
+  }
   if (refusal_reason_ != RefusalReason::kNone && status == 503) {
     line.Text("reason", RefusalReasonName(refusal_reason_));
   }
@@ -472,6 +479,8 @@
   summary.sends = progress_.sends;
   if (first_byte_at_ != base::TimePoint{}) summary.first_byte = first_byte_at_ - received_at_;
   summary.total = now - received_at_;
+  summary.forecast = forecast_;
+  summary.course = course_;
   deps_.observer->OnRequestEnd(summary);
 }
 
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -119,10 +119,12 @@
   base::TimePoint last_bytes_at_{};    // of the attempt; at first the time at which it was sent
   base::TimePoint sent_at_{};          // of the attempt
   base::TimePoint first_event_at_{};   // of the attempt
-  base::TimePoint last_event_at_{};    // of the attempt
-  base::Duration longest_pause_{0};    // between two events of the attempt
-  base::TimePoint window_at_{};        // when the last event before the window of events arrived
-  uint32_t window_events_ = 0;         // events since then
+  std::optional<pace::Forecast> forecast_;  // of the first attempt, once it has a course to compare it with
+  pace::Course course_;
+  base::TimePoint last_event_at_{};  // of the attempt
+  base::Duration longest_pause_{0};  // between two events of the attempt
+  base::TimePoint window_at_{};      // when the last event before the window of events arrived
+  uint32_t window_events_ = 0;       // events since then
   uint64_t prefill_ahead_ = 0;  // prompt tokens at the replica when it was sent the attempt, own included
   base::TimePoint first_byte_at_{};          // of the response to the client
   std::shared_ptr<TrackedReplica> replica_;  // of the attempt; null for a hop
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -63,7 +63,8 @@
   const ServiceConfig* service = config_->FindService(service_);
   const bool engine = service != nullptr && service->engine;
   if (!whole && !prefill_done_) return;
-  pace::Course course;
+  forecast_ = placement.forecast;
+  pace::Course& course = course_;
   if (prefill_done_) course.first_event = first_event_at_ - sent_at_;
   if (engine && longest_pause_.count() > 0) course.longest_pause = longest_pause_;
   course.end = deps_.clock.Now() - sent_at_;
--- a/libs/serving/internal/request_observer.h
+++ b/libs/serving/internal/request_observer.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "libs/base/base.h"
+#include "libs/pace/pace.h"
 
 namespace cornelplank::serving {
 
@@ -16,6 +17,9 @@
   unsigned sends = 0;                        // attempts whose bytes may have reached a replica
   std::optional<base::Duration> first_byte;  // since its arrival; none when no response of a replica began
   base::Duration total{0};                   // since its arrival
+  // What was forecast for its first attempt, and its course; none without a replica of known speed.
+  std::optional<pace::Forecast> forecast;
+  pace::Course course;
 };
 
 /// Is notified of the end of each request, for example to update metrics.
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -76,6 +76,12 @@
   int connections_ = 0;
 };
 
+/// Keeps how the last request ended.
+struct LastRequest final : serving::RequestObserver {
+  void OnRequestEnd(const serving::RequestSummary& ended) override { summary = ended; }
+  serving::RequestSummary summary;
+};
+
 /// The proxy of one VM with the server through which it is reached.
 struct ProxyVm {
   ProxyVm(asio::io_context& loop, const base::Clock& clock, const std::string& region,
@@ -83,7 +89,8 @@
       : placer(region, region, {}, 5),
         replica_connections(loop, clock, {}),
         peer_connections(loop, clock, {}),
-        proxy({loop, clock, codec, registry, hops, placer, replica_connections, peer_connections}),
+        proxy({loop, clock, codec, registry, hops, placer, replica_connections, peer_connections,
+               &last_request}),
         hop_handler(proxy) {
     net::Error error;
     net::RequestHandler& handler = serves_hops ? static_cast<net::RequestHandler&>(hop_handler) : proxy;
@@ -97,6 +104,7 @@
   serving::Placer placer;
   net::ConnectionPool replica_connections;
   net::ConnectionPool peer_connections;
+  LastRequest last_request;
   serving::RequestProxy proxy;
   serving::HopHandler hop_handler;
   std::unique_ptr<net::HttpServer> server;
