--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -64,12 +64,15 @@
   void UpdateGauges();
   /// The label of a tenant. Tenants beyond the greatest number of labels share one.
   const std::string& TenantLabel(std::string_view tenant);
+  /// Adds a forecast and what was observed to the histograms of one kind of time.
+  void CompareForecast(const char* kind, base::Duration forecast, base::Duration observed);
 
   std::function<EntryGauges()> read_gauges_;
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Histogram>& duration_;
+  prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Family<prometheus::Gauge>& state_;
   prometheus::Family<prometheus::Gauge>& totals_;
   prometheus::Family<prometheus::Counter>& tenant_requests_;
