--- a/tests/clients/gateway_clients_test.cc
+++ b/tests/platform/clients/gateway_clients_test.cc
@@ -2,8 +2,8 @@
 
 #include <thread>
 
-#include "tests/clients/misbehaviours.h"
-#include "tests/clients/resource_peaks.h"
+#include "tests/platform/clients/misbehaviours.h"
+#include "tests/platform/clients/resource_peaks.h"
 #include "tests/system/harness/deployment.h"
 
 namespace cornelplank {
--- a/tests/clients/misbehaving_clients_test.cc
+++ b/tests/platform/clients/misbehaving_clients_test.cc
@@ -1,5 +1,5 @@
-#include "tests/clients/misbehaviours.h"
-#include "tests/clients/resource_peaks.h"
+#include "tests/platform/clients/misbehaviours.h"
+#include "tests/platform/clients/resource_peaks.h"
 #include "tests/platform/entry_process.h"
 
 namespace cornelplank {
--- a/tests/clients/misbehaviours.h
+++ b/tests/platform/clients/misbehaviours.h
@@ -4,7 +4,7 @@
 #include <ostream>
 #include <string>
 
-#include "tests/clients/crowd.h"
+#include "tests/platform/clients/crowd.h"
 
 /// The kinds of misbehaviour of HTTP clients.
 namespace cornelplank::testing {
