--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -47,7 +47,8 @@
       last_event_id_(info.last_event_id),
       shared_parts_(info.SharedParts()),
       identity_(Identify(*config_, route_)),
-      priority_(config_->PriorityOf(identity_.tenant, route_)) {
+      priority_(identity_.tenant == nullptr ? route_.priority
+                                            : identity_.tenant->priority.value_or(route_.priority)) {
   base::Duration limit = route_.timeout.count() > 0 ? base::Duration(route_.timeout) : kDefaultTimeout;
   if (request_info_.time_left) {
     limit = std::min<base::Duration>(limit, *request_info_.time_left - kResponseMargin);
@@ -66,8 +67,7 @@
 PlacementQuery ProxiedRequest::MakePlacementQuery() const {
   PlacementQuery query;
   query.route = &route_;
-  // The share of slots that is kept for more urgent requests grows with the tenants' priorities.
-  query.priority = (priority_ + config_->route_priorities / 2) / config_->route_priorities;
+  query.priority = priority_;
   query.residency = Residency();
   query.service = service_;
   query.prompt_tokens = request_info_.prompt_tokens;
--- a/libs/serving/internal/routing_config.cc
+++ b/libs/serving/internal/routing_config.cc
@@ -53,26 +53,6 @@
   return !restricted;
 }
 
-void RoutingConfig::CountRoutePriorities() {
-  route_priorities = 1;
-  if (!tenants) return;
-  int routes_most = 0;
-  for (const RouteConfig& route : routes) routes_most = std::max(routes_most, route.priority);
-  // Requests without a tenant have the priority of their route among the tenants.
-  int tenants_most = routes_most;
-  for (const auto& [name, tenant] : tenants->tenants()) {
-    tenants_most = std::max(tenants_most, tenant.priority.value_or(0));
-  }
-  const int levels = routes_most + 1;
-  if ((tenants_most + 1) * levels <= kMaxPriorities) route_priorities = levels;
-}
-
-int RoutingConfig::PriorityOf(const tenancy::Tenant* tenant, const RouteConfig& route) const {
-  const int first = tenant == nullptr ? route.priority : tenant->priority.value_or(route.priority);
-  if (route_priorities == 1) return first;
-  return first * route_priorities + std::clamp(route.priority, 0, route_priorities - 1);
-}
-
 const ServiceConfig* RoutingConfig::FindService(std::string_view name) const {
   const auto entry = services.find(name);
   return entry == services.end() ? nullptr : &entry->second;
--- a/libs/serving/internal/routing_config.h
+++ b/libs/serving/internal/routing_config.h
@@ -87,17 +87,6 @@
   ClientLimits limits;
   /// Null when the configuration has no tenants: no keys are asked for.
   std::shared_ptr<const tenancy::TenantDirectory> tenants;
-  /// Number of priorities of routes that are told apart within one priority of a tenant. 1 without tenants,
-  /// and where there would be more than `kMaxPriorities` in all.
-  int route_priorities = 1;
-
-  /// Priorities that replicas can be told, 0 being the most urgent.
-  static constexpr int kMaxPriorities = 10;
-  /// Sets `route_priorities` from the routes and tenants.
-  void CountRoutePriorities();
-  /// Priority of a request of `tenant`, null when it has none: the tenant's goes first, and requests of equal
-  /// tenants are in the order of their routes' priorities.
-  int PriorityOf(const tenancy::Tenant* tenant, const RouteConfig& route) const;
 
   /// The route of `host` with the longest prefix of `path`; null when none matches.
   const RouteConfig* FindRoute(std::string_view host, std::string_view path) const;
