Keep no empty list in the connection pool

Callers saw requests on kept connections end without an answer: their VM's process had ended by SIGSEGV, and all its connections with it.

Cause: TakeIdle left the empty list of a server in the map when it took the last idle connection. CloseLongestIdle, which runs only while a pool has as many connections open as it may, compared the first connections of all lists and read the one of the empty list. The class is a container invariant that one of several functions does not keep, on a path that only a full pool takes.

FullPoolTest ends by signal in two of its three cases before the fix (OtherServerIdle, NothingIdle; NoneIsKept passes by itself), and passes after it.

TakeIdle erases the list that it has emptied, and Release keeps nothing where nothing may be kept, so no list is ever empty; CloseIdle and Tick kept that already.

--- a/libs/net/internal/connection_pool.cc
+++ b/libs/net/internal/connection_pool.cc
@@ -27,17 +27,18 @@
   if (entry == idle_.end()) return nullptr;
   auto& connections = entry->second;
   const base::TimePoint now = clock_.Now();
-  while (!connections.empty()) {
+  std::shared_ptr<PooledConnection> taken;
+  while (!taken && !connections.empty()) {
     auto connection = std::move(connections.back());
     connections.pop_back();
     const base::Duration idle = now - connection->idle_since;
     if (idle < max_idle && idle + kKeepAliveMargin < connection->keep_alive && connection->IsReusable()) {
       connection->reused = true;
-      return connection;
+      taken = std::move(connection);
     }
   }
-  idle_.erase(entry);
-  return nullptr;
+  if (connections.empty()) idle_.erase(entry);
+  return taken;
 }
 
 bool ConnectionPool::CloseLongestIdle() {
@@ -69,7 +70,7 @@
 }
 
 void ConnectionPool::Release(std::shared_ptr<PooledConnection> connection) {
-  if (!connection->IsReusable()) return;
+  if (settings_.idle_per_endpoint == 0 || !connection->IsReusable()) return;
   connection->idle_since = clock_.Now();
   connection->buffer.shrink_to_fit();
   auto& connections = idle_[connection->endpoint];
--- a/libs/net/internal/connection_pool.h
+++ b/libs/net/internal/connection_pool.h
@@ -78,7 +78,7 @@
   asio::io_context& loop_;
   const base::Clock& clock_;
   PoolSettings settings_;
-  std::map<Tcp::endpoint, std::list<std::shared_ptr<PooledConnection>>> idle_;
+  std::map<Tcp::endpoint, std::list<std::shared_ptr<PooledConnection>>> idle_;  // no list is empty
   uint64_t opened_ = 0;
   std::shared_ptr<size_t> open_ = std::make_shared<size_t>(0);
 };
