Log a line with the stack when a process ends by a fault

Callers saw requests end without an answer, and no log line said that their VM's process had ended by SIGSEGV, or where.

cornelplank-entry (standard output) and cornelplank-gateway (standard error) now leave one line event=fatal_signal with the signal, the address and the stack as file and offset, on an alternate stack and with async-signal-safe calls only, and end by the same signal. A handler that is installed already, such as a sanitizer's, stays. addr2line names the functions of the Release build as it is; no debug information is added.

Of the gateway only the call in main() is new; no test sends it a signal.

--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -1,4 +1,5 @@
 #include <malloc.h>
+#include <unistd.h>
 
 #include <boost/program_options.hpp>
 #include <chrono>
@@ -69,6 +70,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  cornelplank::base::LogFatalSignals(STDOUT_FILENO);
   // Blocks from this size on are mapped and unmapped singly, so that a long body returns its memory when it
   // ends. Without the call the threshold would rise to the size of the first block that is freed.
   mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
--- a/apps/gateway/main.cc
+++ b/apps/gateway/main.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
@@ -55,6 +57,7 @@
     return 0;
   }
   cornelplank::base::InitLogging(argv[0]);
+  cornelplank::base::LogFatalSignals(STDERR_FILENO);
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
--- a/libs/base/base.h
+++ b/libs/base/base.h
@@ -3,6 +3,7 @@
 #include "libs/base/internal/checked_number.h"
 #include "libs/base/internal/clock.h"
 #include "libs/base/internal/event_log.h"
+#include "libs/base/internal/fatal_signal.h"
 #include "libs/base/internal/hash.h"
 #include "libs/base/internal/json_text.h"
 #include "libs/base/internal/log.h"
