End a request whose handler fails without dangling references

Callers would see a closed connection without an answer when an exception left a handler. The request stayed counted as active, so that a shutdown waited for it, and the task that watches the client kept a reference to a ResponseWriter that was gone. Two faults of the same function: a handler that ended before that task had begun left the connection open until its client closed it; and a client that left just then ran the action of OnClientGone, which refers to the state of a handler that had ended.

Serve now catches the exception, logs handler_failed and answers 500, which promises nothing, unless an answer has begun; it drops the action when the handler has ended, and tells the watching task, which begins no wait then.

--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -456,29 +456,57 @@
     base::LogEvent("client_left_unread").Text("target", request.target);
     co_return;
   }
-  const auto watching = std::make_shared<bool>(true);
+  const auto watch = std::make_shared<ClientWatch>();
   if (buffer_.size() == 0) {
-    Spawn(server_.loop_, "watch_client", WatchClient(shared_from_this(), watching, writer));
+    Spawn(server_.loop_, "watch_client", WatchClient(shared_from_this(), watch, writer));
   } else {
-    *watching = false;  // the next request is in the buffer already, so the client is still connected
+    watch->ended = true;  // the next request is in the buffer already, so the client is still connected
+  }
+  const bool failed = !co_await RunHandler(request, writer);
+  writer.on_client_gone_ = nullptr;  // it may refer to what the handler has destroyed
+  if (failed && !writer.Started()) {
+    writer.CloseAfter();
+    co_await writer.Send({static_cast<unsigned>(http::status::internal_server_error), {}}, "");
   }
-  co_await server_.handler_.Handle(request, writer);
   if (!writer.Complete() || writer.close_after()) keep_alive_ = false;
-  if (*watching) {
+  watch->stopped = true;
+  if (!watch->ended) {
     Error ignored;  // a closed socket has no wait to cancel
     stream_.socket().cancel(ignored);
-    while (*watching) {
+    while (!watch->ended) {
       co_await watch_ended_.Wait(std::chrono::seconds(1));
     }
   }
 }
 
-Task<> HttpSession::WatchClient(std::shared_ptr<HttpSession> session, std::shared_ptr<bool> watching,
+Task<bool> HttpSession::RunHandler(Request& request, ResponseWriter& writer) {
+  std::string problem;
+  try {
+    co_await server_.handler_.Handle(request, writer);
+    co_return true;
+  } catch (const std::exception& error) {
+    problem = error.what();
+  } catch (...) {
+    problem = "not a std::exception";
+  }
+  base::LogEvent("handler_failed")
+      .Text("target", request.target)
+      .Text("error", problem)
+      .Number("answer_begun", writer.Started() ? 1 : 0);
+  co_return false;
+}
+
+Task<> HttpSession::WatchClient(std::shared_ptr<HttpSession> session, std::shared_ptr<ClientWatch> watch,
                                 ResponseWriter& writer) {
-  Error error;
-  co_await session->stream_.socket().async_wait(Tcp::socket::wait_read, Into(error));
-  if (!error && !writer.Complete() && session->ClientHasClosed()) session->MarkClientGone(writer);
-  *watching = false;
+  // The handler may have ended before this task began.
+  if (!watch->stopped) {
+    Error error;
+    co_await session->stream_.socket().async_wait(Tcp::socket::wait_read, Into(error));
+    if (!error && !watch->stopped && !writer.Complete() && session->ClientHasClosed()) {
+      session->MarkClientGone(writer);
+    }
+  }
+  watch->ended = true;
   session->watch_ended_.Notify();
 }
 
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -80,8 +80,15 @@
   void CheckClient(ResponseWriter& writer);
   /// Has the handler respond, and watches for the client's disconnection meanwhile.
   Task<> Serve(Request& request);
+  /// Returns false, with a log line, when the handler ended by an exception.
+  Task<bool> RunHandler(Request& request, ResponseWriter& writer);
+  /// What `Serve` and the task that watches its client tell each other.
+  struct ClientWatch {
+    bool stopped = false;  // the handler has ended
+    bool ended = false;    // the task has ended, and refers to the writer no more
+  };
   /// Detects that the client closes its connection while its request is in progress.
-  static Task<> WatchClient(std::shared_ptr<HttpSession> session, std::shared_ptr<bool> watching,
+  static Task<> WatchClient(std::shared_ptr<HttpSession> session, std::shared_ptr<ClientWatch> watch,
                             ResponseWriter& writer);
   /// Writes `buffers`. A failure or timeout marks the client as gone.
   template <typename Buffers>
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -21,17 +21,25 @@
     while (hold_ && !writer.ClientGone()) {
       co_await net::Sleep(loop_, std::chrono::milliseconds(5));
     }
-    if (request.target == "/incomplete") {
+    if (before_answer_) before_answer_();
+    if (request.target == "/none") co_return;
+    if (request.target == "/incomplete" || request.target == "/throws-begun") {
       co_await writer.Begin({200, {}});
       co_await writer.Write("part");
+      if (request.target == "/throws-begun") throw std::runtime_error("fault of a test");
       co_return;
     }
+    if (request.target == "/throws-later") {
+      co_await net::Sleep(loop_, std::chrono::milliseconds(5));
+    }
+    if (request.target.starts_with("/throws")) throw std::runtime_error("fault of a test");
     co_await writer.Send({200, {}}, request.target + "|" + std::string(request.body.text()));
   }
 
   int requests_ = 0;
   int clients_gone_ = 0;
   bool hold_ = false;
+  std::function<void()> before_answer_;
   net::Request last_;
 
  private:
@@ -210,6 +218,44 @@
   EXPECT_EQ(server->SessionCount(), 0U);
 }
 
+struct FailedHandlerCase {
+  const char* name;
+  std::string target;
+  std::string answer_start;
+  std::string answer_end;
+};
+class FailedHandlerTest : public HttpServerTest, public ::testing::WithParamInterface<FailedHandlerCase> {};
+
+// Guards against requests that get no answer, and connections that stay open, when a handler fails.
+TEST_P(FailedHandlerTest, EndsTheRequestAndTheConnection) {
+  auto socket = Client();
+  const std::string answer = SendAndReceive(
+      *socket, "GET " + GetParam().target + " HTTP/1.1\r\nHost: h\r\n\r\n", std::chrono::milliseconds(250));
+  EXPECT_TRUE(answer.starts_with(GetParam().answer_start)) << answer;
+  EXPECT_TRUE(answer.ends_with(GetParam().answer_end)) << answer;
+  EXPECT_EQ(answer.empty(), GetParam().answer_start.empty()) << answer;
+  EXPECT_EQ(server->ActiveSessionCount(), 0);
+  EXPECT_EQ(server->SessionCount(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Failures, FailedHandlerTest,
+    ::testing::Values(FailedHandlerCase{"ThrowsAtOnce", "/throws", "HTTP/1.1 500", "\r\n\r\n"},
+                      FailedHandlerCase{"ThrowsLater", "/throws-later", "HTTP/1.1 500", "\r\n\r\n"},
+                      FailedHandlerCase{"ThrowsAfterTheHead", "/throws-begun", "HTTP/1.1 200", "part\r\n"},
+                      FailedHandlerCase{"NoAnswer", "/none", "", ""}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against an action that refers to a handler's state and runs when the handler has ended.
+TEST_F(HttpServerTest, ReportsNoClientAsGoneToAHandlerThatHasEnded) {
+  auto socket = Client();
+  handler.before_answer_ = [&] { socket->close(); };
+  asio::write(*socket, asio::buffer(std::string("GET /none HTTP/1.1\r\nHost: h\r\n\r\n")));
+  RunFor(loop, std::chrono::milliseconds(250));
+  EXPECT_EQ(handler.requests_, 1);
+  EXPECT_EQ(handler.clients_gone_, 0);
+}
+
 // Guards against idle connections that are never closed, or closed before the idle timeout of 300 ms.
 TEST_F(HttpServerTest, EndsIdleConnections) {
   auto socket = Client();
