Serve a request that was sent ahead when the server has stopped

A client that sends its next request before the answer of the one before it has ended gets no answer to it when the server stops meanwhile: the session ends after the answer in progress, although that answer (a stream that began before the shutdown) has not announced the end of the connection. The second request was in the session's buffer or in the socket and had not run.

The session now ends only if no further request has begun to arrive, as for idle connections.

--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -210,7 +210,8 @@
     --registry_->active;
     served_ = true;
     SetState(State::kIdle);
-    if (server_.stopped_ || !listed_) break;
+    // A client that has not been told that the connection ends may have sent its next request already.
+    if ((server_.stopped_ || !listed_) && !HasInput()) break;
     request.reset();
     charge_.Resize(kConnectionBytes + buffer_.capacity());
   }
@@ -436,6 +437,11 @@
   }
 }
 
+bool HttpSession::HasInput() {
+  char byte;
+  return buffer_.size() > 0 || recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool HttpSession::ClientHasClosed() {
   char byte;
   const ssize_t size = recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/libs/net/internal/http_session.h
+++ b/libs/net/internal/http_session.h
@@ -74,6 +74,8 @@
   /// Reads and drops what the client still sends, for a short time. The end of a connection with unread bytes
   /// would reset it and could take the response with it.
   Task<> DropInput();
+  /// Whether bytes of a further request have arrived.
+  bool HasInput();
   /// Whether the client has closed the connection and all bytes before that have been read.
   bool ClientHasClosed();
   /// Marks the client as gone if it has closed the connection.
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -370,6 +370,34 @@
   EXPECT_EQ(server->SessionCount(), 0U);
 }
 
+struct RequestAheadCase {
+  const char* name;
+  bool same_packet;  // as the first request
+};
+class RequestAheadTest : public HttpServerTest, public ::testing::WithParamInterface<RequestAheadCase> {};
+
+// Guards against a shutdown that drops a request that was sent ahead on a connection whose end has not been
+// announced.
+TEST_P(RequestAheadTest, IsServedAfterTheServerHasStopped) {
+  handler.hold_ = true;
+  auto socket = Client();
+  const std::string request = kPost + "Content-Length: 0\r\n\r\n";
+  SendAndReceive(*socket, GetParam().same_packet ? request + request : request,
+                 std::chrono::milliseconds(30));
+  if (!GetParam().same_packet) asio::write(*socket, asio::buffer(request));
+  server->StopAccepting();
+  handler.hold_ = false;
+  const std::string answers = SendAndReceive(*socket, "", std::chrono::milliseconds(100));
+  EXPECT_EQ(handler.requests_, 2);
+  EXPECT_NE(answers.find("HTTP/1.1 200", 1), std::string::npos) << answers;
+  EXPECT_EQ(server->SessionCount(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Requests, RequestAheadTest,
+                         ::testing::Values(RequestAheadCase{"InTheSamePacket", true},
+                                           RequestAheadCase{"WhileTheFirstIsServed", false}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against requests that are neither served nor refused while there is no memory for them.
 TEST_F(HttpServerTest, RefusesARequestWithoutMemory) {
   constexpr size_t kLimit = 65536;
