--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -193,6 +193,18 @@
   EXPECT_EQ(handler.clients_gone_, 1);
 }
 
+// Guards against work that goes on for a client that ended what it sends and may have left (limitations.md).
+TEST_F(HttpServerTest, TakesTheEndOfInputForTheEndOfTheClient) {
+  handler.hold_ = true;
+  auto socket = Client();
+  SendAndReceive(*socket, kPost + "Content-Length: 0\r\n\r\n", std::chrono::milliseconds(30));
+  socket->shutdown(net::Tcp::socket::shutdown_send);
+  RunFor(loop, std::chrono::milliseconds(200));
+  EXPECT_EQ(handler.clients_gone_, 1);
+  EXPECT_EQ(testing::ReadAvailable(*socket), "");
+  EXPECT_EQ(server->SessionCount(), 0);
+}
+
 // Guards against requests that are passed on although their clients gave up before the busy server read them.
 TEST_F(HttpServerTest, ServesNoRequestWhoseClientHasLeft) {
   auto socket = Client();
