Report every process of the soak that ends by itself, and let it run other builds

A process that ended by itself in the 10 ms before an event killed it, or at the end of the run, was not counted; now it is a failed check process_ended, whose message has the line of the signal and standard error.

--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -63,6 +63,8 @@
     }
   }
 
+  /// Sets the program that the VMs run, a path, and the memory that each may use.
+  void SetProgram(const std::string& program, size_t memory_mb) { fleet_.SetProgram(program, memory_mb); }
   /// Returns the number of checks that failed.
   uint64_t Run();
 
@@ -434,6 +436,7 @@
   // The longest events last as long as their own waits: a drain, a restart or an evacuation.
   loop_.run_for(duration_ + seconds(60));
   if (!finished_) ledger_.Fail("duration", "-", "the run did not end in time");
+  fleet_.CheckEnds();
   const TimePoint end = Now();
   for (auto& vm : fleet_.vms()) vm.process.reset();
   for (auto& vm : fleet_.vms()) fleet_.config_lag().Check(vm.index, folder_, end, ledger_);
@@ -473,7 +476,10 @@
       "vms", po::value<int>()->default_value(6), "number of VMs, 3 to 90")(
       "replicas", po::value<int>()->default_value(2), "replicas of each service in each zone, 1 to 20")(
       "routes", po::value<int>()->default_value(0),
-      "routes without requests in each configuration, 0 to 3000");
+      "routes without requests in each configuration, 0 to 3000")(
+      "entry", po::value<std::string>(), "path of the program of the VMs, such as one built with sanitizers")(
+      "memory-mb", po::value<size_t>()->default_value(cornelplank::soak::kMemoryMb),
+      "memory that a VM may use; more only for sanitizers");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -500,5 +506,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   // The suspended coroutines refer to the run, so it is not destroyed.
   auto* soak = new cornelplank::soak::Soak(seed, *duration, vms, replicas, routes);
+  const auto entry = values.count("entry") > 0 ? std::filesystem::absolute(values["entry"].as<std::string>())
+                                               : std::filesystem::path("cornelplank-entry");
+  soak->SetProgram(entry.string(), values["memory-mb"].as<size_t>());
   std::_Exit(soak->Run() > 0 ? 1 : 0);
 }
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -16,8 +16,7 @@
 constexpr std::chrono::seconds kGrace{6};
 constexpr int kDefaultSecondSends = 100;
 constexpr size_t kMaxSeeds = 3;
-// Limits of a VM, as in the deployments; the descriptors are those that are left for sockets.
-constexpr size_t kMemoryMb = 260;
+// As in the deployments, those that are left for sockets.
 constexpr rlim_t kDescriptors = 3900;
 const char* const kListeners[] = {"clients", "readiness", "directory", "beats", "hops", "metrics"};
 
@@ -93,7 +92,7 @@
   // Asio's sockets have no close-on-exec flag. A child process that inherits them would keep connections and
   // listeners open that this program has closed.
   if (close_range(3, ~0U, CLOSE_RANGE_CLOEXEC) != 0) throw std::runtime_error("close_range failed");
-  vm.process = harness::Process::Start(folder_, name, "cornelplank-entry", {"--settings", SettingsPath(vm)});
+  vm.process = harness::Process::Start(folder_, name, program_, {"--settings", SettingsPath(vm)});
   const rlimit descriptors{kDescriptors, kDescriptors};
   if (vm.process && prlimit(vm.process->pid(), RLIMIT_NOFILE, &descriptors, nullptr) != 0) {
     throw std::runtime_error("prlimit failed");
@@ -141,6 +140,7 @@
   Vm& vm = vms_[static_cast<size_t>(index)];
   vm.state = State::kDown;
   vm.killed = Now();
+  if (!vm.process->running()) ReportEnd(vm);
   vm.process->Signal(SIGKILL);
   while (vm.process->running()) {
     co_await net::Sleep(loop_, kPollInterval);
@@ -182,20 +182,37 @@
       if (vm.process && vm.process->running()) {
         const size_t memory = ResidentBytes(vm.process->pid());
         peak_memory_ = std::max(peak_memory_, memory);
-        if (memory <= kMemoryMb * 1'000'000) continue;
+        if (memory <= memory_mb_ * 1'000'000) continue;
         ledger_->Fail("memory", vm.process->name(), std::to_string(memory) + " bytes");
         net::Spawn(loop_, "kill", KillAndRestart(vm.index, std::chrono::milliseconds(300)));
         continue;
       }
-      const auto code = vm.process ? vm.process->WaitForExit(std::chrono::milliseconds(0)) : std::nullopt;
-      ledger_->Fail("process_ended", "vm-" + std::to_string(vm.index),
-                    "exit code " + std::to_string(code.value_or(-1)));
+      ReportEnd(vm);
       vm.killed = Now();
       co_await Start(vm.index);
     }
   }
 }
 
+void VmFleet::ReportEnd(Vm& vm) {
+  const auto code = vm.process ? vm.process->WaitForExit(std::chrono::milliseconds(0)) : std::nullopt;
+  std::string detail = "exit code " + std::to_string(code.value_or(-1));
+  if (vm.process) {
+    const std::string output = vm.process->Output();
+    const size_t fault = output.find("event=fatal_signal");
+    if (fault != std::string::npos) detail += " " + output.substr(fault, output.find('\n', fault) - fault);
+    detail += " " + vm.process->Errors();
+  }
+  ledger_->Fail("process_ended", "vm-" + std::to_string(vm.index), detail);
+}
+
+void VmFleet::CheckEnds() {
+  for (Vm& vm : vms_) {
+    const bool may_run = vm.state == State::kUp || vm.state == State::kFrozen;
+    if (may_run && vm.process && !vm.process->running()) ReportEnd(vm);
+  }
+}
+
 void VmFleet::SetStoreServing(bool serving) {
   if (serving && !store_serving_) config_lag_.OnStoreTrouble(store_back_);
   store_serving_ = serving;
--- a/tests/soak/vm_fleet.h
+++ b/tests/soak/vm_fleet.h
@@ -21,6 +21,9 @@
   return *zones;
 }
 
+/// Memory of a VM, as in the deployments.
+inline constexpr size_t kMemoryMb = 260;
+
 /// The processes of the program under test, one for each VM. All VMs use the same ports on their own loopback
 /// addresses.
 class VmFleet final : public FaultView {
@@ -45,6 +48,11 @@
           const net::Tcp::endpoint& store);
 
   void SetLedger(Ledger& ledger) { ledger_ = &ledger; }
+  /// Sets the program that the VMs run, a path, and the memory that each may use.
+  void SetProgram(std::string program, size_t memory_mb) {
+    program_ = std::move(program);
+    memory_mb_ = memory_mb;
+  }
   ConfigLag& config_lag() { return config_lag_; }
   std::vector<Vm>& vms() { return vms_; }
   net::Tcp::endpoint EndpointOf(const Vm& vm, const std::string& listener) const {
@@ -65,8 +73,10 @@
   /// Removes the settings file, and writes it again after `time`.
   net::Task<> ReplaceSettings(int index, Duration time);
   /// Reports processes that have ended by themselves, and starts them again. Does the same with those that
-  /// use more memory than their settings allow.
+  /// use more memory than they may.
   net::Task<> Watch();
+  /// Reports processes that have ended by themselves since `Watch` looked last. Call it at the end of a run.
+  void CheckEnds();
   /// Greatest resident memory of any process, in bytes.
   size_t peak_memory() const { return peak_memory_; }
 
@@ -81,12 +91,15 @@
 
  private:
   static bool WasDisturbed(const Vm& vm, TimePoint since);
+  void ReportEnd(Vm& vm);
   std::string SettingsPath(const Vm& vm) const;
   void WriteSettings(const Vm& vm, int second_sends, bool valid) const;
 
   net::asio::io_context& loop_;
   std::string folder_;
   std::string store_;
+  std::string program_ = "cornelplank-entry";
+  size_t memory_mb_ = kMemoryMb;
   std::map<std::string, uint16_t> ports_;
   std::vector<Vm> vms_;
   Ledger* ledger_ = nullptr;
--- a/tests/system/harness/process.cc
+++ b/tests/system/harness/process.cc
@@ -10,6 +10,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -43,7 +44,7 @@
 std::unique_ptr<Process> Process::Start(const std::string& folder, const std::string& name,
                                         const std::string& program,
                                         const std::vector<std::string>& arguments) {
-  const std::string path = std::string(CORNELPLANK_BINARY_FOLDER) + "/" + program;
+  const std::string path = (std::filesystem::path(CORNELPLANK_BINARY_FOLDER) / program).string();
   std::vector<std::string> words{path};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
--- a/tests/system/harness/process.h
+++ b/tests/system/harness/process.h
@@ -14,8 +14,8 @@
 /// A child process whose output goes to files. The destructor kills and reaps it.
 class Process {
  public:
-  /// Starts the binary `program` of the build with its output in FOLDER/NAME.out and FOLDER/NAME.err. Returns
-  /// null if it can't be started.
+  /// Starts the binary `program` of the build, or the one at an absolute path, with its output in
+  /// FOLDER/NAME.out and FOLDER/NAME.err. Returns null if it can't be started.
   static std::unique_ptr<Process> Start(const std::string& folder, const std::string& name,
                                         const std::string& program,
                                         const std::vector<std::string>& arguments);
