--- /dev/null
+++ b/libs/serving/internal/software_history.cc
@@ -0,0 +1,45 @@
+#include "libs/serving/internal/software_history.h"
+
+namespace cornelplank::serving {
+
+void SoftwareHistory::OnListed(uint64_t service, uint64_t software, base::TimePoint now) {
+  auto& versions = last_listed_[service];
+  versions[software] = now;
+  std::erase_if(versions, [&](const auto& entry) { return now - entry.second > retention_; });
+}
+
+void SoftwareHistory::OnConfirmed(base::TimePoint at) {
+  if (confirmed_at_ && at <= *confirmed_at_) return;
+  if (!known_since_ || at - *confirmed_at_ > kMaxGap) {
+    if (known_since_) first_start_ = false;
+    known_since_ = at;
+  }
+  confirmed_at_ = at;
+}
+
+std::set<uint64_t> SoftwareHistory::Versions(const std::vector<uint64_t>& services,
+                                             base::TimePoint now) const {
+  std::set<uint64_t> found;
+  for (const uint64_t service : services) {
+    const auto versions = last_listed_.find(service);
+    if (versions == last_listed_.end()) continue;
+    for (const auto& [software, listed_at] : versions->second) {
+      if (now - listed_at <= retention_) found.insert(software);
+    }
+  }
+  return found;
+}
+
+bool SoftwareHistory::IsComplete(base::TimePoint now) const {
+  if (!known_since_ || now - *confirmed_at_ > kMaxGap) return false;
+  return first_start_ || now - *known_since_ >= retention_;
+}
+
+std::optional<uint64_t> SoftwareHistory::OnlyVersion(const std::vector<uint64_t>& services,
+                                                     base::TimePoint now) const {
+  const std::set<uint64_t> versions = Versions(services, now);
+  if (!IsComplete(now) || versions.size() != 1) return std::nullopt;
+  return *versions.begin();
+}
+
+}  // namespace cornelplank::serving
--- /dev/null
+++ b/libs/serving/internal/software_history.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "libs/base/base.h"
+
+namespace cornelplank::serving {
+
+/// Which software versions each service has had lately, as the store's listings show them to this VM. Not
+/// thread-safe; the caller passes in the time.
+class SoftwareHistory {
+ public:
+  /// A longer gap between two confirmed states of the listing may hide a version that came and went.
+  static constexpr std::chrono::milliseconds kMaxGap{5000};
+
+  /// Sets the time for which versions count after their last replica has gone.
+  void SetRetention(base::Duration retention) { retention_ = retention; }
+  base::Duration retention() const { return retention_; }
+  /// No replica served before this process started: the whole system has just started for the first time.
+  void SetFirstStart() { first_start_ = true; }
+  /// A replica of the software is or was listed. `service`: Hash64 of its name.
+  void OnListed(uint64_t service, uint64_t software, base::TimePoint now);
+  /// All changes of the listing up to `at` are known.
+  void OnConfirmed(base::TimePoint at);
+
+  /// The versions that the services have had within the retention time.
+  std::set<uint64_t> Versions(const std::vector<uint64_t>& services, base::TimePoint now) const;
+  /// Whether `Versions` is complete: the listing was known for the whole retention time.
+  bool IsComplete(base::TimePoint now) const;
+  /// The only version of the services, if they had just one for the whole retention time.
+  std::optional<uint64_t> OnlyVersion(const std::vector<uint64_t>& services, base::TimePoint now) const;
+
+ private:
+  base::Duration retention_ = std::chrono::seconds(60);
+  bool first_start_ = false;
+  std::optional<base::TimePoint> known_since_;
+  std::optional<base::TimePoint> confirmed_at_;
+  std::map<uint64_t, std::map<uint64_t, base::TimePoint>> last_listed_;  // by service and software
+};
+
+}  // namespace cornelplank::serving
--- a/libs/serving/serving.h
+++ b/libs/serving/serving.h
@@ -18,4 +18,6 @@
 #include "libs/serving/internal/request_proxy.h"
 #include "libs/serving/internal/routing_config.h"
 #include "libs/serving/internal/send_gate.h"
+#include "libs/serving/internal/software_history.h"
 #include "libs/serving/internal/sse_event_splitter.h"
+#include "libs/serving/internal/stream_origins.h"
