--- a/libs/fleet/internal/beat.capnp
+++ b/libs/fleet/internal/beat.capnp
@@ -112,6 +112,30 @@
   elsewhere @10 :UInt32;
 }
 
+# The types below carry what StreamOriginExchange tells other VMs; stream_origin_exchange.h explains the fields.
+struct OriginRecords {
+  software @0 :UInt64;
+  attempts @1 :List(UInt64);
+}
+
+struct OriginQuery {
+  sequence @0 :UInt64;
+  attempt @1 :UInt64;
+  services @2 :List(UInt64);
+}
+
+struct OriginAnswer {
+  sequence @0 :UInt64;
+  software @1 :UInt64;
+  kind @2 :UInt8;
+}
+
+struct Origins {
+  records @0 :List(OriginRecords);
+  queries @1 :List(OriginQuery);
+  answers @2 :List(OriginAnswer);
+}
+
 # A Beat with one more list. Datagrams without quotas have the layout of Beat, which has the same other fields,
 # so that they stay as short as before.
 struct QuotaBeat {
@@ -127,3 +151,19 @@
   sum @9 :LoadSum;
   quotas @10 :List(Quota);
 }
+
+# The same for datagrams about the origins of streams.
+struct OriginBeat {
+  sender @0 :Member;
+  members @1 :List(Member);
+  offers @2 :List(Offer);
+  loads @3 :List(Load);
+  hasLoads @4 :Bool;
+  crashes @5 :List(Crash);
+  clearances @6 :List(Clearance);
+  verdicts @7 :List(Verdict);
+  limits @8 :List(Limit);
+  sum @9 :LoadSum;
+  quotas @10 :List(Quota);
+  origins @11 :Origins;
+}
--- a/libs/fleet/internal/beat.capnp.h
+++ b/libs/fleet/internal/beat.capnp.h
@@ -28,7 +28,12 @@
 CAPNP_DECLARE_SCHEMA(8c856a19509854e9);
 CAPNP_DECLARE_SCHEMA(ea2b3ab719697f97);
 CAPNP_DECLARE_SCHEMA(99762a1b991bcc8d);
+CAPNP_DECLARE_SCHEMA(ea8fcdeb84924d2a);
+CAPNP_DECLARE_SCHEMA(cb99859455e23ff7);
+CAPNP_DECLARE_SCHEMA(ed89fb79fe4e23ba);
+CAPNP_DECLARE_SCHEMA(dcad6932bcc93389);
 CAPNP_DECLARE_SCHEMA(f465cf03cf7a79ef);
+CAPNP_DECLARE_SCHEMA(b33699425a6dc8cc);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -217,6 +222,66 @@
   };
 };
 
+struct OriginRecords {
+  OriginRecords() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea8fcdeb84924d2a, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OriginQuery {
+  OriginQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb99859455e23ff7, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OriginAnswer {
+  OriginAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed89fb79fe4e23ba, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Origins {
+  Origins() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dcad6932bcc93389, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QuotaBeat {
   QuotaBeat() = delete;
 
@@ -232,6 +297,21 @@
   };
 };
 
+struct OriginBeat {
+  OriginBeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b33699425a6dc8cc, 1, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Member::Reader {
@@ -1474,9 +1554,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QuotaBeat::Reader {
+class OriginRecords::Reader {
 public:
-  typedef QuotaBeat Reads;
+  typedef OriginRecords Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1491,37 +1571,99 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::cornelplank::fleet::schema::Member::Reader getSender() const;
+  inline  ::uint64_t getSoftware() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasAttempts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAttempts() const;
 
-  inline bool hasOffers() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader getOffers() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+class OriginRecords::Builder {
+public:
+  typedef OriginRecords Builds;
 
-  inline bool getHasLoads() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool hasCrashes() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool hasClearances() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader getClearances() const;
+  inline  ::uint64_t getSoftware();
+  inline void setSoftware( ::uint64_t value);
 
-  inline bool hasVerdicts() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+  inline bool hasAttempts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAttempts();
+  inline void setAttempts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAttempts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAttempts(unsigned int size);
+  inline void adoptAttempts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAttempts();
 
-  inline bool hasLimits() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool hasSum() const;
-  inline  ::cornelplank::fleet::schema::LoadSum::Reader getSum() const;
+#if !CAPNP_LITE
+class OriginRecords::Pipeline {
+public:
+  typedef OriginRecords Pipelines;
 
-  inline bool hasQuotas() const;
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader getQuotas() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class OriginQuery::Reader {
+public:
+  typedef OriginQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getAttempt() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServices() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1535,9 +1677,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QuotaBeat::Builder {
+class OriginQuery::Builder {
 public:
-  typedef QuotaBeat Builds;
+  typedef OriginQuery Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1551,78 +1693,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::cornelplank::fleet::schema::Member::Builder getSender();
-  inline void setSender( ::cornelplank::fleet::schema::Member::Reader value);
-  inline  ::cornelplank::fleet::schema::Member::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value);
-  inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> disownSender();
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
-
-  inline bool hasOffers();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder getOffers();
-  inline void setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder initOffers(unsigned int size);
-  inline void adoptOffers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> disownOffers();
-
-  inline bool hasLoads();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> disownLoads();
-
-  inline bool getHasLoads();
-  inline void setHasLoads(bool value);
-
-  inline bool hasCrashes();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
-  inline void setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
-  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
-
-  inline bool hasClearances();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder getClearances();
-  inline void setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder initClearances(unsigned int size);
-  inline void adoptClearances(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> disownClearances();
-
-  inline bool hasVerdicts();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
-  inline void setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
-  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
-
-  inline bool hasLimits();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder getLimits();
-  inline void setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
-  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasSum();
-  inline  ::cornelplank::fleet::schema::LoadSum::Builder getSum();
-  inline void setSum( ::cornelplank::fleet::schema::LoadSum::Reader value);
-  inline  ::cornelplank::fleet::schema::LoadSum::Builder initSum();
-  inline void adoptSum(::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value);
-  inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> disownSum();
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
 
-  inline bool hasQuotas();
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder getQuotas();
-  inline void setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder initQuotas(unsigned int size);
-  inline void adoptQuotas(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> disownQuotas();
+  inline bool hasServices();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getServices();
+  inline void setServices( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServices(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServices();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1634,16 +1717,14 @@
 };
 
 #if !CAPNP_LITE
-class QuotaBeat::Pipeline {
+class OriginQuery::Pipeline {
 public:
-  typedef QuotaBeat Pipelines;
+  typedef OriginQuery Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cornelplank::fleet::schema::Member::Pipeline getSender();
-  inline  ::cornelplank::fleet::schema::LoadSum::Pipeline getSum();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1652,1536 +1733,2755 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class OriginAnswer::Reader {
+public:
+  typedef OriginAnswer Reads;
 
-inline  ::uint32_t Member::Reader::getAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t Member::Builder::getAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getSoftware() const;
+
+  inline  ::uint8_t getKind() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OriginAnswer::Builder {
+public:
+  typedef OriginAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getSoftware();
+  inline void setSoftware( ::uint64_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OriginAnswer::Pipeline {
+public:
+  typedef OriginAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Origins::Reader {
+public:
+  typedef Origins Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool hasQueries() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Reader getQueries() const;
+
+  inline bool hasAnswers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Origins::Builder {
+public:
+  typedef Origins Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool hasQueries();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Builder getQueries();
+  inline void setQueries( ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Builder initQueries(unsigned int size);
+  inline void adoptQueries(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>> disownQueries();
+
+  inline bool hasAnswers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Builder getAnswers();
+  inline void setAnswers( ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
+  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>> disownAnswers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Origins::Pipeline {
+public:
+  typedef Origins Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaBeat::Reader {
+public:
+  typedef QuotaBeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::cornelplank::fleet::schema::Member::Reader getSender() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasOffers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader getOffers() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline bool getHasLoads() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasClearances() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader getClearances() const;
+
+  inline bool hasVerdicts() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasSum() const;
+  inline  ::cornelplank::fleet::schema::LoadSum::Reader getSum() const;
+
+  inline bool hasQuotas() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader getQuotas() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaBeat::Builder {
+public:
+  typedef QuotaBeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::cornelplank::fleet::schema::Member::Builder getSender();
+  inline void setSender( ::cornelplank::fleet::schema::Member::Reader value);
+  inline  ::cornelplank::fleet::schema::Member::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> disownSender();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasOffers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder getOffers();
+  inline void setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder initOffers(unsigned int size);
+  inline void adoptOffers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> disownOffers();
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool getHasLoads();
+  inline void setHasLoads(bool value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasClearances();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder getClearances();
+  inline void setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder initClearances(unsigned int size);
+  inline void adoptClearances(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> disownClearances();
+
+  inline bool hasVerdicts();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
+  inline void setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
+  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
+
+  inline bool hasLimits();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasSum();
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder getSum();
+  inline void setSum( ::cornelplank::fleet::schema::LoadSum::Reader value);
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder initSum();
+  inline void adoptSum(::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> disownSum();
+
+  inline bool hasQuotas();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder getQuotas();
+  inline void setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder initQuotas(unsigned int size);
+  inline void adoptQuotas(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> disownQuotas();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaBeat::Pipeline {
+public:
+  typedef QuotaBeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cornelplank::fleet::schema::Member::Pipeline getSender();
+  inline  ::cornelplank::fleet::schema::LoadSum::Pipeline getSum();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class OriginBeat::Reader {
+public:
+  typedef OriginBeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::cornelplank::fleet::schema::Member::Reader getSender() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasOffers() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader getOffers() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline bool getHasLoads() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasClearances() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader getClearances() const;
+
+  inline bool hasVerdicts() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasSum() const;
+  inline  ::cornelplank::fleet::schema::LoadSum::Reader getSum() const;
+
+  inline bool hasQuotas() const;
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader getQuotas() const;
+
+  inline bool hasOrigins() const;
+  inline  ::cornelplank::fleet::schema::Origins::Reader getOrigins() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OriginBeat::Builder {
+public:
+  typedef OriginBeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::cornelplank::fleet::schema::Member::Builder getSender();
+  inline void setSender( ::cornelplank::fleet::schema::Member::Reader value);
+  inline  ::cornelplank::fleet::schema::Member::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> disownSender();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasOffers();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder getOffers();
+  inline void setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder initOffers(unsigned int size);
+  inline void adoptOffers(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> disownOffers();
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool getHasLoads();
+  inline void setHasLoads(bool value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasClearances();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder getClearances();
+  inline void setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder initClearances(unsigned int size);
+  inline void adoptClearances(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> disownClearances();
+
+  inline bool hasVerdicts();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
+  inline void setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
+  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
+
+  inline bool hasLimits();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasSum();
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder getSum();
+  inline void setSum( ::cornelplank::fleet::schema::LoadSum::Reader value);
+  inline  ::cornelplank::fleet::schema::LoadSum::Builder initSum();
+  inline void adoptSum(::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> disownSum();
+
+  inline bool hasQuotas();
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder getQuotas();
+  inline void setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder initQuotas(unsigned int size);
+  inline void adoptQuotas(::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> disownQuotas();
+
+  inline bool hasOrigins();
+  inline  ::cornelplank::fleet::schema::Origins::Builder getOrigins();
+  inline void setOrigins( ::cornelplank::fleet::schema::Origins::Reader value);
+  inline  ::cornelplank::fleet::schema::Origins::Builder initOrigins();
+  inline void adoptOrigins(::capnp::Orphan< ::cornelplank::fleet::schema::Origins>&& value);
+  inline ::capnp::Orphan< ::cornelplank::fleet::schema::Origins> disownOrigins();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OriginBeat::Pipeline {
+public:
+  typedef OriginBeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cornelplank::fleet::schema::Member::Pipeline getSender();
+  inline  ::cornelplank::fleet::schema::LoadSum::Pipeline getSum();
+  inline  ::cornelplank::fleet::schema::Origins::Pipeline getOrigins();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t Member::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getBeat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getBeat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setBeat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getZone() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getZone() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setZone( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getStoreContact() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getStoreContact() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setStoreContact( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getRegion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getRegion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setRegion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Offer::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Offer::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getPrefillTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getPrefillTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setPrefillTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getMemoryTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getMemoryTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setMemoryTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getPrefillTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getPrefillTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setPrefillTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PacedLoad::Reader::getMemoryTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PacedLoad::Builder::getMemoryTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setMemoryTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int16_t PacedLoad::Reader::getLog2Unit() const {
+  return _reader.getDataField< ::int16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int16_t PacedLoad::Builder::getLog2Unit() {
+  return _builder.getDataField< ::int16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setLog2Unit( ::int16_t value) {
+  _builder.setDataField< ::int16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PacedLoad::Reader::getObservations() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PacedLoad::Builder::getObservations() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setObservations( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PacedLoad::Reader::getStatedAge() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PacedLoad::Builder::getStatedAge() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setStatedAge( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t PacedLoad::Reader::getStatedPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PacedLoad::Builder::getStatedPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void PacedLoad::Builder::setStatedPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getReporter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getReporter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setReporter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crash::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crash::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Crash::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Crash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Crash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Crash::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Crash::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Clearance::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Clearance::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Clearance::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Clearance::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Clearance::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Clearance::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Verdict::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Verdict::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setPart( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getBeat() const {
+inline  ::uint32_t Verdict::Reader::getLevel() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getBeat() {
+inline  ::uint32_t Verdict::Builder::getLevel() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setBeat( ::uint32_t value) {
+inline void Verdict::Builder::setLevel( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Verdict::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Verdict::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Verdict::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Limit::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Limit::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setReplica( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Limit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Limit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Limit::Reader::getMilliPerSecond() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Limit::Builder::getMilliPerSecond() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Limit::Builder::setMilliPerSecond( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getZone() const {
+inline  ::uint32_t Limit::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getZone() {
+inline  ::uint32_t Limit::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setZone( ::uint32_t value) {
+inline void Limit::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-
-inline  ::uint8_t Member::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+
+inline  ::uint32_t CoveredVm::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CoveredVm::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CoveredVm::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CoveredVm::Reader::getBeat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CoveredVm::Builder::getBeat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CoveredVm::Builder::setBeat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSum::Reader::getWholeRegion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadSum::Builder::getWholeRegion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadSum::Builder::setWholeRegion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadSum::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadSum::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadSum::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadSum::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSum::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadSum::Builder::setVms( ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadSum::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadSum::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadSum::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadSum::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadSum::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cornelplank::fleet::schema::Member::Reader Beat::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::Member::Pipeline Beat::Pipeline::getSender() {
+  return  ::cornelplank::fleet::schema::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Beat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::adoptSender(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> Beat::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Beat::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t Member::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Member::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Member::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Member::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> Beat::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Member::Reader::getStoreContact() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasOffers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t Member::Builder::getStoreContact() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+inline bool Beat::Builder::hasOffers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Member::Builder::setStoreContact( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getOffers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Offer::Reader::getRegion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getOffers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Offer::Builder::getRegion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Offer::Builder::setRegion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initOffers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Offer::Reader::getService() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptOffers(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> Beat::Builder::disownOffers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Offer::Builder::getService() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Offer::Builder::setService( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool Beat::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Offer::Reader::getWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Offer::Builder::getWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Offer::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Offer::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Offer::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Load::Reader::getReplica() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool Beat::Reader::getHasLoads() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getReplica() {
-  return _builder.getDataField< ::uint32_t>(
+inline bool Beat::Builder::getHasLoads() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setReplica( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Beat::Builder::setHasLoads(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Load::Builder::getRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Beat::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Load::Reader::getPrefillTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Load::Builder::getPrefillTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void Load::Builder::setPrefillTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Load::Reader::getMemoryTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Load::Builder::getMemoryTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasClearances() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setMemoryTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool Beat::Builder::hasClearances() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t PacedLoad::Reader::getReplica() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getClearances() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Beat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initClearances(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Beat::Builder::adoptClearances(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> Beat::Builder::disownClearances() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t PacedLoad::Builder::getReplica() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasVerdicts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Beat::Builder::hasVerdicts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void PacedLoad::Builder::setReplica( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t PacedLoad::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t PacedLoad::Builder::getRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline void PacedLoad::Builder::setRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initVerdicts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t PacedLoad::Reader::getPrefillTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptVerdicts(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> Beat::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t PacedLoad::Builder::getPrefillTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline void PacedLoad::Builder::setPrefillTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool Beat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t PacedLoad::Reader::getMemoryTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t PacedLoad::Builder::getMemoryTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void PacedLoad::Builder::setMemoryTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Beat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int16_t PacedLoad::Reader::getLog2Unit() const {
-  return _reader.getDataField< ::int16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-
-inline  ::int16_t PacedLoad::Builder::getLog2Unit() {
-  return _builder.getDataField< ::int16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PacedLoad::Builder::setLog2Unit( ::int16_t value) {
-  _builder.setDataField< ::int16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t PacedLoad::Reader::getObservations() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+inline bool Beat::Reader::hasSum() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t PacedLoad::Builder::getObservations() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+inline bool Beat::Builder::hasSum() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline void PacedLoad::Builder::setObservations( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+inline  ::cornelplank::fleet::schema::LoadSum::Reader Beat::Reader::getSum() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t PacedLoad::Reader::getStatedAge() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::getSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t PacedLoad::Builder::getStatedAge() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::LoadSum::Pipeline Beat::Pipeline::getSum() {
+  return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
 }
-inline void PacedLoad::Builder::setStatedAge( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Beat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t PacedLoad::Reader::getStatedPercent() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::initSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t PacedLoad::Builder::getStatedPercent() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline void Beat::Builder::adoptSum(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void PacedLoad::Builder::setStatedPercent( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> Beat::Builder::disownSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Crash::Reader::getReporter() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint8_t Quota::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crash::Builder::getReporter() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint8_t Quota::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setReporter( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Quota::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Crash::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Quota::Reader::getForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Crash::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Quota::Builder::getForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Quota::Builder::setForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getSequence() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Quota::Reader::getTenant() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crash::Builder::getSequence() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Quota::Builder::getTenant() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setSequence( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Quota::Builder::setTenant( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getReplica() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Crash::Builder::getReplica() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Crash::Builder::setReplica( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::uint64_t Quota::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Crash::Reader::hasParts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Crash::Builder::hasParts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Crash::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Crash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Crash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Crash::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Crash::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint64_t Quota::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Crash::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Quota::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Crash::Reader::getAgeMs() const {
+inline  ::uint32_t Quota::Reader::getOrigin() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Crash::Builder::getAgeMs() {
+inline  ::uint32_t Quota::Builder::getOrigin() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+inline void Quota::Builder::setOrigin( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Clearance::Reader::getPart() const {
+inline  ::uint64_t Quota::Reader::getMilliAmount() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Clearance::Builder::getPart() {
+inline  ::uint64_t Quota::Builder::getMilliAmount() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Clearance::Builder::setPart( ::uint64_t value) {
+inline void Quota::Builder::setMilliAmount( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Clearance::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Reader::getMilliExtra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Clearance::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quota::Builder::getMilliExtra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Clearance::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Quota::Builder::setMilliExtra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Verdict::Reader::getPart() const {
+inline  ::uint64_t Quota::Reader::getMilliDemand() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Verdict::Builder::getPart() {
+inline  ::uint64_t Quota::Builder::getMilliDemand() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setPart( ::uint64_t value) {
+inline void Quota::Builder::setMilliDemand( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Verdict::Reader::getLevel() const {
+inline  ::uint32_t Quota::Reader::getRetryMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Verdict::Builder::getLevel() {
+inline  ::uint32_t Quota::Builder::getRetryMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setLevel( ::uint32_t value) {
+inline void Quota::Builder::setRetryMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Verdict::Reader::getAgeMs() const {
+inline  ::uint32_t Quota::Reader::getRegionVms() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Verdict::Builder::getAgeMs() {
+inline  ::uint32_t Quota::Builder::getRegionVms() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setAgeMs( ::uint32_t value) {
+inline void Quota::Builder::setRegionVms( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Limit::Reader::getReplica() const {
+inline  ::uint32_t Quota::Reader::getElsewhere() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Limit::Builder::getReplica() {
+inline  ::uint32_t Quota::Builder::getElsewhere() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
-inline void Limit::Builder::setReplica( ::uint32_t value) {
+inline void Quota::Builder::setElsewhere( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Limit::Reader::getLimited() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool Limit::Builder::getLimited() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void Limit::Builder::setLimited(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Limit::Reader::getMilliPerSecond() const {
+inline  ::uint64_t OriginRecords::Reader::getSoftware() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Limit::Builder::getMilliPerSecond() {
+inline  ::uint64_t OriginRecords::Builder::getSoftware() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Limit::Builder::setMilliPerSecond( ::uint64_t value) {
+inline void OriginRecords::Builder::setSoftware( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Limit::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool OriginRecords::Reader::hasAttempts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Limit::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool OriginRecords::Builder::hasAttempts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Limit::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader OriginRecords::Reader::getAttempts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder OriginRecords::Builder::getAttempts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OriginRecords::Builder::setAttempts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void OriginRecords::Builder::setAttempts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder OriginRecords::Builder::initAttempts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OriginRecords::Builder::adoptAttempts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> OriginRecords::Builder::disownAttempts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CoveredVm::Reader::getAddress() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t OriginQuery::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CoveredVm::Builder::getAddress() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t OriginQuery::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CoveredVm::Builder::setAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void OriginQuery::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CoveredVm::Reader::getBeat() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t OriginQuery::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CoveredVm::Builder::getBeat() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t OriginQuery::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CoveredVm::Builder::setBeat( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void OriginQuery::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadSum::Reader::getWholeRegion() const {
-  return _reader.getDataField<bool>(
+inline bool OriginQuery::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginQuery::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader OriginQuery::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder OriginQuery::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OriginQuery::Builder::setServices( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void OriginQuery::Builder::setServices(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder OriginQuery::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OriginQuery::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> OriginQuery::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t OriginAnswer::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool LoadSum::Builder::getWholeRegion() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t OriginAnswer::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::setWholeRegion(bool value) {
-  _builder.setDataField<bool>(
+inline void OriginAnswer::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t LoadSum::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t OriginAnswer::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t LoadSum::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t OriginAnswer::Builder::getSoftware() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LoadSum::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void OriginAnswer::Builder::setSoftware( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LoadSum::Reader::hasVms() const {
+inline  ::uint8_t OriginAnswer::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t OriginAnswer::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void OriginAnswer::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Origins::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LoadSum::Builder::hasVms() {
+inline bool Origins::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getVms() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Reader Origins::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getVms() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Builder Origins::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LoadSum::Builder::setVms( ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Origins::Builder::setRecords( ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initVms(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>::Builder Origins::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LoadSum::Builder::adoptVms(
-    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Origins::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownVms() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::CoveredVm,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>> Origins::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginRecords,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LoadSum::Reader::hasLoads() const {
+inline bool Origins::Reader::hasQueries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool LoadSum::Builder::hasLoads() {
+inline bool Origins::Builder::hasQueries() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader LoadSum::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Reader Origins::Reader::getQueries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Builder Origins::Builder::getQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Origins::Builder::setQueries( ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>::Builder Origins::Builder::initQueries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Origins::Builder::adoptQueries(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>> Origins::Builder::disownQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginQuery,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void LoadSum::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline bool Origins::Reader::hasAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Origins::Builder::hasAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Reader Origins::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Builder Origins::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Origins::Builder::setAnswers( ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder LoadSum::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>::Builder Origins::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void LoadSum::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Origins::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> LoadSum::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>> Origins::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::OriginAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasSender() const {
+inline bool QuotaBeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasSender() {
+inline bool QuotaBeat::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cornelplank::fleet::schema::Member::Reader Beat::Reader::getSender() const {
+inline  ::cornelplank::fleet::schema::Member::Reader QuotaBeat::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::getSender() {
+inline  ::cornelplank::fleet::schema::Member::Builder QuotaBeat::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cornelplank::fleet::schema::Member::Pipeline Beat::Pipeline::getSender() {
+inline  ::cornelplank::fleet::schema::Member::Pipeline QuotaBeat::Pipeline::getSender() {
   return  ::cornelplank::fleet::schema::Member::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Beat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
+inline void QuotaBeat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cornelplank::fleet::schema::Member::Builder Beat::Builder::initSender() {
+inline  ::cornelplank::fleet::schema::Member::Builder QuotaBeat::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::adoptSender(
+inline void QuotaBeat::Builder::adoptSender(
     ::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> Beat::Builder::disownSender() {
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> QuotaBeat::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasMembers() const {
+inline bool QuotaBeat::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasMembers() {
+inline bool QuotaBeat::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getMembers() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getMembers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getMembers() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initMembers(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initMembers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptMembers(
+inline void QuotaBeat::Builder::adoptMembers(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> Beat::Builder::disownMembers() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasOffers() const {
+inline bool QuotaBeat::Reader::hasOffers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasOffers() {
+inline bool QuotaBeat::Builder::hasOffers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getOffers() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getOffers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getOffers() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getOffers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initOffers(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initOffers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptOffers(
+inline void QuotaBeat::Builder::adoptOffers(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> Beat::Builder::disownOffers() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownOffers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasLoads() const {
+inline bool QuotaBeat::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasLoads() {
+inline bool QuotaBeat::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLoads() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getLoads() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLoads() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLoads(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initLoads(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptLoads(
+inline void QuotaBeat::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLoads() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::getHasLoads() const {
+inline bool QuotaBeat::Reader::getHasLoads() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Beat::Builder::getHasLoads() {
+inline bool QuotaBeat::Builder::getHasLoads() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Beat::Builder::setHasLoads(bool value) {
+inline void QuotaBeat::Builder::setHasLoads(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Beat::Reader::hasCrashes() const {
+inline bool QuotaBeat::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasCrashes() {
+inline bool QuotaBeat::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getCrashes() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getCrashes() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getCrashes() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getCrashes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initCrashes(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initCrashes(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptCrashes(
+inline void QuotaBeat::Builder::adoptCrashes(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> Beat::Builder::disownCrashes() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownCrashes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasClearances() const {
+inline bool QuotaBeat::Reader::hasClearances() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasClearances() {
+inline bool QuotaBeat::Builder::hasClearances() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getClearances() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getClearances() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getClearances() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getClearances() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initClearances(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initClearances(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptClearances(
+inline void QuotaBeat::Builder::adoptClearances(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> Beat::Builder::disownClearances() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownClearances() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasVerdicts() const {
+inline bool QuotaBeat::Reader::hasVerdicts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Beat::Builder::hasVerdicts() {
+inline bool QuotaBeat::Builder::hasVerdicts() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getVerdicts() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getVerdicts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getVerdicts() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getVerdicts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Beat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void QuotaBeat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initVerdicts(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initVerdicts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Beat::Builder::adoptVerdicts(
+inline void QuotaBeat::Builder::adoptVerdicts(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> Beat::Builder::disownVerdicts() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownVerdicts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Beat::Reader::hasLimits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline bool Beat::Builder::hasLimits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader Beat::Reader::getLimits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::getLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void Beat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder Beat::Builder::initLimits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
-}
-inline void Beat::Builder::adoptLimits(
-    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> Beat::Builder::disownLimits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-
-inline bool Beat::Reader::hasSum() const {
+inline bool QuotaBeat::Reader::hasLimits() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline bool Beat::Builder::hasSum() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cornelplank::fleet::schema::LoadSum::Reader Beat::Reader::getSum() const {
-  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::getSum() {
-  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::cornelplank::fleet::schema::LoadSum::Pipeline Beat::Pipeline::getSum() {
-  return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
-}
-#endif  // !CAPNP_LITE
-inline void Beat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
-  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
-}
-inline  ::cornelplank::fleet::schema::LoadSum::Builder Beat::Builder::initSum() {
-  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline void Beat::Builder::adoptSum(
-    ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
-  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> Beat::Builder::disownSum() {
-  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-
-inline  ::uint8_t Quota::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t Quota::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Quota::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Quota::Reader::getForwarded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline bool Quota::Builder::getForwarded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void Quota::Builder::setForwarded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Quota::Reader::getTenant() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Quota::Builder::getTenant() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Quota::Builder::setTenant( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Quota::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Quota::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool QuotaBeat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline void Quota::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Quota::Reader::getOrigin() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Quota::Builder::getOrigin() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void QuotaBeat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void Quota::Builder::setOrigin( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Quota::Reader::getMilliAmount() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void QuotaBeat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Quota::Builder::getMilliAmount() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool QuotaBeat::Reader::hasSum() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline void Quota::Builder::setMilliAmount( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool QuotaBeat::Builder::hasSum() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Quota::Reader::getMilliExtra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::cornelplank::fleet::schema::LoadSum::Reader QuotaBeat::Reader::getSum() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Quota::Builder::getMilliExtra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::cornelplank::fleet::schema::LoadSum::Builder QuotaBeat::Builder::getSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Quota::Builder::setMilliExtra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::LoadSum::Pipeline QuotaBeat::Pipeline::getSum() {
+  return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
 }
-
-inline  ::uint64_t Quota::Reader::getMilliDemand() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline void QuotaBeat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Quota::Builder::getMilliDemand() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::cornelplank::fleet::schema::LoadSum::Builder QuotaBeat::Builder::initSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void Quota::Builder::setMilliDemand( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void QuotaBeat::Builder::adoptSum(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t Quota::Reader::getRetryMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> QuotaBeat::Builder::disownSum() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Quota::Builder::getRetryMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline bool QuotaBeat::Reader::hasQuotas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline void Quota::Builder::setRetryMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline bool QuotaBeat::Builder::hasQuotas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Quota::Reader::getRegionVms() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getQuotas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Quota::Builder::getRegionVms() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void Quota::Builder::setRegionVms( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+inline void QuotaBeat::Builder::setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Quota::Reader::getElsewhere() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initQuotas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Quota::Builder::getElsewhere() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline void QuotaBeat::Builder::adoptQuotas(
+    ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Quota::Builder::setElsewhere( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasSender() const {
+inline bool OriginBeat::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasSender() {
+inline bool OriginBeat::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cornelplank::fleet::schema::Member::Reader QuotaBeat::Reader::getSender() const {
+inline  ::cornelplank::fleet::schema::Member::Reader OriginBeat::Reader::getSender() const {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::cornelplank::fleet::schema::Member::Builder QuotaBeat::Builder::getSender() {
+inline  ::cornelplank::fleet::schema::Member::Builder OriginBeat::Builder::getSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cornelplank::fleet::schema::Member::Pipeline QuotaBeat::Pipeline::getSender() {
+inline  ::cornelplank::fleet::schema::Member::Pipeline OriginBeat::Pipeline::getSender() {
   return  ::cornelplank::fleet::schema::Member::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void QuotaBeat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
+inline void OriginBeat::Builder::setSender( ::cornelplank::fleet::schema::Member::Reader value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::cornelplank::fleet::schema::Member::Builder QuotaBeat::Builder::initSender() {
+inline  ::cornelplank::fleet::schema::Member::Builder OriginBeat::Builder::initSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::adoptSender(
+inline void OriginBeat::Builder::adoptSender(
     ::capnp::Orphan< ::cornelplank::fleet::schema::Member>&& value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> QuotaBeat::Builder::disownSender() {
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::Member> OriginBeat::Builder::disownSender() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Member>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasMembers() const {
+inline bool OriginBeat::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasMembers() {
+inline bool OriginBeat::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getMembers() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getMembers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getMembers() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setMembers( ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initMembers(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initMembers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptMembers(
+inline void OriginBeat::Builder::adoptMembers(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownMembers() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasOffers() const {
+inline bool OriginBeat::Reader::hasOffers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasOffers() {
+inline bool OriginBeat::Builder::hasOffers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getOffers() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getOffers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getOffers() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getOffers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setOffers( ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initOffers(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initOffers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptOffers(
+inline void OriginBeat::Builder::adoptOffers(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownOffers() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownOffers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Offer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasLoads() const {
+inline bool OriginBeat::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasLoads() {
+inline bool OriginBeat::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getLoads() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getLoads() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getLoads() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setLoads( ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initLoads(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initLoads(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptLoads(
+inline void OriginBeat::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownLoads() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::getHasLoads() const {
+inline bool OriginBeat::Reader::getHasLoads() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool QuotaBeat::Builder::getHasLoads() {
+inline bool OriginBeat::Builder::getHasLoads() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuotaBeat::Builder::setHasLoads(bool value) {
+inline void OriginBeat::Builder::setHasLoads(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuotaBeat::Reader::hasCrashes() const {
+inline bool OriginBeat::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasCrashes() {
+inline bool OriginBeat::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getCrashes() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getCrashes() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getCrashes() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getCrashes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setCrashes( ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initCrashes(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initCrashes(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptCrashes(
+inline void OriginBeat::Builder::adoptCrashes(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownCrashes() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownCrashes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasClearances() const {
+inline bool OriginBeat::Reader::hasClearances() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasClearances() {
+inline bool OriginBeat::Builder::hasClearances() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getClearances() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getClearances() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getClearances() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getClearances() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setClearances( ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initClearances(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initClearances(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptClearances(
+inline void OriginBeat::Builder::adoptClearances(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownClearances() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownClearances() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Clearance,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasVerdicts() const {
+inline bool OriginBeat::Reader::hasVerdicts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasVerdicts() {
+inline bool OriginBeat::Builder::hasVerdicts() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getVerdicts() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getVerdicts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getVerdicts() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getVerdicts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setVerdicts( ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initVerdicts(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initVerdicts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptVerdicts(
+inline void OriginBeat::Builder::adoptVerdicts(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownVerdicts() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownVerdicts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasLimits() const {
+inline bool OriginBeat::Reader::hasLimits() const {
   return !_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasLimits() {
+inline bool OriginBeat::Builder::hasLimits() {
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getLimits() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getLimits() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getLimits() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getLimits() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setLimits( ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initLimits(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initLimits(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptLimits(
+inline void OriginBeat::Builder::adoptLimits(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownLimits() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownLimits() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Limit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasSum() const {
+inline bool OriginBeat::Reader::hasSum() const {
   return !_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasSum() {
+inline bool OriginBeat::Builder::hasSum() {
   return !_builder.getPointerField(
