       ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::cornelplank::fleet::schema::LoadSum::Reader QuotaBeat::Reader::getSum() const {
+inline  ::cornelplank::fleet::schema::LoadSum::Reader OriginBeat::Reader::getSum() const {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_reader.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::cornelplank::fleet::schema::LoadSum::Builder QuotaBeat::Builder::getSum() {
+inline  ::cornelplank::fleet::schema::LoadSum::Builder OriginBeat::Builder::getSum() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::get(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::cornelplank::fleet::schema::LoadSum::Pipeline QuotaBeat::Pipeline::getSum() {
+inline  ::cornelplank::fleet::schema::LoadSum::Pipeline OriginBeat::Pipeline::getSum() {
   return  ::cornelplank::fleet::schema::LoadSum::Pipeline(_typeless.getPointerField(8));
 }
 #endif  // !CAPNP_LITE
-inline void QuotaBeat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
+inline void OriginBeat::Builder::setSum( ::cornelplank::fleet::schema::LoadSum::Reader value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::set(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::cornelplank::fleet::schema::LoadSum::Builder QuotaBeat::Builder::initSum() {
+inline  ::cornelplank::fleet::schema::LoadSum::Builder OriginBeat::Builder::initSum() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::init(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::adoptSum(
+inline void OriginBeat::Builder::adoptSum(
     ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum>&& value) {
   ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::adopt(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> QuotaBeat::Builder::disownSum() {
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::LoadSum> OriginBeat::Builder::disownSum() {
   return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::LoadSum>::disown(_builder.getPointerField(
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool QuotaBeat::Reader::hasQuotas() const {
+inline bool OriginBeat::Reader::hasQuotas() const {
   return !_reader.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuotaBeat::Builder::hasQuotas() {
+inline bool OriginBeat::Builder::hasQuotas() {
   return !_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader QuotaBeat::Reader::getQuotas() const {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader OriginBeat::Reader::getQuotas() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::getQuotas() {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::getQuotas() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void QuotaBeat::Builder::setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void OriginBeat::Builder::setQuotas( ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder QuotaBeat::Builder::initQuotas(unsigned int size) {
+inline  ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>::Builder OriginBeat::Builder::initQuotas(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void QuotaBeat::Builder::adoptQuotas(
+inline void OriginBeat::Builder::adoptQuotas(
     ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> QuotaBeat::Builder::disownQuotas() {
+inline ::capnp::Orphan< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>> OriginBeat::Builder::disownQuotas() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cornelplank::fleet::schema::Quota,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool OriginBeat::Reader::hasOrigins() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool OriginBeat::Builder::hasOrigins() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cornelplank::fleet::schema::Origins::Reader OriginBeat::Reader::getOrigins() const {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Origins>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::cornelplank::fleet::schema::Origins::Builder OriginBeat::Builder::getOrigins() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Origins>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cornelplank::fleet::schema::Origins::Pipeline OriginBeat::Pipeline::getOrigins() {
+  return  ::cornelplank::fleet::schema::Origins::Pipeline(_typeless.getPointerField(10));
+}
+#endif  // !CAPNP_LITE
+inline void OriginBeat::Builder::setOrigins( ::cornelplank::fleet::schema::Origins::Reader value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Origins>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::cornelplank::fleet::schema::Origins::Builder OriginBeat::Builder::initOrigins() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Origins>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void OriginBeat::Builder::adoptOrigins(
+    ::capnp::Orphan< ::cornelplank::fleet::schema::Origins>&& value) {
+  ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Origins>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cornelplank::fleet::schema::Origins> OriginBeat::Builder::disownOrigins() {
+  return ::capnp::_::PointerHelpers< ::cornelplank::fleet::schema::Origins>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/libs/fleet/internal/heartbeat_codec.cc
+++ b/libs/fleet/internal/heartbeat_codec.cc
@@ -246,6 +246,62 @@
   return messages;
 }
 
+void Write(schema::Origins::Builder out, const OriginMessages& messages) {
+  auto records = out.initRecords(static_cast<uint32_t>(messages.records.size()));
+  for (uint32_t i = 0; i < messages.records.size(); ++i) {
+    const OriginRecords& of_version = messages.records[i];
+    records[i].setSoftware(of_version.software);
+    auto attempts = records[i].initAttempts(static_cast<uint32_t>(of_version.attempts.size()));
+    for (uint32_t j = 0; j < of_version.attempts.size(); ++j) attempts.set(j, of_version.attempts[j]);
+  }
+  auto queries = out.initQueries(static_cast<uint32_t>(messages.queries.size()));
+  for (uint32_t i = 0; i < messages.queries.size(); ++i) {
+    const OriginQuery& query = messages.queries[i];
+    queries[i].setSequence(query.sequence);
+    queries[i].setAttempt(query.attempt);
+    auto services = queries[i].initServices(static_cast<uint32_t>(query.services.size()));
+    for (uint32_t j = 0; j < query.services.size(); ++j) services.set(j, query.services[j]);
+  }
+  auto answers = out.initAnswers(static_cast<uint32_t>(messages.answers.size()));
+  for (uint32_t i = 0; i < messages.answers.size(); ++i) {
+    answers[i].setSequence(messages.answers[i].sequence);
+    answers[i].setSoftware(messages.answers[i].software);
+    answers[i].setKind(static_cast<uint8_t>(messages.answers[i].kind));
+  }
+}
+
+/// Leaves out what is beyond the bounds and answers of a kind that this release doesn't know.
+OriginMessages Read(schema::Origins::Reader in) {
+  OriginMessages messages;
+  size_t attempts = 0;
+  for (const auto records : in.getRecords()) {
+    if (messages.records.size() == OriginMessages::kMaxGroups) break;
+    OriginRecords& read = messages.records.emplace_back();
+    read.software = records.getSoftware();
+    for (const uint64_t attempt : records.getAttempts()) {
+      if (attempts == OriginMessages::kMaxAttempts) break;
+      read.attempts.push_back(attempt);
+      ++attempts;
+    }
+  }
+  for (const auto query : in.getQueries()) {
+    if (messages.queries.size() == OriginMessages::kMaxQueries) break;
+    OriginQuery& read = messages.queries.emplace_back();
+    read.sequence = query.getSequence();
+    read.attempt = query.getAttempt();
+    const auto services = query.getServices();
+    if (services.size() > OriginMessages::kMaxServices) continue;  // no history may answer for a part of them
+    for (const uint64_t service : services) read.services.push_back(service);
+  }
+  for (const auto answer : in.getAnswers()) {
+    if (messages.answers.size() == OriginMessages::kMaxQueries) break;
+    if (answer.getKind() > static_cast<uint8_t>(OriginAnswer::Kind::kLastKind)) continue;
+    messages.answers.push_back(
+        {answer.getSequence(), static_cast<OriginAnswer::Kind>(answer.getKind()), answer.getSoftware()});
+  }
+  return messages;
+}
+
 Heartbeat Read(schema::Beat::Reader in) {
   Heartbeat heartbeat;
   heartbeat.sender = Read(in.getSender());
@@ -268,8 +324,16 @@
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
   capnp::MallocMessageBuilder message;
-  if (!heartbeat.quotas.empty()) Write(message.initRoot<schema::QuotaBeat>(), heartbeat.quotas);
-  auto out = heartbeat.quotas.empty() ? message.initRoot<schema::Beat>() : message.getRoot<schema::Beat>();
+  // Each longer type only where it is needed.
+  if (!heartbeat.origins.empty()) {
+    Write(message.initRoot<schema::OriginBeat>().initOrigins(), heartbeat.origins);
+  } else if (!heartbeat.quotas.empty()) {
+    message.initRoot<schema::QuotaBeat>();
+  } else {
+    message.initRoot<schema::Beat>();
+  }
+  if (!heartbeat.quotas.empty()) Write(message.getRoot<schema::QuotaBeat>(), heartbeat.quotas);
+  auto out = message.getRoot<schema::Beat>();
   Write(out.initSender(), heartbeat.sender);
   auto members = out.initMembers(heartbeat.members.size());
   for (size_t i = 0; i < heartbeat.members.size(); ++i) Write(members[i], heartbeat.members[i]);
@@ -303,6 +367,7 @@
     capnp::PackedMessageReader message(in, options);
     heartbeat = Read(message.getRoot<schema::Beat>());
     heartbeat->quotas = ReadQuotas(message.getRoot<schema::QuotaBeat>());
+    heartbeat->origins = Read(message.getRoot<schema::OriginBeat>().getOrigins());
   });
   if (failure != nullptr) return std::nullopt;
   return heartbeat;
--- a/libs/fleet/internal/heartbeat_codec.h
+++ b/libs/fleet/internal/heartbeat_codec.h
@@ -7,6 +7,7 @@
 
 #include "libs/fleet/internal/load_exchange.h"
 #include "libs/fleet/internal/member_table.h"
+#include "libs/fleet/internal/stream_origin_exchange.h"
 
 namespace cornelplank::fleet {
 
@@ -20,6 +21,7 @@
   std::vector<serving::LimitStatement> limits;             // of replicas of the own region
   std::optional<LoadSum> load_sum;                         // only within its region
   std::vector<tenancy::QuotaMessage> quotas;               // for the receiver alone
+  OriginMessages origins;                                  // for the receiver alone
 };
 
 /// Returns the heartbeat as packed Cap'n Proto.
--- a/libs/fleet/internal/heartbeat_loop.cc
+++ b/libs/fleet/internal/heartbeat_loop.cc
@@ -88,6 +88,9 @@
   if (heartbeat.loads) load_exchange_.OnLoads(heartbeat.sender, *heartbeat.loads, now);
   if (heartbeat.load_sum) load_exchange_.OnSum(heartbeat.sender, *heartbeat.load_sum, now);
   if (!heartbeat.quotas.empty() && quota_receiver_) quota_receiver_(heartbeat.quotas);
+  if (!heartbeat.origins.empty() && origin_receiver_) {
+    origin_receiver_(heartbeat.sender.address, heartbeat.origins);
+  }
 }
 
 Heartbeat HeartbeatLoop::MakeHeartbeat(Content content) {
@@ -200,6 +203,13 @@
   SendTo(vm, EncodeHeartbeat(heartbeat));
 }
 
+void HeartbeatLoop::SendOrigins(VmAddress vm, OriginMessages messages) {
+  Heartbeat heartbeat;
+  heartbeat.sender = members_.own();  // not a new heartbeat either
+  heartbeat.origins = std::move(messages);
+  SendTo(vm, EncodeHeartbeat(heartbeat));
+}
+
 void HeartbeatLoop::BroadcastState() {
   const std::string bytes = EncodeHeartbeat(MakeHeartbeat(Content::kMembers));
   for (const auto& [address, entry] : members_.others()) SendTo(address, bytes);
--- a/libs/fleet/internal/heartbeat_loop.h
+++ b/libs/fleet/internal/heartbeat_loop.h
@@ -50,6 +50,12 @@
   void SetQuotaReceiver(std::function<void(const std::vector<tenancy::QuotaMessage>&)> receiver) {
     quota_receiver_ = std::move(receiver);
   }
+  /// Sets the function that gets the messages about origins of streams that arrive.
+  void SetOriginReceiver(std::function<void(VmAddress from, const OriginMessages&)> receiver) {
+    origin_receiver_ = std::move(receiver);
+  }
+  /// Sends messages about origins of streams to a VM, at once and not again.
+  void SendOrigins(VmAddress vm, OriginMessages messages);
   /// Sends messages about quotas to a VM, at once and not again.
   void SendQuotas(VmAddress vm, std::vector<tenancy::QuotaMessage> messages);
   /// Sends a heartbeat to every known VM at once, after a change of this VM's state.
@@ -83,6 +89,7 @@
   std::vector<VmAddress> seeds_;
   std::function<std::vector<RegionWaitReport>()> wait_report_source_;
   std::function<void(const std::vector<tenancy::QuotaMessage>&)> quota_receiver_;
+  std::function<void(VmAddress, const OriginMessages&)> origin_receiver_;
   serving::PromptQuarantine* quarantine_ = nullptr;
   base::Random random_;
   base::TimePoint limits_sent_at_{};
--- /dev/null
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -0,0 +1,242 @@
+#include "libs/fleet/internal/stream_origin_exchange.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+
+namespace cornelplank::fleet {
+namespace {
+
+// Number of VMs that get the records of each VM.
+constexpr size_t kReceivers = 2;
+// Attempts in one datagram of records, 8 bytes each, so that it stays within one Ethernet frame. Each software
+// version takes the room of kGroupAttempts.
+constexpr size_t kAttemptsPerDatagram = 128;
+constexpr size_t kGroupAttempts = 4;
+// Datagrams with records that a VM gets at once, when it gets the records of the whole retention time.
+constexpr size_t kDatagramsAtOnce = 16;
+
+std::string_view Bytes(const VmAddress& address) {
+  return {reinterpret_cast<const char*>(&address), sizeof address};
+}
+
+}  // namespace
+
+void StreamOriginExchange::Record(uint64_t attempt, uint64_t software, base::TimePoint now) {
+  if (attempt == 0) return;
+  ForgetOld(now);
+  table_.Record(attempt, software, now);
+  own_records_.push_back({attempt, software, now});
+}
+
+void StreamOriginExchange::ForgetOld(base::TimePoint now) {
+  const base::TimePoint oldest = now - history_.retention();
+  table_.ForgetBefore(oldest);
+  while (!own_records_.empty() && (own_records_.front().at < oldest ||
+                                   own_records_.size() >= StreamOriginTable::kMaxRecords)) {
+    own_records_.pop_front();
+    ++first_own_record_;
+  }
+}
+
+std::map<VmAddress, StreamOriginExchange::Receiver> StreamOriginExchange::PickReceivers(
+    base::TimePoint now) const {
+  struct Candidate {
+    VmAddress address;
+    Receiver receiver;
+    Distance distance;
+    uint64_t weight;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [address, entry] : members_.others()) {
+    if (entry.member.state != MemberState::kReady || !members_.IsAlive(entry, now)) continue;
+    candidates.push_back({address,
+                          {entry.member.incarnation, 0},
+                          members_.DistanceOf(entry.member),
+                          base::RendezvousWeight(Bytes(members_.own().address), Bytes(address))});
+  }
+  std::map<VmAddress, Receiver> receivers;
+  const auto pick = [&](auto preference) {
+    const auto best =
+        std::max_element(candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) {
+          return std::make_tuple(preference(left.distance), left.weight) <
+                 std::make_tuple(preference(right.distance), right.weight);
+        });
+    if (best == candidates.end()) return;
+    receivers[best->address] = best->receiver;
+    candidates.erase(best);
+  };
+  // One region may be lost as a whole, and one zone.
+  pick([](Distance distance) {
+    return distance == Distance::kOwnRegion ? 2 : distance == Distance::kOwnZone ? 1 : 0;
+  });
+  pick([](Distance distance) {
+    return distance == Distance::kOtherRegion ? 2 : distance == Distance::kOwnRegion ? 1 : 0;
+  });
+  static_assert(kReceivers == 2);
+  return receivers;
+}
+
+bool StreamOriginExchange::SendRecords(base::TimePoint now) {
+  ForgetOld(now);
+  if (own_records_.empty() || !history_.IsMixed(now)) return false;
+  auto receivers = PickReceivers(now);
+  for (auto& [vm, receiver] : receivers) {
+    const auto before = receivers_.find(vm);
+    // A process that has started anew has lost its records.
+    if (before != receivers_.end() && before->second.incarnation == receiver.incarnation) {
+      receiver = before->second;
+    }
+  }
+  receivers_ = std::move(receivers);
+  bool left = false;
+  for (auto& [vm, receiver] : receivers_) left |= SendRecordsTo(vm, receiver);
+  return left;
+}
+
+bool StreamOriginExchange::SendRecordsTo(VmAddress vm, Receiver& receiver) {
+  uint64_t next = std::max(receiver.next_record, first_own_record_);
+  const uint64_t end = first_own_record_ + own_records_.size();
+  for (size_t datagram = 0; datagram < kDatagramsAtOnce && next < end; ++datagram) {
+    std::map<uint64_t, std::vector<uint64_t>> by_software;
+    for (size_t room = kAttemptsPerDatagram; next < end; ++next) {
+      const OwnRecord& record = own_records_[next - first_own_record_];
+      const size_t needed = by_software.contains(record.software) ? 1 : 1 + kGroupAttempts;
+      if (room < needed) break;
+      room -= needed;
+      by_software[record.software].push_back(record.attempt);
+      ++counters_.records_sent;
+    }
+    OriginMessages messages;
+    for (auto& [software, attempts] : by_software) messages.records.push_back({software, std::move(attempts)});
+    outbox_.emplace_back(vm, std::move(messages));
+  }
+  receiver.next_record = next;
+  return next < end;
+}
+
+OriginAnswer StreamOriginExchange::Answer(const OriginQuery& query, base::TimePoint now) const {
+  const auto recorded = table_.Find(query.attempt);
+  if (recorded) return {query.sequence, OriginAnswer::Kind::kRecorded, *recorded};
+  const auto only = history_.OnlyVersion(query.services, now);
+  if (only) return {query.sequence, OriginAnswer::Kind::kOnlyVersion, *only};
+  return {query.sequence, OriginAnswer::Kind::kUnknown, 0};
+}
+
+std::vector<uint64_t> StreamOriginExchange::OnMessages(VmAddress from, const OriginMessages& messages,
+                                                       base::TimePoint now) {
+  std::vector<uint64_t> changed;
+  if (!members_.others().contains(from)) return changed;
+  ForgetOld(now);
+  for (const OriginRecords& records : messages.records) {
+    for (const uint64_t attempt : records.attempts) {
+      if (attempt != 0) table_.Record(attempt, records.software, now);
+    }
+  }
+  OriginMessages answers;
+  for (const OriginQuery& query : messages.queries) answers.answers.push_back(Answer(query, now));
+  if (!answers.empty()) outbox_.emplace_back(from, std::move(answers));
+  for (const OriginAnswer& answer : messages.answers) {
+    const auto lookup = lookups_.find(answer.sequence);
+    if (lookup == lookups_.end()) continue;
+    const auto answered = lookup->second.answered.find(from);
+    if (answered == lookup->second.answered.end()) continue;
+    answered->second = true;
+    if (answer.kind == OriginAnswer::Kind::kRecorded) lookup->second.recorded = answer.software;
+    if (answer.kind == OriginAnswer::Kind::kOnlyVersion) lookup->second.only_versions.insert(answer.software);
+    changed.push_back(answer.sequence);
+  }
+  return changed;
+}
+
+uint64_t StreamOriginExchange::Begin(std::optional<uint64_t> attempt, std::vector<uint64_t> services,
+                                     base::TimePoint now) {
+  ++counters_.lookups;
+  const uint64_t sequence = ++last_sequence_;
+  if (lookups_.size() >= kMaxLookups) return sequence;
+  ForgetOld(now);
+  if (services.size() > OriginMessages::kMaxServices) services.clear();  // then no history can answer
+  Lookup& lookup = lookups_[sequence];
+  lookup.attempt = attempt.value_or(0);
+  lookup.services = std::move(services);
+  lookup.begun_at = now;
+  lookup.recorded = table_.Find(lookup.attempt);
+  return sequence;
+}
+
+void StreamOriginExchange::Ask(uint64_t sequence, Lookup& lookup, bool own_region, base::TimePoint now) {
+  for (const auto& [address, entry] : members_.others()) {
+    const bool of_own_region = members_.DistanceOf(entry.member) != Distance::kOtherRegion;
+    if (of_own_region != own_region || !members_.IsAlive(entry, now)) continue;
+    if (lookup.answered.try_emplace(address, false).second) SendQuery(sequence, lookup, address);
+  }
+}
+
+void StreamOriginExchange::SendQuery(uint64_t sequence, const Lookup& lookup, VmAddress vm) {
+  OriginMessages messages;
+  messages.queries.push_back({sequence, lookup.attempt, lookup.services});
+  outbox_.emplace_back(vm, std::move(messages));
+}
+
+std::optional<uint64_t> StreamOriginExchange::VersionByHistory(const Lookup& lookup,
+                                                               base::TimePoint now) const {
+  if (lookup.only_versions.empty()) return std::nullopt;
+  std::set<uint64_t> versions = history_.Versions(lookup.services, now);
+  versions.insert(lookup.only_versions.begin(), lookup.only_versions.end());
+  if (versions.size() != 1) return std::nullopt;
+  return *versions.begin();
+}
+
+std::optional<StreamOriginExchange::Result> StreamOriginExchange::Poll(uint64_t sequence,
+                                                                       base::TimePoint now) {
+  const auto found = lookups_.find(sequence);
+  if (found == lookups_.end()) {  // too many at once
+    ++counters_.unknown;
+    return Result{};
+  }
+  Lookup& lookup = found->second;
+  const auto end = [&](std::optional<uint64_t> software, uint64_t& counter) {
+    ++counter;
+    lookups_.erase(found);
+    return Result{software};
+  };
+  if (lookup.recorded) return end(lookup.recorded, counters_.found);
+  const auto all_answered = [&] {
+    return std::all_of(lookup.answered.begin(), lookup.answered.end(), [](const auto& vm) { return vm.second; });
+  };
+  if (lookup.answered.empty() && !lookup.asked_all) {
+    const auto only = history_.OnlyVersion(lookup.services, now);
+    if (only) return end(only, counters_.found_by_history);
+    // Without an attempt only histories can answer, and no answer of theirs would count.
+    if (lookup.attempt == 0 && history_.Versions(lookup.services, now).size() > 1) {
+      return end(std::nullopt, counters_.unknown);
+    }
+    Ask(sequence, lookup, true, now);
+  }
+  const base::Duration age = now - lookup.begun_at;
+  if (!lookup.asked_all && age < kOwnRegionTime && !all_answered()) return std::nullopt;
+  const auto by_history = VersionByHistory(lookup, now);
+  if (by_history) return end(by_history, counters_.found_by_history);
+  if (!lookup.asked_all) {
+    lookup.asked_all = true;
+    Ask(sequence, lookup, false, now);
+  }
+  if (all_answered() || age >= kLookupTime) return end(std::nullopt, counters_.unknown);
+  if (!lookup.repeated && age >= kRepeatTime) {
+    lookup.repeated = true;
+    for (const auto& [vm, answered] : lookup.answered) {
+      if (!answered) SendQuery(sequence, lookup, vm);
+    }
+  }
+  return std::nullopt;
+}
+
+base::TimePoint StreamOriginExchange::Deadline(uint64_t sequence) const {
+  const auto lookup = lookups_.find(sequence);
+  if (lookup == lookups_.end()) return {};
+  const base::TimePoint begun_at = lookup->second.begun_at;
+  if (!lookup->second.asked_all) return begun_at + kOwnRegionTime;
+  return begun_at + (lookup->second.repeated ? kLookupTime : kRepeatTime);
+}
+
+}  // namespace cornelplank::fleet
--- a/libs/serving/internal/software_history.cc
+++ b/libs/serving/internal/software_history.cc
@@ -1,5 +1,7 @@
 #include "libs/serving/internal/software_history.h"
 
+#include <algorithm>
+
 namespace cornelplank::serving {
 
 void SoftwareHistory::OnListed(uint64_t service, uint64_t software, base::TimePoint now) {
@@ -35,6 +37,12 @@
   return first_start_ || now - *known_since_ >= retention_;
 }
 
+bool SoftwareHistory::IsMixed(base::TimePoint now) const {
+  if (!IsComplete(now)) return true;
+  return std::any_of(last_listed_.begin(), last_listed_.end(),
+                     [&](const auto& service) { return Versions({service.first}, now).size() > 1; });
+}
+
 std::optional<uint64_t> SoftwareHistory::OnlyVersion(const std::vector<uint64_t>& services,
                                                      base::TimePoint now) const {
   const std::set<uint64_t> versions = Versions(services, now);
--- a/libs/serving/internal/software_history.h
+++ b/libs/serving/internal/software_history.h
@@ -31,6 +31,8 @@
   std::set<uint64_t> Versions(const std::vector<uint64_t>& services, base::TimePoint now) const;
   /// Whether `Versions` is complete: the listing was known for the whole retention time.
   bool IsComplete(base::TimePoint now) const;
+  /// Whether some service may have had more than one version within the retention time.
+  bool IsMixed(base::TimePoint now) const;
   /// The only version of the services, if they had just one for the whole retention time.
   std::optional<uint64_t> OnlyVersion(const std::vector<uint64_t>& services, base::TimePoint now) const;
 
