--- a/libs/fleet/internal/stream_origin_exchange.cc
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -24,16 +24,16 @@
 
 void StreamOriginExchange::Record(uint64_t attempt, uint64_t software, base::TimePoint now) {
   if (attempt == 0) return;
-  ForgetOld(now);
   table_.Record(attempt, software, now);
   own_records_.push_back({attempt, software, now});
+  ForgetOld(now);
 }
 
 void StreamOriginExchange::ForgetOld(base::TimePoint now) {
   const base::TimePoint oldest = now - history_.retention();
   table_.ForgetBefore(oldest);
   while (!own_records_.empty() && (own_records_.front().at < oldest ||
-                                   own_records_.size() >= StreamOriginTable::kMaxRecords)) {
+                                   own_records_.size() > StreamOriginTable::kMaxRecords)) {
     own_records_.pop_front();
     ++first_own_record_;
   }
--- a/tests/decoders/decoder_fuzz.cc
+++ b/tests/decoders/decoder_fuzz.cc
@@ -168,6 +168,21 @@
   for (const auto& limit : heartbeat->limits) {
     if (!InRange(limit.age, hours(24 * 60))) return "an age is out of range";
   }
+  using fleet::OriginMessages;
+  const OriginMessages& origins = heartbeat->origins;
+  size_t attempts = 0;
+  for (const auto& records : origins.records) attempts += records.attempts.size();
+  bool bounded = attempts <= OriginMessages::kMaxAttempts &&
+                 origins.records.size() <= OriginMessages::kMaxGroups &&
+                 origins.queries.size() <= OriginMessages::kMaxQueries &&
+                 origins.answers.size() <= OriginMessages::kMaxQueries;
+  for (const auto& query : origins.queries) {
+    bounded = bounded && query.services.size() <= OriginMessages::kMaxServices;
+  }
+  for (const auto& answer : origins.answers) {
+    bounded = bounded && answer.kind <= fleet::OriginAnswer::Kind::kLastKind;
+  }
+  if (!bounded) return "a list or kind of the origins is out of bounds";
   return std::nullopt;
 }
 
@@ -205,6 +220,15 @@
   return fleet::EncodeHeartbeat(heartbeat);
 }
 
+std::string OriginBytes() {
+  fleet::Heartbeat heartbeat;
+  heartbeat.sender.address = 7;
+  heartbeat.origins.records = {{1ULL << 60, {1, 2, 3}}, {8, {4}}};
+  heartbeat.origins.queries = {{1ULL << 61, 5, {6, 7}}, {9, 0, {6}}};
+  heartbeat.origins.answers = {{3, fleet::OriginAnswer::Kind::kOnlyVersion, 4}};
+  return fleet::EncodeHeartbeat(heartbeat);
+}
+
 struct Decoder {
   const char* name;
   std::string text;  // a valid one
@@ -220,6 +244,7 @@
       {"page", kPage, CheckPage},
       {"packed value", platform::PackValue(std::string(40, 'a')), CheckPacked},
       {"heartbeat", HeartbeatBytes(), CheckHeartbeat},
+      {"origins", OriginBytes(), CheckHeartbeat},
       {"header", "5c1e07a2:800,12.5", CheckHeaders}};
   Mutator mutator(seed);
   for (uint64_t step = 0; step < steps; ++step) {
--- /dev/null
+++ b/tests/fleet/stream_origin_table_test.cc
@@ -0,0 +1,52 @@
+#include <gtest/gtest.h>
+
+#include "libs/fleet/fleet.h"
+
+namespace cornelplank::fleet {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+
+struct Step {
+  int second;
+  uint64_t attempt;
+  uint64_t software;
+};
+
+struct TableCase {
+  const char* name;
+  size_t max_records;
+  std::vector<Step> steps;
+  int forget_before;  // second
+  std::map<uint64_t, std::optional<uint64_t>> expected;
+};
+
+class StreamOriginTableTest : public testing::TestWithParam<TableCase> {};
+
+// Guards against records that are lost too early, kept for ever, or kept in any number.
+TEST_P(StreamOriginTableTest, KeepsWhatItShould) {
+  StreamOriginTable table(GetParam().max_records);
+  for (const Step& step : GetParam().steps) {
+    table.Record(step.attempt, step.software, kStart + seconds(step.second));
+    EXPECT_LE(table.size(), GetParam().max_records);
+  }
+  table.ForgetBefore(kStart + seconds(GetParam().forget_before));
+  for (const auto& [attempt, software] : GetParam().expected) EXPECT_EQ(table.Find(attempt), software);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, StreamOriginTableTest,
+    testing::Values(TableCase{"Nothing", 4, {}, 0, {{1, std::nullopt}}},
+                    TableCase{"Recorded", 4, {{0, 1, 7}, {0, 2, 8}}, 0, {{1, 7}, {2, 8}, {3, std::nullopt}}},
+                    TableCase{"Forgotten", 4, {{0, 1, 7}, {5, 2, 8}}, 5, {{1, std::nullopt}, {2, 8}}},
+                    TableCase{"Renewed", 4, {{0, 1, 7}, {5, 1, 7}}, 3, {{1, 7}}},
+                    TableCase{"OtherVersion", 4, {{0, 1, 7}, {1, 1, 8}}, 0, {{1, 8}}},
+                    TableCase{"Full", 2, {{0, 1, 7}, {1, 2, 7}, {2, 3, 7}}, 0, {{1, std::nullopt}, {2, 7}, {3, 7}}},
+                    TableCase{"FullByRenewals", 2, {{0, 1, 7}, {1, 2, 7}, {2, 2, 7}, {3, 2, 7}}, 0,
+                              {{1, std::nullopt}, {2, 7}}}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace cornelplank::fleet
