Tests for streams that may go on only at the version that began them

Callers saw streams whose text is joined from two software versions of a service, within one answer and over a client's attempts, with nothing in the answers to show it. The tests play both ways against the proxy of one VM and over hops: a replica that breaks off, and a client that takes its stream up again with Last-Event-Id and Resumes.

The interfaces that the tests need are there, without effect: the version of a replica's entry and the origins that a proxy asks.

--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -27,6 +27,7 @@
   std::string region;
   uint32_t slots = 1;                           // requests that it runs at once
   bool leaving = false;                         // finishes its requests and takes no new ones
+  std::string software_version;                 // empty when the entry does not state it
   uint64_t incarnation = 0;                     // grows with each start; 0 when the entry does not state it
   std::chrono::milliseconds cold_remaining{0};  // until it has its full speed, when the entry was written
 };
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -17,6 +17,7 @@
 #include "libs/serving/internal/quota_gate.h"
 #include "libs/serving/internal/replica_registry.h"
 #include "libs/serving/internal/request_observer.h"
+#include "libs/serving/internal/stream_origins.h"
 
 namespace cornelplank::serving {
 
@@ -47,6 +48,7 @@
   PromptQuarantine* quarantine =
       nullptr;                 // null: requests are sent whatever their prompt parts did to replicas
   QuotaGate* quota = nullptr;  // null: tenants' quotas don't limit requests
+  StreamOrigins* stream_origins = nullptr;  // null: only the history of software versions is known
 };
 
 class ProxiedRequest;
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -32,6 +32,7 @@
   net::Tcp::endpoint Endpoint() const { return Loopback(acceptor_.local_endpoint().port()); }
   int requests() const { return requests_; }
   int connections() const { return connections_; }
+  const std::string& received() const { return received_; }
 
  private:
   net::Task<> Accept() {
@@ -54,6 +55,7 @@
       const size_t size = co_await asio::async_read_until(*socket, asio::dynamic_buffer(buffer),
                                                           "\r\n\r\n" + body, net::Into(error));
       if (error) co_return;
+      received_ += buffer.substr(0, size);
       buffer.erase(0, size);
       ++requests_;
       if (answers_.empty()) continue;
@@ -73,6 +75,7 @@
   asio::io_context& loop_;
   net::Tcp::acceptor acceptor_;
   std::deque<Answer> answers_;
+  std::string received_;
   int requests_ = 0;
   int connections_ = 0;
 };
@@ -83,15 +86,55 @@
   serving::RequestSummary summary;
 };
 
+/// Knows the origins that a test sets, and keeps what is recorded.
+struct KnownOrigins final : serving::StreamOrigins {
+  explicit KnownOrigins(asio::io_context& io) : loop(io) {}
+  void Record(uint64_t attempt, uint64_t software) override { known[attempt] = software; }
+  net::Task<std::optional<uint64_t>> Find(std::optional<uint64_t> attempt,
+                                          std::vector<uint64_t> services) override {
+    ++lookups;
+    asked_services = std::move(services);
+    if (delay.count() > 0) co_await net::Sleep(loop, delay);
+    if (!attempt) co_return without_attempt;
+    const auto origin = known.find(*attempt);
+    if (origin == known.end()) co_return std::nullopt;
+    co_return origin->second;
+  }
+
+  /// Sets where the stream of the client's attempt `id` began.
+  void Set(const std::string& id, const std::string& version) {
+    known[base::Hash64(id)] = serving::SoftwareKey("svc", version);
+  }
+  /// The version among `versions` at which the stream of the client's attempt `id` began; empty when none
+  /// did.
+  std::string VersionOf(const std::string& id,
+                        const std::vector<std::string>& versions = {"v1", "v2"}) const {
+    const auto origin = known.find(base::Hash64(id));
+    if (origin == known.end()) return "";
+    for (const std::string& version : versions) {
+      if (origin->second == serving::SoftwareKey("svc", version)) return version;
+    }
+    return "other";
+  }
+
+  asio::io_context& loop;
+  std::map<uint64_t, uint64_t> known;       // software by attempt
+  std::optional<uint64_t> without_attempt;  // for clients that state no attempt
+  std::vector<uint64_t> asked_services;     // of the last lookup
+  std::chrono::milliseconds delay{0};       // of a lookup
+  int lookups = 0;
+};
+
 /// The proxy of one VM with the server through which it is reached.
 struct ProxyVm {
   ProxyVm(asio::io_context& loop, const base::Clock& clock, const std::string& region,
-          serving::HopDirectory& hops, bool serves_hops, serving::QuotaGate* quota)
+          serving::HopDirectory& hops, bool serves_hops, serving::QuotaGate* quota,
+          serving::StreamOrigins* origins)
       : placer(region, region, {}, 5),
         replica_connections(loop, clock, {}),
         peer_connections(loop, clock, {}),
         proxy({loop, clock, codec, registry, hops, placer, replica_connections, peer_connections,
-               &last_request, nullptr, quota}),
+               &last_request, nullptr, quota, origins}),
         hop_handler(proxy) {
     net::Error error;
     net::RequestHandler& handler = serves_hops ? static_cast<net::RequestHandler&>(hop_handler) : proxy;
@@ -114,24 +157,43 @@
 /// A client, an entry VM and two replicas, of which the first is tried first. The replicas are in the VM's
 /// own region, or each in another region behind a VM of its own.
 struct ProxyPath : ::testing::Test {
-  /// Connects the replicas with the entry VM. Call it once.
+  /// Connects the replicas, of `first_version` and `second_version`, with the entry VM. Call it once.
   void Connect(const net::Tcp::endpoint& first, const net::Tcp::endpoint& second, bool over_hops) {
-    entry = std::make_unique<ProxyVm>(loop, clock, "own", hops, false, quota);
+    entry = std::make_unique<ProxyVm>(loop, clock, "own", hops, false, quota, origins);
     entry->registry.SetConfig(Config());
     if (!over_hops) {
-      AddReplica(*entry, "own", "first", first, true);
-      AddReplica(*entry, "own", "second", second, false);
+      AddReplica(*entry, "own", "first", first, true, first_version);
+      AddReplica(*entry, "own", "second", second, false, second_version);
       return;
     }
-    for (const auto& [region, replica] : {std::pair("near", first), std::pair("far", second)}) {
-      auto& vm = remote.emplace_back(std::make_unique<ProxyVm>(loop, clock, region, hops, true, quota));
+    for (const auto& [region, replica, version] :
+         {std::tuple("near", first, first_version), std::tuple("far", second, second_version)}) {
+      auto& vm = remote.emplace_back(
+          std::make_unique<ProxyVm>(loop, clock, region, hops, true, quota, remote_origins));
       vm->registry.SetConfig(Config());
-      AddReplica(*vm, region, region, replica, true);
+      AddReplica(*vm, region, region, replica, true, version);
+      AddReplica(*entry, region, region, replica, true, version);
       hops.regions.push_back({region, std::chrono::seconds(remote.size()), {}});
       hops.vms[region] = Loopback(vm->server->Port());
     }
   }
 
+  /// Lists a replica at a VM. A VM lists the replicas of all regions.
+  void AddReplica(ProxyVm& vm, const std::string& region, const std::string& id,
+                  const net::Tcp::endpoint& address, bool preferred, const std::string& version = "v1") {
+    serving::PublishedReplica replica;
+    replica.id = id;
+    replica.service = "svc";
+    replica.address = address;
+    replica.zone = region;
+    replica.region = region;
+    replica.slots = 4;
+    replica.software_version = version;
+    vm.registry.Upsert(replica, clock.Now());
+    // Outstanding requests ensure that the proxy tries the preferred replica first.
+    if (!preferred) vm.registry.BeginAttempt(*vm.registry.Find(id), {2000, 0, 0}, 0, clock.Now());
+  }
+
   /// Puts the next version of the configuration in force at a VM, as `change` makes it.
   static void ChangeConfig(ProxyVm& vm, const std::function<void(serving::RoutingConfig&)>& change) {
     auto config = std::make_shared<serving::RoutingConfig>(*vm.registry.config());
@@ -194,7 +256,11 @@
   asio::io_context loop{1};
   base::SystemClock clock;
   Hops hops;
-  serving::QuotaGate* quota = nullptr;  // of all VMs
+  serving::QuotaGate* quota = nullptr;               // of all VMs
+  serving::StreamOrigins* origins = nullptr;         // of the entry VM
+  serving::StreamOrigins* remote_origins = nullptr;  // of the VMs of other regions
+  std::string first_version = "v1";                  // of the replicas' software
+  std::string second_version = "v1";
   std::unique_ptr<ProxyVm> entry;
   std::vector<std::unique_ptr<ProxyVm>> remote;
 
@@ -221,20 +287,6 @@
     }
     return config;
   }
-
-  void AddReplica(ProxyVm& vm, const std::string& region, const std::string& id,
-                  const net::Tcp::endpoint& address, bool preferred) {
-    serving::PublishedReplica replica;
-    replica.id = id;
-    replica.service = "svc";
-    replica.address = address;
-    replica.zone = region;
-    replica.region = region;
-    replica.slots = 4;
-    vm.registry.Upsert(replica, clock.Now());
-    // Outstanding requests ensure that the proxy tries the preferred replica first.
-    if (!preferred) vm.registry.BeginAttempt(*vm.registry.Find(id), {2000, 0, 0}, 0, clock.Now());
-  }
 };
 
 }  // namespace cornelplank::testing
