Know the software version of each replica, and which versions a service has had lately

An entry's version was not read, so nothing could compare the versions of two replicas. It is decoded now; an entry whose version is no text names no replica to use, like the other fields, and a missing one counts as a version of its own. The registry feeds the history of versions, kept for twice the longest timeout of a route. When that time grows, the history begins where the shorter one was complete: versions that left before have been forgotten.

The codec decodes Resumes and carries the key of a stream's software between entry VMs.

--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -27,6 +27,7 @@
   std::string key;                          // of the client's tenant; empty when it states none
   std::optional<base::Duration> time_left;  // until the client gives up; none when it states no deadline
   std::optional<uint64_t> last_event_id;    // set when the client resumes a stream after this event
+  std::optional<std::string> resumes;       // id of the attempt that brought that stream's first event
   std::vector<PromptPart> prompt_parts;     // in order; other requests may share all but the last
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
@@ -76,6 +77,8 @@
   std::optional<base::Duration> push_back;
   // Requests a second that the replica takes from all VMs together; none when it states no limit.
   std::optional<double> rate_limit;
+  // In the response to a hop: SoftwareKey of the replica that made it. Means nothing in a replica's response.
+  std::optional<uint64_t> software;
 };
 
 /// What an entry VM adds to a request when it forwards it to an entry VM of another region (a hop).
@@ -83,6 +86,7 @@
   std::string service;
   base::Duration time_left{0};        // until the response must be complete
   std::optional<std::string> tenant;  // as in AttemptParameters; an empty one is decoded as none
+  std::optional<uint64_t> software;   // SoftwareKey of the replicas that may continue the stream; none: any
 };
 
 /// Translates between the requests and responses on the wire and the structs above, so that the rest of the
@@ -107,6 +111,8 @@
                                               std::optional<base::Duration> retry_after) const = 0;
   /// Marks a local response so that the entry VM that forwarded the request knows that it was not run.
   virtual void MarkNotRun(net::ResponseHead* head) const = 0;
+  /// Replaces what the head of a response states as `ResponseInfo::software`; none: removes it.
+  virtual void StateSoftware(net::ResponseHead* head, std::optional<uint64_t> software) const = 0;
 };
 
 }  // namespace cornelplank::serving
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -32,6 +32,11 @@
 constexpr std::chrono::milliseconds kSpeedTurn{200};
 constexpr uint64_t kSpeedTurns = 3;
 
+// Clients resume a stream within this many timeouts of its route.
+constexpr int kRetentionTimeouts = 2;
+constexpr std::chrono::seconds kRetentionWithoutTimeout{60};
+constexpr std::chrono::seconds kHistoryInterval{1};
+
 void Subtract(uint64_t* value, uint64_t amount) { *value -= std::min(*value, amount); }
 
 }  // namespace
@@ -56,6 +61,23 @@
   return part != recent_prefixes.end() && now - part->second < kPrefixCacheAge;
 }
 
+void ReplicaRegistry::SetConfig(std::shared_ptr<const RoutingConfig> config) {
+  config_ = std::move(config);
+  if (!config_) return;
+  config_freshness_.OnApplied(config_->version);
+  base::Duration retention{0};
+  for (const RouteConfig& route : config_->routes) {
+    const base::Duration own = route.timeout.count() > 0 ? base::Duration(route.timeout) * kRetentionTimeouts
+                                                         : kRetentionWithoutTimeout;
+    retention = std::max(retention, own);
+  }
+  software_history_.SetRetention(retention.count() > 0 ? retention : kRetentionWithoutTimeout);
+}
+
+void ReplicaRegistry::NoteSoftware(const TrackedReplica& replica, base::TimePoint now) {
+  software_history_.OnListed(replica.service_key, replica.software, now);
+}
+
 void ReplicaRegistry::Upsert(const PublishedReplica& published, base::TimePoint now) {
   auto& entry = replicas_[published.id];
   const bool restarted = entry && entry->published.incarnation != published.incarnation;
@@ -76,6 +98,9 @@
     }
   }
   entry->published = published;
+  entry->service_key = base::Hash64(published.service);
+  entry->software = SoftwareKey(published.service, published.software_version);
+  NoteSoftware(*entry, now);
   entry->unlisted_since.reset();
   if (published.cold_remaining.count() > 0) MarkCold(*entry, published.cold_remaining, now);
 }
@@ -107,6 +132,10 @@
 }
 
 void ReplicaRegistry::Tick(base::TimePoint now) {
+  if (now - history_updated_at_ >= kHistoryInterval) {
+    history_updated_at_ = now;
+    for (const auto& [id, replica] : replicas_) NoteSoftware(*replica, now);
+  }
   std::erase_if(replicas_, [&](const auto& entry) {
     return entry.second->unlisted_since && now - *entry.second->unlisted_since > kUnlistedGrace;
   });
@@ -120,6 +149,13 @@
   return entry == replicas_.end() ? nullptr : entry->second;
 }
 
+std::shared_ptr<TrackedReplica> ReplicaRegistry::FindSoftware(uint64_t software) const {
+  for (const auto& [id, replica] : replicas_) {
+    if (replica->software == software) return replica;
+  }
+  return nullptr;
+}
+
 void ReplicaRegistry::BeginAttempt(TrackedReplica& replica, const OutstandingWork& work, uint64_t prefix_key,
                                    base::TimePoint now) {
   replica.own_work.requests += work.requests;
--- a/libs/serving/internal/replica_registry.h
+++ b/libs/serving/internal/replica_registry.h
@@ -15,6 +15,8 @@
 #include "libs/serving/internal/message_codec.h"
 #include "libs/serving/internal/replica_limit.h"
 #include "libs/serving/internal/routing_config.h"
+#include "libs/serving/internal/software_history.h"
+#include "libs/serving/internal/stream_origins.h"
 
 namespace cornelplank::serving {
 
@@ -54,7 +56,9 @@
 /// health.
 struct TrackedReplica {
   PublishedReplica published;
-  uint32_t key = 0;  // ReplicaKey of its id
+  uint32_t key = 0;          // ReplicaKey of its id
+  uint64_t service_key = 0;  // Hash64 of its service's name
+  uint64_t software = 0;     // SoftwareKey
   OutstandingWork own_work;
   /// Work that other VMs reported, and when the report arrived, by address of the VM.
   std::map<uint32_t, std::pair<OutstandingWork, base::TimePoint>> peer_work;
@@ -118,10 +122,7 @@
   explicit ReplicaRegistry(std::chrono::milliseconds config_bound = std::chrono::milliseconds(4000))
       : config_freshness_(config_bound - ConfigFreshness::kBoundMargin) {}
 
-  void SetConfig(std::shared_ptr<const RoutingConfig> config) {
-    config_ = std::move(config);
-    if (config_) config_freshness_.OnApplied(config_->version);
-  }
+  void SetConfig(std::shared_ptr<const RoutingConfig> config);
   /// The configuration in force; null before the first `SetConfig`.
   const RoutingConfig* config() const { return config_.get(); }
   std::shared_ptr<const RoutingConfig> SharedConfig() const { return config_; }
@@ -130,6 +131,10 @@
   ConfigFreshness& config_freshness() { return config_freshness_; }
   const ConfigFreshness& config_freshness() const { return config_freshness_; }
 
+  /// Which software versions the services have had for as long as clients may resume their streams.
+  SoftwareHistory& software_history() { return software_history_; }
+  const SoftwareHistory& software_history() const { return software_history_; }
+
   /// Adds a replica or updates its entry. A changed incarnation means that it has restarted: it then starts
   /// a new record and counts as cold for the cold start time of its service.
   void Upsert(const PublishedReplica& published, base::TimePoint now);
@@ -149,6 +154,9 @@
     return replicas_;
   }
 
+  /// A replica of this software, in any region; null when there is none.
+  std::shared_ptr<TrackedReplica> FindSoftware(uint64_t software) const;
+
   /// Adds the work of an attempt to the replica. `prefix_key` is that of the request's shared prefix; 0 when
   /// it has none.
   void BeginAttempt(TrackedReplica& replica, const OutstandingWork& work, uint64_t prefix_key,
@@ -220,6 +228,7 @@
     base::TimePoint stated_at{};
   };
 
+  void NoteSoftware(const TrackedReplica& replica, base::TimePoint now);
   /// Computes the mean speeds of services and the speeds relative to them.
   void RefreshPaces();
   void OnLimitStated(TrackedReplica& replica, std::optional<double> per_second, base::TimePoint at,
@@ -227,6 +236,8 @@
 
   std::shared_ptr<const RoutingConfig> config_;
   ConfigFreshness config_freshness_;
+  SoftwareHistory software_history_;
+  base::TimePoint history_updated_at_{};
   base::TimePoint limits_changed_at_{};
   std::map<std::string, std::shared_ptr<TrackedReplica>, std::less<>> replicas_;  // by id
   std::unordered_map<uint32_t, std::weak_ptr<TrackedReplica>> by_key_;
--- a/libs/serving/internal/software_history.cc
+++ b/libs/serving/internal/software_history.cc
@@ -2,6 +2,15 @@
 
 namespace cornelplank::serving {
 
+void SoftwareHistory::SetRetention(base::Duration retention) {
+  // Versions that left before the present retention time have been forgotten.
+  if (known_since_ && retention > retention_ && *confirmed_at_ - *known_since_ > retention_) {
+    known_since_ = *confirmed_at_ - retention_;
+    first_start_ = false;
+  }
+  retention_ = retention;
+}
+
 void SoftwareHistory::OnListed(uint64_t service, uint64_t software, base::TimePoint now) {
   auto& versions = last_listed_[service];
   versions[software] = now;
--- a/libs/serving/internal/software_history.h
+++ b/libs/serving/internal/software_history.h
@@ -18,7 +18,7 @@
   static constexpr std::chrono::milliseconds kMaxGap{5000};
 
   /// Sets the time for which versions count after their last replica has gone.
-  void SetRetention(base::Duration retention) { retention_ = retention; }
+  void SetRetention(base::Duration retention);
   base::Duration retention() const { return retention_; }
   /// No replica served before this process started: the whole system has just started for the first time.
   void SetFirstStart() { first_start_ = true; }
--- a/tests/decoders/decoder_fuzz.cc
+++ b/tests/decoders/decoder_fuzz.cc
@@ -174,14 +174,14 @@
 std::optional<std::string> CheckHeaders(const std::string& text) {
   const platform::PlatformCodec codec;
   net::ResponseHead head{503, {}};
-  for (const char* name :
-       {"Retry-After", "Cold-Remaining-Ms", "Server-Limit", "Server-Load", "Server-Leaving"}) {
+  for (const char* name : {"Retry-After", "Cold-Remaining-Ms", "Server-Limit", "Server-Load",
+                           "Server-Leaving", "Cornelplank-Software"}) {
     head.headers.Add(name, text);
   }
   const serving::ResponseInfo info = codec.DecodeResponse(head);
   net::Request request{"GET", "/a", {}, ""};
   for (const char* name :
-       {"Attempt-Id", "Host", "Deadline-Ms", "Token-Usage", "Prompt-Prefix", "Last-Event-Id"}) {
+       {"Attempt-Id", "Host", "Deadline-Ms", "Token-Usage", "Prompt-Prefix", "Last-Event-Id", "Resumes"}) {
     request.headers.Add(name, text);
   }
   std::string problem;
--- a/tests/decoders/odd_entry_test.cc
+++ b/tests/decoders/odd_entry_test.cc
@@ -18,7 +18,8 @@
 std::string EntryWith(const std::string& field, const std::string& value) {
   std::map<std::string, std::string> fields = {
       {"service", "\"svc\""}, {"address", "\"10.0.0.1:80\""}, {"zone", "\"z\""}, {"state", "\"ready\""},
-      {"slots", "4"},         {"born", "1780000000000"},      {"sequence", "3"}, {"cold_remaining_ms", "0"}};
+      {"slots", "4"},         {"born", "1780000000000"},      {"sequence", "3"}, {"cold_remaining_ms", "0"},
+      {"version", "\"v1\""}};
   fields[field] = value;
   std::string text;
   for (const auto& [name, json] : fields) {
@@ -47,34 +48,35 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Fields, OddEntryTest,
-    ::testing::Values(EntryCase{"Correct", "sequence", "4", true},
-                      EntryCase{"UnknownField", "more", "[{}]", true},
-                      EntryCase{"NoIncarnation", "born", "", true},
-                      EntryCase{"IncarnationTooLarge", "born", "1e300", false},
-                      EntryCase{"IncarnationOfThirtyDigits", "born", std::string(30, '9'), false},
-                      EntryCase{"IncarnationBeyondDoubles", "born", "1e999", false},
-                      EntryCase{"IncarnationNegative", "born", "-1", false},
-                      EntryCase{"IncarnationIsText", "born", "\"now\"", false},
-                      EntryCase{"PortZero", "address", "\"10.0.0.1:0\"", false},
-                      EntryCase{"PortTooLarge", "address", "\"10.0.0.1:65536\"", false},
-                      EntryCase{"PortFarTooLarge", "address", "\"10.0.0.1:99999999999999999999\"", false},
-                      EntryCase{"PortNegative", "address", "\"10.0.0.1:-80\"", false},
-                      EntryCase{"PortWithText", "address", "\"10.0.0.1:80x\"", false},
-                      EntryCase{"AddressIsNumber", "address", "80", false},
-                      EntryCase{"SlotsTooMany", "slots", "1e300", false},
-                      EntryCase{"SlotsNone", "slots", "0", false},
-                      EntryCase{"SlotsNegative", "slots", "-1e300", false},
-                      EntryCase{"ColdTooLong", "cold_remaining_ms", "1e300", false},
-                      EntryCase{"ColdNegative", "cold_remaining_ms", "-5", false},
-                      EntryCase{"DeeplyNested", "models", Nested(1'000'000), false},
-                      EntryCase{"NestedAndCut", "models", std::string(1'000'000, '['), false},
-                      EntryCase{"DeeplyNestedObject", "models",
-                                [] {
-                                  std::string text;
-                                  for (int i = 0; i < 100'000; ++i) text += "{\"a\":";
-                                  return text + "1" + std::string(100'000, '}');
-                                }(),
-                                false}),
+    ::testing::Values(
+        EntryCase{"Correct", "sequence", "4", true}, EntryCase{"UnknownField", "more", "[{}]", true},
+        EntryCase{"NoIncarnation", "born", "", true},
+        EntryCase{"IncarnationTooLarge", "born", "1e300", false},
+        EntryCase{"IncarnationOfThirtyDigits", "born", std::string(30, '9'), false},
+        EntryCase{"IncarnationBeyondDoubles", "born", "1e999", false},
+        EntryCase{"IncarnationNegative", "born", "-1", false},
+        EntryCase{"IncarnationIsText", "born", "\"now\"", false},
+        EntryCase{"PortZero", "address", "\"10.0.0.1:0\"", false},
+        EntryCase{"PortTooLarge", "address", "\"10.0.0.1:65536\"", false},
+        EntryCase{"PortFarTooLarge", "address", "\"10.0.0.1:99999999999999999999\"", false},
+        EntryCase{"PortNegative", "address", "\"10.0.0.1:-80\"", false},
+        EntryCase{"PortWithText", "address", "\"10.0.0.1:80x\"", false},
+        EntryCase{"AddressIsNumber", "address", "80", false},
+        EntryCase{"SlotsTooMany", "slots", "1e300", false}, EntryCase{"SlotsNone", "slots", "0", false},
+        EntryCase{"SlotsNegative", "slots", "-1e300", false},
+        EntryCase{"ColdTooLong", "cold_remaining_ms", "1e300", false},
+        EntryCase{"ColdNegative", "cold_remaining_ms", "-5", false},
+        EntryCase{"NoVersion", "version", "", true}, EntryCase{"VersionIsNumber", "version", "1", false},
+        EntryCase{"VersionIsNull", "version", "null", false},
+        EntryCase{"DeeplyNested", "models", Nested(1'000'000), false},
+        EntryCase{"NestedAndCut", "models", std::string(1'000'000, '['), false},
+        EntryCase{"DeeplyNestedObject", "models",
+                  [] {
+                    std::string text;
+                    for (int i = 0; i < 100'000; ++i) text += "{\"a\":";
+                    return text + "1" + std::string(100'000, '}');
+                  }(),
+                  false}),
     [](const auto& info) { return info.param.name; });
 
 struct IdCase {
