--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -125,6 +125,12 @@
   set(totals_, "connections_refused", static_cast<double>(gauges.connections_refused));
   set(totals_, "connections_evicted", static_cast<double>(gauges.connections_evicted));
   set(totals_, "dropped_log_lines", static_cast<double>(gauges.dropped_log_lines));
+  const fleet::StreamOriginCounters& origins = gauges.stream_origins;
+  set(totals_, "stream_origin_records_sent", static_cast<double>(origins.records_sent));
+  set(totals_, "stream_origin_lookups", static_cast<double>(origins.lookups));
+  set(totals_, "stream_origins_found", static_cast<double>(origins.found));
+  set(totals_, "stream_origins_found_by_history", static_cast<double>(origins.found_by_history));
+  set(totals_, "stream_origins_unknown", static_cast<double>(origins.unknown));
 }
 
 std::string EntryMetrics::PrometheusText() {
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "libs/fleet/fleet.h"
 #include "libs/net/net.h"
 #include "libs/serving/serving.h"
 
@@ -46,6 +47,7 @@
   uint64_t connections_refused = 0;     // as too many were open
   uint64_t connections_evicted = 0;     // in favour of new ones
   uint64_t dropped_log_lines = 0;
+  fleet::StreamOriginCounters stream_origins;
 };
 
 /// Counters, gauges and histograms of one entry VM, served in the Prometheus text format. Labels contain
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -75,11 +75,11 @@
 }
 
 /// Reads a truth value that the platform renders from its own document: also as 1, 0, True or False.
-void ReadFlag(base::Settings& settings, const char* key, bool* flag) {
-  const std::string text = settings.Text("limits", key, *flag ? "true" : "false");
+void ReadFlag(base::Settings& settings, const char* section, const char* key, bool* flag) {
+  const std::string text = settings.Text(section, key, *flag ? "true" : "false");
   *flag = text == "true" || text == "True" || text == "1";
   if (!*flag && text != "false" && text != "False" && text != "0" && !text.empty()) {
-    settings.AddFault("limits", key, "must be true or false");
+    settings.AddFault(section, key, "must be true or false");
   }
 }
 
@@ -118,6 +118,7 @@
   out.memory_mb = settings.Number("vm", "memory_mb", out.memory_mb, 0, kMaxMemoryMb);
   out.descriptors = static_cast<int64_t>(
       settings.Number("vm", "descriptors", static_cast<double>(out.descriptors), 64, kMaxDescriptors));
+  ReadFlag(settings, "vm", "first_start", &out.first_start);
   out.clients = RequiredEndpoint(settings, "listen", "clients");
   out.readiness = RequiredEndpoint(settings, "listen", "readiness");
   out.directory = RequiredEndpoint(settings, "listen", "directory");
@@ -136,7 +137,7 @@
                     std::chrono::duration_cast<std::chrono::milliseconds>(quota.window), kMaxQuotaWindow);
   quota.overage = settings.Number("limits", "quota_overage", quota.overage, 0, kMaxQuotaOverage);
   quota.slack = settings.Number("limits", "quota_slack", quota.slack, 0, kMaxQuotaSlack);
-  ReadFlag(settings, "strict_revocation", &out.strict_revocation);
+  ReadFlag(settings, "limits", "strict_revocation", &out.strict_revocation);
   out.revocation_bound = settings.Time("limits", "revocation_bound", out.revocation_bound, kMaxChangeBound);
   out.grace = settings.Time("limits", "grace", out.grace, kMaxGrace);
   out.received_mb = settings.Number("limits", "received_mb", out.received_mb, 0, kMaxMemoryMb);
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -48,6 +48,8 @@
   // With strict revocation, requests with keys are refused while the configuration is older than the bound.
   bool strict_revocation = false;
   std::chrono::milliseconds revocation_bound{5000};
+  // The whole system starts for the first time, so no replica has served anything before.
+  bool first_start = false;
   std::chrono::milliseconds grace{8000};  // from SIGTERM to the end of the process
 };
 
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -151,11 +151,12 @@
       placer_(std::to_string(settings.ip), settings.zone_regions.at(settings.zone), {}, base::EntropySeed()),
       quarantine_(settings.ip, members_.own().incarnation),
       quota_client_(loop, clock_, members_, settings.quota_bounds),
+      stream_origins_(loop, clock_, members_, registry_.software_history()),
       replica_pool_(loop, clock_, ReplicaPoolSettings(settings)),
       peer_pool_(loop, clock_, PeerPoolSettings(settings)),
       metrics_([this] { return ReadGauges(); }),
       proxy_({loop, clock_, codec_, registry_, hop_directory_, placer_, replica_pool_, peer_pool_, &metrics_,
-              &quarantine_, &quota_client_}),
+              &quarantine_, &quota_client_, &stream_origins_}),
       hop_handler_(proxy_),
       directory_(members_, registry_, clock_, settings.clients.port(), [this] { return Ready(); }),
       store_sync_(loop, clock_, MakeStoreEndpoints(settings), members_, settings.zone_regions, registry_,
@@ -169,6 +170,7 @@
   std::unique_ptr<EntryVm> vm(new EntryVm(loop, settings_path, settings));
   if (!vm->Listen(problem)) return nullptr;
   vm->UpdateSecondSendBurst();
+  if (settings.first_start) vm->registry_.software_history().SetFirstStart();
   if (settings.strict_revocation) vm->proxy_.SetKeyAgeBound(settings.revocation_bound);
   vm->store_sync_.Start();
   net::Spawn(loop, "housekeeping", vm->RunHousekeeping());
@@ -214,6 +216,7 @@
   heartbeat_loop_->SetQuarantine(&quarantine_);
   quota_client_.SetSeeds(settings_.seeds);
   quota_client_.Connect(*heartbeat_loop_);
+  stream_origins_.Connect(*heartbeat_loop_);
   heartbeat_loop_->SetWaitReportSource([this] { return OwnWaitReports(); });
   SetListenerLimits();
   return true;
@@ -289,6 +292,7 @@
   gauges.denied = proxy_.counters().denied;
   gauges.max_denial_age = proxy_.counters().max_denial_age;
   gauges.store_calls = store_sync_.StoreCalls();
+  gauges.stream_origins = stream_origins_.counters();
   gauges.received_bytes = memory_->used();
   gauges.received_bytes_limit = memory_->limit();
   gauges.memory_waits = memory_->waiting();
@@ -317,6 +321,7 @@
   for (int tick = 1;; ++tick) {
     co_await net::Sleep(loop_, kTickInterval);
     registry_.Tick(clock_.Now());
+    stream_origins_.Tick();
     UpdateConfigState();
     LogQuarantine();
     if (!leaving_ && Ready() && members_.own().state == fleet::MemberState::kStarting) {
@@ -406,6 +411,7 @@
       .Number("signal", signal)
       .Number("active", static_cast<int64_t>(client_server_->ActiveSessionCount()));
   co_await Drain();
+  stream_origins_.SendRest();
   base::LogEvent("stopped")
       .Number("active",
               static_cast<int64_t>(client_server_->ActiveSessionCount() + hop_server_->ActiveSessionCount()))
--- a/apps/entry/entry_vm.h
+++ b/apps/entry/entry_vm.h
@@ -94,6 +94,7 @@
   serving::Placer placer_;
   serving::PromptQuarantine quarantine_;
   fleet::QuotaClient quota_client_;
+  fleet::StreamOriginClient stream_origins_;
   net::ConnectionPool replica_pool_;
   net::ConnectionPool peer_pool_;
   EntryMetrics metrics_;
--- a/tests/platform/entry_process_test.cc
+++ b/tests/platform/entry_process_test.cc
@@ -44,6 +44,8 @@
         FaultCase{"DrainBoundBelowTheLeast", "limits", "grace=3s", "drain_bound=0s", "drain_bound"},
         FaultCase{"StrictIsNoTruthValue", "limits", "grace=3s", "strict_revocation=maybe",
                   "strict_revocation"},
+        FaultCase{"FirstStartIsNoTruthValue", "vm", "name=vm-1\n", "name=vm-1\nfirst_start=perhaps\n",
+                  "first_start"},
         FaultCase{"UnknownKey", "limits", "grace=3s", "grave=3s", "grave"}),
     [](const auto& info) { return info.param.name; });
 
