Count streams of routes with several or changed services as of mixed versions

A route that is split over two services of one version each has two versions, and a route that has moved to another service has streams that began at the one before. Tests: SoftwareHistoryRoutesTest.

--- a/libs/fleet/internal/stream_origin_exchange.cc
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -9,8 +9,8 @@
 
 // Number of VMs that get the records of each VM.
 constexpr size_t kReceivers = 2;
-// Attempts in one datagram of records, 8 bytes each, so that it stays within one Ethernet frame. Each software
-// version takes the room of kGroupAttempts.
+// Attempts in one datagram of records, 8 bytes each, so that it stays within one Ethernet frame. Each
+// software version takes the room of kGroupAttempts.
 constexpr size_t kAttemptsPerDatagram = 128;
 constexpr size_t kGroupAttempts = 4;
 // Datagrams with records that a VM gets at once, when it gets the records of the whole retention time.
@@ -32,8 +32,8 @@
 void StreamOriginExchange::ForgetOld(base::TimePoint now) {
   const base::TimePoint oldest = now - history_.retention();
   table_.ForgetBefore(oldest);
-  while (!own_records_.empty() && (own_records_.front().at < oldest ||
-                                   own_records_.size() > StreamOriginTable::kMaxRecords)) {
+  while (!own_records_.empty() &&
+         (own_records_.front().at < oldest || own_records_.size() > StreamOriginTable::kMaxRecords)) {
     own_records_.pop_front();
     ++first_own_record_;
   }
@@ -108,7 +108,8 @@
       ++counters_.records_sent;
     }
     OriginMessages messages;
-    for (auto& [software, attempts] : by_software) messages.records.push_back({software, std::move(attempts)});
+    for (auto& [software, attempts] : by_software)
+      messages.records.push_back({software, std::move(attempts)});
     outbox_.emplace_back(vm, std::move(messages));
   }
   receiver.next_record = next;
@@ -202,7 +203,8 @@
   };
   if (lookup.recorded) return end(lookup.recorded, counters_.found);
   const auto all_answered = [&] {
-    return std::all_of(lookup.answered.begin(), lookup.answered.end(), [](const auto& vm) { return vm.second; });
+    return std::all_of(lookup.answered.begin(), lookup.answered.end(),
+                       [](const auto& vm) { return vm.second; });
   };
   if (lookup.answered.empty() && !lookup.asked_all) {
     const auto only = history_.OnlyVersion(lookup.services, now);
--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -66,12 +66,19 @@
   if (!config_) return;
   config_freshness_.OnApplied(config_->version);
   base::Duration retention{0};
+  std::map<std::string, std::vector<uint64_t>> stream_services;
   for (const RouteConfig& route : config_->routes) {
+    if (route.kind == RequestKind::kStream) {
+      auto& services = stream_services[route.name];
+      for (const auto& entry : route.services) services.push_back(base::Hash64(entry.service));
+      std::sort(services.begin(), services.end());
+    }
     const base::Duration own = route.timeout.count() > 0 ? base::Duration(route.timeout) * kRetentionTimeouts
                                                          : kRetentionWithoutTimeout;
     retention = std::max(retention, own);
   }
   software_history_.SetRetention(retention.count() > 0 ? retention : kRetentionWithoutTimeout);
+  software_history_.SetRoutes(std::move(stream_services));
 }
 
 void ReplicaRegistry::NoteSoftware(const TrackedReplica& replica, base::TimePoint now) {
--- a/libs/serving/internal/software_history.cc
+++ b/libs/serving/internal/software_history.cc
@@ -13,6 +13,14 @@
   retention_ = retention;
 }
 
+void SoftwareHistory::SetRoutes(std::map<std::string, std::vector<uint64_t>> routes) {
+  if (!routes_.empty() && routes != routes_) {
+    known_since_.reset();
+    first_start_ = false;
+  }
+  routes_ = std::move(routes);
+}
+
 void SoftwareHistory::OnListed(uint64_t service, uint64_t software, base::TimePoint now) {
   auto& versions = last_listed_[service];
   versions[software] = now;
@@ -48,8 +56,8 @@
 
 bool SoftwareHistory::IsMixed(base::TimePoint now) const {
   if (!IsComplete(now)) return true;
-  return std::any_of(last_listed_.begin(), last_listed_.end(),
-                     [&](const auto& service) { return Versions({service.first}, now).size() > 1; });
+  return std::any_of(routes_.begin(), routes_.end(),
+                     [&](const auto& route) { return Versions(route.second, now).size() > 1; });
 }
 
 std::optional<uint64_t> SoftwareHistory::OnlyVersion(const std::vector<uint64_t>& services,
--- a/libs/serving/internal/software_history.h
+++ b/libs/serving/internal/software_history.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "libs/base/base.h"
@@ -20,6 +21,9 @@
   /// Sets the time for which versions count after their last replica has gone.
   void SetRetention(base::Duration retention);
   base::Duration retention() const { return retention_; }
+  /// Sets the services (Hash64 of their names) of each route of streams, by its name. When they change,
+  /// streams of a route may have begun at services that it no longer names, so the history begins anew.
+  void SetRoutes(std::map<std::string, std::vector<uint64_t>> routes);
   /// No replica served before this process started: the whole system has just started for the first time.
   void SetFirstStart() { first_start_ = true; }
   /// A replica of the software is or was listed. `service`: Hash64 of its name.
@@ -31,13 +35,14 @@
   std::set<uint64_t> Versions(const std::vector<uint64_t>& services, base::TimePoint now) const;
   /// Whether `Versions` is complete: the listing was known for the whole retention time.
   bool IsComplete(base::TimePoint now) const;
-  /// Whether some service may have had more than one version within the retention time.
+  /// Whether the streams of some route may have begun at more than one version within the retention time.
   bool IsMixed(base::TimePoint now) const;
   /// The only version of the services, if they had just one for the whole retention time.
   std::optional<uint64_t> OnlyVersion(const std::vector<uint64_t>& services, base::TimePoint now) const;
 
  private:
   base::Duration retention_ = std::chrono::seconds(60);
+  std::map<std::string, std::vector<uint64_t>> routes_;
   bool first_start_ = false;
   std::optional<base::TimePoint> known_since_;
   std::optional<base::TimePoint> confirmed_at_;
--- a/tests/fleet/stream_origin_client_test.cc
+++ b/tests/fleet/stream_origin_client_test.cc
@@ -25,6 +25,7 @@
     if (heartbeats == nullptr) throw std::runtime_error(error.message());
     heartbeats->SetSeeds({kFirstAddress});
     client.Connect(*heartbeats);
+    history.SetRoutes({{"chat", {kService}}});
     if (first_start) history.SetFirstStart();
     net::Spawn(loop, "ticks", Run(loop));
   }
--- a/tests/fleet/stream_origin_exchange_test.cc
+++ b/tests/fleet/stream_origin_exchange_test.cc
@@ -23,7 +23,9 @@
 
 struct Vm {
   Vm(VmAddress address, uint64_t incarnation)
-      : members(MakeMember(address, incarnation), kZones), exchange(members, history, incarnation << 20) {}
+      : members(MakeMember(address, incarnation), kZones), exchange(members, history, incarnation << 20) {
+    history.SetRoutes({{"chat", {kService}}});
+  }
 
   static Member MakeMember(VmAddress address, uint64_t incarnation) {
     Member member;
@@ -90,7 +92,8 @@
     }
   }
 
-  Found Find(size_t vm, std::optional<uint64_t> attempt = kAttempt, std::vector<uint64_t> services = {kService}) {
+  Found Find(size_t vm, std::optional<uint64_t> attempt = kAttempt,
+             std::vector<uint64_t> services = {kService}) {
     StreamOriginExchange& exchange = vms_[vm]->exchange;
     const base::TimePoint begun_at = now_;
     const uint64_t lookup = exchange.Begin(attempt, std::move(services), now_);
@@ -173,82 +176,84 @@
 
 INSTANTIATE_TEST_SUITE_P(
     All, StreamOriginFailureTest,
-    testing::Values(
-        FailureCase{"None", [](Fleet&) {}, 0, kOld, milliseconds(0)},
-        FailureCase{"AskedInTheRegion", [](Fleet&) {}, 3, kOld, milliseconds(20)},
-        FailureCase{"AskedInAnotherRegion", [](Fleet&) {}, 6, kOld, milliseconds(140)},
-        FailureCase{"BeginnerKilled",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.Kill(0);
-                    },
-                    1, kOld, milliseconds(140)},
-        FailureCase{"BeginnerLongDead",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.Kill(0);
-                      fleet.Run(seconds(10));
-                    },
-                    1, kOld, milliseconds(140)},
-        FailureCase{"KilledAtOnce", [](Fleet& fleet) { fleet.Kill(0); }, 1, std::nullopt, milliseconds(410)},
-        FailureCase{"ZoneLost",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.KillAll({0, 1});
-                    },
-                    2, kOld, milliseconds(140)},
-        FailureCase{"RegionLost",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.KillAll({0, 1, 2, 3});
-                    },
-                    6, kOld, milliseconds(140)},
-        FailureCase{"OtherRegionLost",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.KillAll({0, 4, 5, 6, 7});
-                    },
-                    1, kOld, milliseconds(20)},
-        FailureCase{"ReceiversStartedAnewThenBeginnerKilled",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      for (const size_t vm : fleet.holders) fleet.Start(vm, 2);
-                      fleet.Run(seconds(2));
-                      fleet.Kill(0);
-                    },
-                    1, kOld, milliseconds(140)},
-        FailureCase{"AllStartedAnew",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      for (size_t vm = 0; vm < kVms; ++vm) fleet.Start(vm, 2);
-                      fleet.listed = {kNew};
-                      fleet.Run(seconds(3));
-                    },
-                    1, std::nullopt, milliseconds(140)},
-        FailureCase{"OtherVmStartedAnewAfterTheOldVersionLeft",
-                    [](Fleet& fleet) {
-                      fleet.listed = {kNew};
-                      fleet.Run(seconds(5));
-                      fleet.Start(7, 2);
-                      fleet.Run(seconds(2));
-                    },
-                    7, kOld, milliseconds(140)},
-        FailureCase{"FirstDatagramsLost",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.Kill(0);
-                      const base::TimePoint lost_until = fleet.now() + milliseconds(100);
-                      fleet.is_lost = [&fleet, lost_until](size_t, size_t) { return fleet.now() < lost_until; };
-                    },
-                    1, kOld, milliseconds(260)},
-        FailureCase{"CutOff",
-                    [](Fleet& fleet) {
-                      fleet.Run(milliseconds(300));
-                      fleet.is_lost = [](size_t, size_t) { return true; };
-                    },
-                    4, std::nullopt, milliseconds(410)},
-        FailureCase{"Forgotten", [](Fleet& fleet) { fleet.Run(seconds(62)); }, 1, std::nullopt,
-                    milliseconds(140)}),
+    testing::Values(FailureCase{"None", [](Fleet&) {}, 0, kOld, milliseconds(0)},
+                    FailureCase{"AskedInTheRegion", [](Fleet&) {}, 3, kOld, milliseconds(20)},
+                    FailureCase{"AskedInAnotherRegion", [](Fleet&) {}, 6, kOld, milliseconds(140)},
+                    FailureCase{"BeginnerKilled",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.Kill(0);
+                                },
+                                1, kOld, milliseconds(140)},
+                    FailureCase{"BeginnerLongDead",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.Kill(0);
+                                  fleet.Run(seconds(10));
+                                },
+                                1, kOld, milliseconds(140)},
+                    FailureCase{"KilledAtOnce", [](Fleet& fleet) { fleet.Kill(0); }, 1, std::nullopt,
+                                milliseconds(410)},
+                    FailureCase{"ZoneLost",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.KillAll({0, 1});
+                                },
+                                2, kOld, milliseconds(140)},
+                    FailureCase{"RegionLost",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.KillAll({0, 1, 2, 3});
+                                },
+                                6, kOld, milliseconds(140)},
+                    FailureCase{"OtherRegionLost",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.KillAll({0, 4, 5, 6, 7});
+                                },
+                                1, kOld, milliseconds(20)},
+                    FailureCase{"ReceiversStartedAnewThenBeginnerKilled",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  for (const size_t vm : fleet.holders) fleet.Start(vm, 2);
+                                  fleet.Run(seconds(2));
+                                  fleet.Kill(0);
+                                },
+                                1, kOld, milliseconds(140)},
+                    FailureCase{"AllStartedAnew",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  for (size_t vm = 0; vm < kVms; ++vm) fleet.Start(vm, 2);
+                                  fleet.listed = {kNew};
+                                  fleet.Run(seconds(3));
+                                },
+                                1, std::nullopt, milliseconds(140)},
+                    FailureCase{"OtherVmStartedAnewAfterTheOldVersionLeft",
+                                [](Fleet& fleet) {
+                                  fleet.listed = {kNew};
+                                  fleet.Run(seconds(5));
+                                  fleet.Start(7, 2);
+                                  fleet.Run(seconds(2));
+                                },
+                                7, kOld, milliseconds(140)},
+                    FailureCase{"FirstDatagramsLost",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.Kill(0);
+                                  const base::TimePoint lost_until = fleet.now() + milliseconds(100);
+                                  fleet.is_lost = [&fleet, lost_until](size_t, size_t) {
+                                    return fleet.now() < lost_until;
+                                  };
+                                },
+                                1, kOld, milliseconds(260)},
+                    FailureCase{"CutOff",
+                                [](Fleet& fleet) {
+                                  fleet.Run(milliseconds(300));
+                                  fleet.is_lost = [](size_t, size_t) { return true; };
+                                },
+                                4, std::nullopt, milliseconds(410)},
+                    FailureCase{"Forgotten", [](Fleet& fleet) { fleet.Run(seconds(62)); }, 1, std::nullopt,
+                                milliseconds(140)}),
     [](const auto& info) { return info.param.name; });
 
 // Guards against records that only the first receivers have, which may be gone before the VM of the stream.
@@ -329,13 +334,15 @@
 // Guards against a version that is taken for the only one although another one served too.
 TEST_P(StreamOriginHistoryTest, TellsTheOnlyVersion) {
   const HistoryCase& c = GetParam();
-  for (const std::optional<uint64_t> attempt : {std::optional<uint64_t>(kAttempt), std::optional<uint64_t>()}) {
+  for (const std::optional<uint64_t> attempt :
+       {std::optional<uint64_t>(kAttempt), std::optional<uint64_t>()}) {
     Fleet fleet;
     fleet.listed = c.seen_by_all;
     fleet.Run(seconds(2));
     if (c.asker_is_new) fleet.Start(5, 2);
     fleet.Run(seconds(1));
-    for (const uint64_t version : c.seen_by_asker) fleet.vm(5).history.OnListed(kService, version, fleet.now());
+    for (const uint64_t version : c.seen_by_asker)
+      fleet.vm(5).history.OnListed(kService, version, fleet.now());
     const Found found = fleet.Find(5, attempt, c.services);
     EXPECT_EQ(found.software, c.expected);
     EXPECT_LE(found.time, milliseconds(140));
@@ -344,14 +351,14 @@
 
 INSTANTIATE_TEST_SUITE_P(
     All, StreamOriginHistoryTest,
-    testing::Values(HistoryCase{"OwnHistory", {kOld}, {}, false, {kService}, kOld},
-                    HistoryCase{"HistoryOfOthers", {kOld}, {}, true, {kService}, kOld},
-                    HistoryCase{"TwoVersions", {kOld, kNew}, {}, true, {kService}, std::nullopt},
-                    HistoryCase{"AskerSawAnother", {kOld}, {kNew}, true, {kService}, std::nullopt},
-                    HistoryCase{"OtherService", {kOld}, {}, true, {12}, std::nullopt},
-                    HistoryCase{"NoService", {kOld}, {}, true, {}, std::nullopt},
-                    HistoryCase{"TooManyServices", {kOld}, {}, true, std::vector<uint64_t>(65, kService),
-                                std::nullopt}),
+    testing::Values(
+        HistoryCase{"OwnHistory", {kOld}, {}, false, {kService}, kOld},
+        HistoryCase{"HistoryOfOthers", {kOld}, {}, true, {kService}, kOld},
+        HistoryCase{"TwoVersions", {kOld, kNew}, {}, true, {kService}, std::nullopt},
+        HistoryCase{"AskerSawAnother", {kOld}, {kNew}, true, {kService}, std::nullopt},
+        HistoryCase{"OtherService", {kOld}, {}, true, {12}, std::nullopt},
+        HistoryCase{"NoService", {kOld}, {}, true, {}, std::nullopt},
+        HistoryCase{"TooManyServices", {kOld}, {}, true, std::vector<uint64_t>(65, kService), std::nullopt}),
     [](const auto& info) { return info.param.name; });
 
 // Guards against lookups without bound, and against answers from VMs that weren't asked.
--- a/tests/fleet/stream_origin_table_test.cc
+++ b/tests/fleet/stream_origin_table_test.cc
@@ -43,8 +43,12 @@
                     TableCase{"Forgotten", 4, {{0, 1, 7}, {5, 2, 8}}, 5, {{1, std::nullopt}, {2, 8}}},
                     TableCase{"Renewed", 4, {{0, 1, 7}, {5, 1, 7}}, 3, {{1, 7}}},
                     TableCase{"OtherVersion", 4, {{0, 1, 7}, {1, 1, 8}}, 0, {{1, 8}}},
-                    TableCase{"Full", 2, {{0, 1, 7}, {1, 2, 7}, {2, 3, 7}}, 0, {{1, std::nullopt}, {2, 7}, {3, 7}}},
-                    TableCase{"FullByRenewals", 2, {{0, 1, 7}, {1, 2, 7}, {2, 2, 7}, {3, 2, 7}}, 0,
+                    TableCase{
+                        "Full", 2, {{0, 1, 7}, {1, 2, 7}, {2, 3, 7}}, 0, {{1, std::nullopt}, {2, 7}, {3, 7}}},
+                    TableCase{"FullByRenewals",
+                              2,
+                              {{0, 1, 7}, {1, 2, 7}, {2, 2, 7}, {3, 2, 7}},
+                              0,
                               {{1, std::nullopt}, {2, 7}}}),
     [](const auto& info) { return info.param.name; });
 
--- a/tests/serving/software_history_test.cc
+++ b/tests/serving/software_history_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 #include "libs/serving/serving.h"
 
 namespace cornelplank::serving {
@@ -134,6 +137,66 @@
   EXPECT_EQ(history.OnlyVersion({kService}, start + seconds(30)), std::nullopt);
 }
 
+using Routes = std::map<std::string, std::vector<uint64_t>>;
+
+struct RoutesCase {
+  const char* name;
+  Routes before;
+  Routes after;  // for the last seconds
+  std::vector<Listed> listed;
+  bool first_start;
+  bool mixed;
+  std::optional<uint64_t> only_version;  // of kService
+};
+class SoftwareHistoryRoutesTest : public ::testing::TestWithParam<RoutesCase> {};
+
+// Guards against the version of a route's present service for a stream that began at its service of before,
+// and against records that are not passed on although a route has two versions.
+TEST_P(SoftwareHistoryRoutesTest, CountsWhereStreamsMayHaveBegun) {
+  const auto& param = GetParam();
+  const base::TimePoint start{std::chrono::hours(1)};
+  SoftwareHistory history;
+  history.SetRetention(kRetention);
+  if (param.first_start) history.SetFirstStart();
+  for (int second = 0; second <= 40; ++second) {
+    const base::TimePoint now = start + seconds(second);
+    history.SetRoutes(second < 35 ? param.before : param.after);
+    for (const Listed& listed : param.listed) history.OnListed(listed.service, listed.software, now);
+    history.OnConfirmed(now);
+  }
+  EXPECT_EQ(history.IsMixed(start + seconds(40)), param.mixed);
+  EXPECT_EQ(history.OnlyVersion({kService}, start + seconds(40)), param.only_version);
+}
+
+const Routes kOneService = {{"chat", {kService}}};
+const Routes kMoved = {{"chat", {kOtherService}}};
+const Routes kSplit = {{"chat", {kService, kOtherService}}};
+
+INSTANTIATE_TEST_SUITE_P(
+    Routes, SoftwareHistoryRoutesTest,
+    ::testing::Values(
+        RoutesCase{"Unchanged", kOneService, kOneService, {{kService, kOld}}, false, false, kOld},
+        RoutesCase{"TwoVersions",
+                   kOneService,
+                   kOneService,
+                   {{kService, kOld}, {kService, kNew}},
+                   false,
+                   true,
+                   std::nullopt},
+        RoutesCase{"ServiceWithoutRoute",
+                   kOneService,
+                   kOneService,
+                   {{kService, kOld}, {kOtherService, kOld}, {kOtherService, kNew}},
+                   false,
+                   false,
+                   kOld},
+        RoutesCase{"Split", kSplit, kSplit, {{kService, kOld}, {kOtherService, kNew}}, false, true, kOld},
+        RoutesCase{"Moved", kMoved, kOneService, {{kService, kOld}}, false, true, std::nullopt},
+        RoutesCase{
+            "MovedAfterTheFirstStart", kMoved, kOneService, {{kService, kOld}}, true, true, std::nullopt},
+        RoutesCase{"FirstConfiguration", {}, kOneService, {{kService, kOld}}, false, false, kOld}),
+    [](const auto& info) { return info.param.name; });
+
 struct RetentionCase {
   const char* name;
   std::vector<int> timeouts_s;  // of the routes
