Let a stream go on only at the software version that began it

Callers saw streams whose text is joined from two software versions of a service. Two causes, both in the proxy: a stream whose replica broke off was continued at any replica of the service, and a client's resumption was placed like a new request, its Resumes header unread.

A proxied stream now holds one key, of its service and software version. The first event that is relayed sets it; a resumption asks for it before anything is sent, and is refused with 503 when nobody knows it or no replica of the version is left. The key is part of every placement query, so second sends, hops, checks for silence and owners of prefixes compare it in one place, and it is checked again once a connection is established. Over a hop it travels in a header in both directions; the VM that began the stream drops an answer from a VM that ignores it.

--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace cornelplank::serving {
@@ -122,6 +123,10 @@
       return "quota_exceeded";
     case RefusalReason::kQuotaUnavailable:
       return "quota_unavailable";
+    case RefusalReason::kSoftwareUnknown:
+      return "software_unknown";
+    case RefusalReason::kSoftwareGone:
+      return "software_gone";
   }
   return "unknown";
 }
@@ -168,6 +173,12 @@
   return static_cast<size_t>(rest - candidates->begin());
 }
 
+bool Placer::Serves(const TrackedReplica& replica, std::string_view service,
+                    std::optional<uint64_t> software) const {
+  return replica.published.service == service && replica.published.region == own_region_ &&
+         (!software || replica.software == *software);
+}
+
 std::optional<Placement> Placer::ChooseLocal(const PlacementQuery& query, const ServiceConfig& service,
                                              const ReplicaRegistry& registry, const HopDirectory& hops,
                                              base::TimePoint now, RefusalReason* reason) {
@@ -176,7 +187,7 @@
   SendGate gate(registry, hops, own_id_, now);
   std::vector<Candidate> candidates;
   for (const auto& [id, replica] : registry.replicas()) {
-    if (replica->published.service != query.service || replica->published.region != own_region_) continue;
+    if (!Serves(*replica, query.service, query.software)) continue;
     if (Contains(query.excluded_replicas, id)) continue;
     const SendPermission permission = gate.Check(*replica, service, priority);
     if (permission.allowed()) {
@@ -422,6 +433,16 @@
     *reason = RefusalReason::kConfigOutdated;
     return std::nullopt;
   }
+  std::set<std::string_view> regions;  // with a replica of the software that the request is bound to
+  if (query.software) {
+    for (const auto& [id, replica] : registry.replicas()) {
+      if (replica->software == *query.software) regions.insert(replica->published.region);
+    }
+    if (regions.empty()) {
+      *reason = RefusalReason::kSoftwareGone;
+      return std::nullopt;
+    }
+  }
   if (query.residency.Allows(own_region_)) {
     best = ChooseLocal(query, *service, registry, hops, now, reason);
   } else {
@@ -431,6 +452,7 @@
   const pace::ServicePace* pace = registry.FindPace(query.service);
   for (const RemoteRegion& remote : hops.RemoteRegions(query.service)) {
     if (!query.residency.Allows(remote.region) || Contains(query.excluded_regions, remote.region)) continue;
+    if (query.software && !regions.contains(remote.region)) continue;
     base::Duration expected = remote.wait + remote.round_trip + settings_.hop_cost;
     if (pace != nullptr) {
       const auto price = PriceHop(remote, query, *service, *pace, now);
@@ -445,7 +467,8 @@
   return best;
 }
 
-std::optional<base::Duration> Placer::TimeToBlockedReplica(const std::string& service_name, int priority,
+std::optional<base::Duration> Placer::TimeToBlockedReplica(const std::string& service_name,
+                                                           std::optional<uint64_t> software, int priority,
                                                            const ReplicaRegistry& registry,
                                                            const HopDirectory& hops,
                                                            base::TimePoint now) const {
@@ -455,7 +478,7 @@
   SendGate gate(registry, hops, own_id_, now);
   std::optional<base::Duration> shortest;
   for (const auto& [id, replica] : registry.replicas()) {
-    if (replica->published.service != service_name || replica->published.region != own_region_) continue;
+    if (!Serves(*replica, service_name, software)) continue;
     const auto wait = gate.Check(*replica, *service, priority).wait;
     if (wait) shortest = std::min(shortest.value_or(*wait), *wait);
   }
@@ -470,7 +493,7 @@
   if (service == nullptr) return std::nullopt;
   std::vector<base::Duration> waits;
   for (const auto& [id, replica] : registry.replicas()) {
-    if (replica->published.service != service_name || replica->published.region != own_region_) continue;
+    if (!Serves(*replica, service_name, std::nullopt)) continue;
     if (!SendGate::CheckStanding(*replica, registry, now).allowed()) continue;
     if (replica->IsCold(now) || replica->IsEjected(now)) continue;
     if (replica->limit.PerSecond()) continue;  // what it takes is left to the requests of this region
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -24,8 +24,9 @@
   uint32_t max_output_tokens = 0;
   std::optional<base::Duration> time_left;  // until the end of the response has to arrive
   base::Duration elapsed{0};                // since the request arrived
-  bool may_run_already = false;  // it has been sent before; then it isn't refused for a lack of time
-  bool may_hop = true;           // may be forwarded to another region
+  bool may_run_already = false;      // it has been sent before; then it isn't refused for a lack of time
+  bool may_hop = true;               // may be forwarded to another region
+  std::optional<uint64_t> software;  // SoftwareKey that its stream is bound to; none: any
   std::vector<std::string> excluded_replicas;  // ids; tried before
   std::vector<std::string> excluded_regions;   // tried before
 
@@ -52,6 +53,8 @@
   kKeysOutdated,    // it has a key, and the configuration may have been replaced by a newer one
   kQuotaExceeded,   // its tenant has used up the quota
   kQuotaUnavailable,  // no VM that keeps its tenant's quota could be reached
+  kSoftwareUnknown,   // it resumes a stream, and no VM knows at which software version that began
+  kSoftwareGone,  // it resumes a stream, and the software version that began it serves the route no longer
 };
 
 /// The reason's name in log lines and metrics.
@@ -120,9 +123,10 @@
   std::optional<Placement> Choose(const PlacementQuery& query, const ReplicaRegistry& registry,
                                   const HopDirectory& hops, base::TimePoint now, RefusalReason* reason);
 
-  /// Time until this VM may send a request of `priority` to one of the replicas of the service that it may
-  /// send nothing now. Returns no value when no such time is known.
-  std::optional<base::Duration> TimeToBlockedReplica(const std::string& service, int priority,
+  /// Time until this VM may send a request of `priority` to one of the replicas of the service, and of
+  /// `software` if that is set, that it may send nothing now. Returns no value when no such time is known.
+  std::optional<base::Duration> TimeToBlockedReplica(const std::string& service,
+                                                     std::optional<uint64_t> software, int priority,
                                                      const ReplicaRegistry& registry,
                                                      const HopDirectory& hops, base::TimePoint now) const;
   /// Time that an engine needs to process this many prompt tokens.
@@ -143,6 +147,9 @@
   /// Penalty for one more request of `priority` where it takes slots that are reserved for more urgent ones.
   base::Duration ReservedSlotCost(const OutstandingWork& work, uint32_t slots, const ServiceConfig& service,
                                   int priority) const;
+  /// Whether a replica of the own region may be considered for a request at all.
+  bool Serves(const TrackedReplica& replica, std::string_view service,
+              std::optional<uint64_t> software) const;
   /// A replica that may be sent the request, with the penalty of its SendPermission.
   struct Candidate {
     std::shared_ptr<TrackedReplica> replica;
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -78,6 +78,7 @@
   query.elapsed = deps_.clock.Now() - received_at_;
   query.may_run_already = progress_.sends > 0;
   query.may_hop = !hop_;
+  query.software = software_;
   query.excluded_replicas = tried_replicas_;
   query.excluded_regions = tried_regions_;
   return query;
@@ -159,7 +160,7 @@
   // The attempt is cancelled only if another one can replace it: a late response is better than none.
   auto& budget = proxy_.RetryBudget(service_);
   RefusalReason reason = RefusalReason::kNone;
-  if (!budget.CanTake() || !CheckIdentity() ||
+  if (!budget.CanTake() || !CheckIdentity() || !CheckSoftware() ||
       !deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, now, &reason) ||
       !ReserveQuota(now)) {
     return;
@@ -226,6 +227,13 @@
 }
 
 net::Task<> ProxiedRequest::Run() {
+  if (ResumesStream() || (hop_ && hop_->software)) {
+    const bool bound = co_await BindToOrigin();
+    if (writer_.CheckClient() && !bound) {
+      co_await Finish(NextStep::kRefuse);
+      co_return;
+    }
+  }
   if (!TryAdmit()) {
     refusal_reason_ = RefusalReason::kOverloaded;
     co_await Finish(NextStep::kRefuse);
@@ -245,7 +253,7 @@
     }
     std::optional<Placement> placement;
     // The configuration may have changed during the wait for the quota.
-    if (may_send && CheckIdentity() && !IsQuarantined()) {
+    if (may_send && CheckIdentity() && CheckSoftware() && !IsQuarantined()) {
       placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
                                       &refusal_reason_);
     }
@@ -327,6 +335,7 @@
   broke_off_ = false;
   awaiting_bytes_ = false;
   splitter_.Clear();
+  attempt_software_.reset();
   call_ = std::make_shared<net::HttpCall>(deps_.loop, hop ? deps_.peer_pool : deps_.replica_pool);
   writer_.OnClientGone([this] { call_->Cancel(); });
   AttemptOutcome outcome = AttemptOutcome::kNotSent;
@@ -341,6 +350,7 @@
     if (replica_ && !SendGate::CheckStanding(*replica_, deps_.registry, deps_.clock.Now()).allowed()) {
       withheld_ = true;
     }
+    if (replica_ && !CheckReplicaSoftware()) withheld_ = true;
     if (!withheld_ && writer_.CheckClient()) {
       attempt_charge_ = std::exchange(charge_, std::nullopt);
       outcome = co_await SendAndRelay(*call_, placement);
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -56,6 +56,24 @@
   };
 
   PlacementQuery MakePlacementQuery() const;
+  /// Whether the client resumes a stream that an earlier attempt of it began.
+  bool ResumesStream() const {
+    return route_.kind == RequestKind::kStream && request_info_.last_event_id.has_value();
+  }
+  /// Hash64 of the names of the services that the route may send to.
+  std::vector<uint64_t> ServiceKeys() const;
+  /// Binds a request that resumes a stream to the software version that began it, and to its service. Returns
+  /// false, with the reason set, when the stream can't go on.
+  net::Task<bool> BindToOrigin();
+  /// Whether a further attempt may be made as far as software versions are concerned: a stream that has begun
+  /// is bound to one. Sets the reason otherwise.
+  bool CheckSoftware();
+  /// Whether the attempt's replica still has the software that the stream is bound to. It may have restarted
+  /// since it was chosen.
+  bool CheckReplicaSoftware();
+  /// Binds the stream, whose first event in this attempt has arrived, to the attempt's software, and records
+  /// it.
+  void RecordOrigin();
   /// Whom the request belongs to by `config`, of which `route` need not be a part.
   RequestIdentity Identify(const RoutingConfig& config, const RouteConfig& route) const;
   /// By the configuration in force now.
@@ -176,18 +194,20 @@
   base::TimePoint window_at_{};      // when the last event before the window of events arrived
   uint32_t window_events_ = 0;       // events since then
   uint64_t prefill_ahead_ = 0;  // prompt tokens at the replica when it was sent the attempt, own included
-  base::TimePoint first_byte_at_{};          // of the response to the client
-  std::shared_ptr<TrackedReplica> replica_;  // of the attempt; null for a hop
-  OutstandingWork work_;                     // of the attempt
-  std::string served_by_;                    // replica or region of the last attempt
-  bool timeliness_pending_ = false;          // admitted, but not yet reported as in time or late
-  std::optional<uint32_t> checked_sends_;    // number of sends at the last check of the quarantine
-  std::vector<uint64_t> shared_parts_;       // ids of the prompt parts that other requests may have too
-  RequestIdentity identity_;                 // by `config_`
-  int priority_ = 0;                         // of the tenant or the route
-  std::string tenant_name_;                  // as last looked up; empty: of no tenant
-  std::optional<Charge> charge_;             // acquired, and not used by a send yet
-  std::optional<Charge> attempt_charge_;     // of the attempt, once it is sent
+  base::TimePoint first_byte_at_{};           // of the response to the client
+  std::shared_ptr<TrackedReplica> replica_;   // of the attempt; null for a hop
+  OutstandingWork work_;                      // of the attempt
+  std::optional<uint64_t> software_;          // SoftwareKey that the stream is bound to
+  std::optional<uint64_t> attempt_software_;  // of the attempt's replica, as far as it is known
+  std::string served_by_;                     // replica or region of the last attempt
+  bool timeliness_pending_ = false;           // admitted, but not yet reported as in time or late
+  std::optional<uint32_t> checked_sends_;     // number of sends at the last check of the quarantine
+  std::vector<uint64_t> shared_parts_;        // ids of the prompt parts that other requests may have too
+  RequestIdentity identity_;                  // by `config_`
+  int priority_ = 0;                          // of the tenant or the route
+  std::string tenant_name_;                   // as last looked up; empty: of no tenant
+  std::optional<Charge> charge_;              // acquired, and not used by a send yet
+  std::optional<Charge> attempt_charge_;      // of the attempt, once it is sent
   std::shared_ptr<Reservation> reservation_;
   base::TimePoint reserve_after_{};      // no reservation is made before
   base::Duration quota_retry_after_{0};  // set with the refusal reason
--- a/libs/serving/internal/proxied_request_end.cc
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kFullRetrySpread{100};
 // Retry-After while this VM stops: other VMs take the request at once.
 constexpr std::chrono::milliseconds kStoppingRetryAfter{20};
+// Retry-After for a stream that can't go on: the client can begin anew at once.
+constexpr std::chrono::milliseconds kLostStreamRetryAfter{20};
 
 }  // namespace
 
@@ -32,14 +34,17 @@
     return quota_retry_after_;
   }
   if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
+  if (refusal_reason_ == RefusalReason::kSoftwareUnknown || refusal_reason_ == RefusalReason::kSoftwareGone) {
+    return kLostStreamRetryAfter;
+  }
   if (refusal_reason_ == RefusalReason::kFull) {
     return ReplicaRegistry::kFullTime +
            std::chrono::duration_cast<base::Duration>(kFullRetrySpread * proxy_.random_.Unit());
   }
   const bool pushed_back = refusal_reason_ == RefusalReason::kPushedBack;
   if (pushed_back || refusal_reason_ == RefusalReason::kLimited) {
-    const auto wait =
-        deps_.placer.TimeToBlockedReplica(service_, priority_, deps_.registry, deps_.hops, deps_.clock.Now());
+    const auto wait = deps_.placer.TimeToBlockedReplica(service_, software_, priority_, deps_.registry,
+                                                        deps_.hops, deps_.clock.Now());
     // The spread keeps clients from returning at the same time.
     const base::Duration time =
         wait.value_or(base::Duration::zero()) +
@@ -87,6 +92,11 @@
     case NextStep::kRefuse: {
       const unsigned status = RefusalStatus();
       ++(status == 401 ? proxy_.counters_.denied : proxy_.counters_.refused);
+      if (!hop_ && refusal_reason_ == RefusalReason::kSoftwareUnknown) {
+        ++proxy_.counters_.resumptions_of_unknown;
+      } else if (!hop_ && refusal_reason_ == RefusalReason::kSoftwareGone) {
+        ++proxy_.counters_.resumptions_of_gone;
+      }
       LogRequestEnd("refused", status);
       NotifyObserver("refused");
       co_await SendLocalResponse(status, true);
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -82,7 +82,7 @@
     return deps_.codec.EncodeAttempt(
         request_, {left, placement.replica->published.id, priority_, last_event_id_, tenant});
   }
-  const HopParameters hop{service_, left, tenant};
+  const HopParameters hop{service_, left, tenant, software_};
   if (last_event_id_ && last_event_id_ != request_info_.last_event_id) {
     const AttemptParameters parameters{left, "", priority_, last_event_id_, tenant};
     return deps_.codec.EncodeHop(deps_.codec.EncodeAttempt(request_, parameters), hop);
@@ -126,6 +126,10 @@
         .Number("status", static_cast<int64_t>(head->status));
     co_return AttemptOutcome::kUnknown;
   }
+  if (!replica_) attempt_software_ = info.software;
+  // Only entry VMs may state the software, to each other.
+  const bool states_software = hop_ && replica_ && route_.kind == RequestKind::kStream;
+  deps_.codec.StateSoftware(&*head, states_software ? attempt_software_ : std::nullopt);
   if (replica_) replica_->last_progress = deps_.clock.Now();
   if (replica_ && info.cold_remaining) {
     deps_.registry.MarkCold(*replica_, *info.cold_remaining, deps_.clock.Now());
@@ -146,6 +150,8 @@
   if (success && (!info.has_signature || info.encoded || info.request_id.empty())) {
     co_return AttemptOutcome::kUnknown;
   }
+  // A VM of an older release doesn't know to which software a stream is bound.
+  if (success && software_ && attempt_software_ != software_) co_return AttemptOutcome::kUnknown;
   if (success && IsEventStream(*head)) {
     co_return co_await RelayStream(call, std::move(*head));
   }
@@ -288,6 +294,7 @@
   if (!prefill_done_) {
     prefill_done_ = true;
     first_event_at_ = deps_.clock.Now();
+    RecordOrigin();
     ReportTimeliness(first_event_at_ - received_at_ <= route_.target_latency);
     if (replica_) deps_.registry.OnPrefillDone(*replica_, work_.prefill_tokens);
     if (deps_.quarantine != nullptr) deps_.quarantine->RecordAnswer(shared_parts_, first_event_at_);
--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -32,6 +32,10 @@
   uint64_t hops = 0;                 // attempts forwarded to another region
   uint64_t denied = 0;               // local 404, no route matches, and local 401, no tenant has the key
   base::Duration max_denial_age{0};  // greatest age of a configuration that a request was denied by
+  // Requests of clients that resume a stream:
+  uint64_t resumed_streams = 0;         // whose rest began
+  uint64_t resumptions_of_unknown = 0;  // refused: nobody knows at which software version they began
+  uint64_t resumptions_of_gone = 0;     // refused: that version serves no longer
 };
 
 /// The objects that a RequestProxy uses. All must outlive it.
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -173,7 +173,7 @@
       vm->registry.SetConfig(Config());
       AddReplica(*vm, region, region, replica, true, version);
       AddReplica(*entry, region, region, replica, true, version);
-      hops.regions.push_back({region, std::chrono::seconds(remote.size()), {}});
+      hops.regions.push_back({region, hop_wait * remote.size(), {}});
       hops.vms[region] = Loopback(vm->server->Port());
     }
   }
@@ -191,7 +191,7 @@
     replica.software_version = version;
     vm.registry.Upsert(replica, clock.Now());
     // Outstanding requests ensure that the proxy tries the preferred replica first.
-    if (!preferred) vm.registry.BeginAttempt(*vm.registry.Find(id), {2000, 0, 0}, 0, clock.Now());
+    if (!preferred) vm.registry.BeginAttempt(*vm.registry.Find(id), {second_load, 0, 0}, 0, clock.Now());
   }
 
   /// Puts the next version of the configuration in force at a VM, as `change` makes it.
@@ -261,6 +261,8 @@
   serving::StreamOrigins* remote_origins = nullptr;  // of the VMs of other regions
   std::string first_version = "v1";                  // of the replicas' software
   std::string second_version = "v1";
+  uint32_t second_load = 2000;               // outstanding requests at the second one of two own replicas
+  std::chrono::milliseconds hop_wait{1000};  // in the nearer region; twice as long in the other one
   std::unique_ptr<ProxyVm> entry;
   std::vector<std::unique_ptr<ProxyVm>> remote;
 
--- a/tests/platform/stream_versions_test.cc
+++ b/tests/platform/stream_versions_test.cc
@@ -39,6 +39,9 @@
   StreamVersionsTest() : entry_origins(loop), hop_origins(loop) {
     origins = &entry_origins;
     remote_origins = &hop_origins;
+    // The second replica is the worse one, but can end a response in time.
+    second_load = 20;
+    hop_wait = milliseconds(150);
   }
 
   const std::string& Reason() { return reason = std::string(entry->last_request.summary.reason); }
@@ -292,10 +295,10 @@
   {
     net::Tcp::socket client(loop);
     client.connect(testing::Loopback(entry->server->Port()));
-    net::asio::write(client,
-                     net::asio::buffer("POST /stream/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 2\r\n"
-                                       "Last-Event-Id: 1\r\nResumes: 1\r\nDeadline-Ms: 2000\r\n"
-                                       "Content-Length: 2\r\n\r\nhi"));
+    const std::string request =
+        "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 2\r\nLast-Event-Id: 1\r\nResumes: 1\r\n"
+        "Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nhi";
+    net::asio::write(client, net::asio::buffer(request));
     testing::RunFor(loop, milliseconds(40));
   }
   testing::RunFor(loop, milliseconds(200));
--- a/tests/serving/placement_test.cc
+++ b/tests/serving/placement_test.cc
@@ -309,5 +309,59 @@
                                            ColdCase{"HighColdRate", 20, 12}),
                          [](const auto& info) { return info.param.name; });
 
+struct SoftwareCase {
+  const char* name;
+  std::vector<std::pair<const char*, const char*>> replicas;  // region and version; the own region is "r"
+  const char* expected;                                       // id of the replica, or region; empty: none
+  RefusalReason reason = RefusalReason::kNone;
+};
+class BoundPlacementTest : public PlacementTest, public ::testing::WithParamInterface<SoftwareCase> {};
+
+// Guards against a stream that goes on at another software version, and against one that ends although its
+// version still serves.
+TEST_P(BoundPlacementTest, UsesOnlyItsVersion) {
+  const auto& param = GetParam();
+  for (size_t i = 0; i < param.replicas.size(); ++i) {
+    const auto& [region, version] = param.replicas[i];
+    PublishedReplica published;
+    published.id = std::to_string(i);
+    published.service = "llm";
+    published.zone = region;
+    published.region = region;
+    published.slots = 64;
+    published.software_version = version;
+    registry.Upsert(published, kStart);
+    // The later ones are the better ones.
+    registry.BeginAttempt(*registry.Find(published.id), {static_cast<uint32_t>(400 - 100 * i), 0, 0}, 0,
+                          kStart);
+  }
+  hops.remote_regions = {{"far", {}, {}}, {"near", {}, {}}};
+  query.software = SoftwareKey("llm", "v1");
+  query.prefix_key = 42;
+  query.prefix_tokens = 5000;
+  query.prompt_tokens = 12000;
+  const auto placement = Choose();
+  ASSERT_EQ(placement.has_value(), *param.expected != '\0');
+  if (!placement) {
+    EXPECT_EQ(reason, param.reason);
+    return;
+  }
+  EXPECT_EQ(placement->replica ? placement->replica->published.id : placement->region, param.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Versions, BoundPlacementTest,
+    ::testing::Values(SoftwareCase{"OwnRegion", {{"r", "v1"}, {"r", "v2"}}, "0"},
+                      SoftwareCase{"AnotherRegion", {{"near", "v1"}, {"far", "v2"}, {"r", "v2"}}, "near"},
+                      SoftwareCase{"None", {{"r", "v2"}, {"far", "v2"}}, "", RefusalReason::kSoftwareGone},
+                      SoftwareCase{"Unstated", {{"r", ""}, {"far", ""}}, "", RefusalReason::kSoftwareGone}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against the version of one service that is taken for the same version of another.
+TEST(SoftwareKeyTest, DiffersBetweenServices) {
+  EXPECT_NE(SoftwareKey("a", "v1"), SoftwareKey("b", "v1"));
+  EXPECT_NE(SoftwareKey("a", "bv"), SoftwareKey("ab", "v"));
+}
+
 }  // namespace
 }  // namespace cornelplank::serving
--- a/tests/serving/send_gate_test.cc
+++ b/tests/serving/send_gate_test.cc
@@ -174,7 +174,8 @@
   fixture.registry.RecordPushBack(fixture.Replica("b"), milliseconds(1200), fixture.now);
   EXPECT_FALSE(fixture.Choose());
   EXPECT_EQ(fixture.reason, RefusalReason::kPushedBack);
-  EXPECT_EQ(fixture.placer.TimeToBlockedReplica("svc", 0, fixture.registry, fixture.hops, fixture.now),
+  EXPECT_EQ(fixture.placer.TimeToBlockedReplica("svc", std::nullopt, 0, fixture.registry, fixture.hops,
+                                                fixture.now),
             base::Duration(milliseconds(1200)));
   fixture.Advance(milliseconds(1200));
   EXPECT_EQ(fixture.Choose()->replica->published.id, "b");
