--- a/libs/serving/internal/request_proxy.h
+++ b/libs/serving/internal/request_proxy.h
@@ -17,6 +17,7 @@
 #include "libs/serving/internal/quota_gate.h"
 #include "libs/serving/internal/replica_registry.h"
 #include "libs/serving/internal/request_observer.h"
+#include "libs/serving/internal/stream_origins.h"
 
 namespace cornelplank::serving {
 
@@ -31,6 +32,10 @@
   uint64_t hops = 0;                 // attempts forwarded to another region
   uint64_t denied = 0;               // local 404, no route matches, and local 401, no tenant has the key
   base::Duration max_denial_age{0};  // greatest age of a configuration that a request was denied by
+  // Requests of clients that resume a stream:
+  uint64_t resumed_streams = 0;         // whose rest began
+  uint64_t resumptions_of_unknown = 0;  // refused: nobody knows at which software version they began
+  uint64_t resumptions_of_gone = 0;     // refused: that version serves no longer
 };
 
 /// The objects that a RequestProxy uses. All must outlive it.
@@ -47,6 +52,7 @@
   PromptQuarantine* quarantine =
       nullptr;                 // null: requests are sent whatever their prompt parts did to replicas
   QuotaGate* quota = nullptr;  // null: tenants' quotas don't limit requests
+  StreamOrigins* stream_origins = nullptr;  // null: only the history of software versions is known
 };
 
 class ProxiedRequest;
