Show in logs and metrics at which software version a stream went on, or why it could not

The two ways in which a stream goes on, by the VM itself and by a client's resumption, looked alike in the log, and no line named a version. The last line of a request has the key of its stream's software, and resumed=1 with the attempt that the client names; attempt_ended has the version of the replica; broken_off has the reason when no replica may continue the text. Three counters tell resumptions that went on from the two kinds of refusals.

--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -119,6 +119,9 @@
   set(totals_, "second_sends", static_cast<double>(gauges.second_sends));
   set(totals_, "hops", static_cast<double>(gauges.hops));
   set(totals_, "denied", static_cast<double>(gauges.denied));
+  set(totals_, "resumed_streams", static_cast<double>(gauges.resumed_streams));
+  set(totals_, "resumptions_of_unknown_software", static_cast<double>(gauges.resumptions_of_unknown));
+  set(totals_, "resumptions_of_gone_software", static_cast<double>(gauges.resumptions_of_gone));
   set(totals_, "store_calls", static_cast<double>(gauges.store_calls));
   set(totals_, "memory_refusals", static_cast<double>(gauges.memory_refusals));
   set(totals_, "stalled_requests_ended", static_cast<double>(gauges.stalled_requests_ended));
--- a/apps/entry/entry_metrics.h
+++ b/apps/entry/entry_metrics.h
@@ -40,6 +40,9 @@
   uint64_t second_sends = 0;            // retries after an attempt whose bytes may have reached a replica
   uint64_t hops = 0;                    // attempts forwarded to another region
   uint64_t denied = 0;                  // requests that no route or no tenant matched
+  uint64_t resumed_streams = 0;         // that clients took up again and that went on
+  uint64_t resumptions_of_unknown = 0;  // refused, as no VM knew their software version
+  uint64_t resumptions_of_gone = 0;     // refused, as their software version had left
   uint64_t store_calls = 0;             // of this VM to the platform's store
   uint64_t memory_refusals = 0;         // requests and responses that found no room within the limit in time
   uint64_t stalled_requests_ended = 0;  // incomplete ones whose clients had stalled, to make room for others
--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -287,6 +287,9 @@
   gauges.second_sends = proxy_.counters().second_sends;
   gauges.hops = proxy_.counters().hops;
   gauges.denied = proxy_.counters().denied;
+  gauges.resumed_streams = proxy_.counters().resumed_streams;
+  gauges.resumptions_of_unknown = proxy_.counters().resumptions_of_unknown;
+  gauges.resumptions_of_gone = proxy_.counters().resumptions_of_gone;
   gauges.max_denial_age = proxy_.counters().max_denial_age;
   gauges.store_calls = store_sync_.StoreCalls();
   gauges.received_bytes = memory_->used();
--- a/libs/serving/internal/proxied_request_end.cc
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdio>
 
 #include "libs/serving/internal/proxied_request.h"
 
@@ -18,6 +19,13 @@
 // Retry-After for a stream that can't go on: the client can begin anew at once.
 constexpr std::chrono::milliseconds kLostStreamRetryAfter{20};
 
+/// Adds the SoftwareKey of a stream to a log line.
+void LogSoftware(base::LogEvent& line, uint64_t software) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(software));
+  line.Text("software", text);
+}
+
 }  // namespace
 
 base::Duration ProxiedRequest::RetryAfter() const {
@@ -125,8 +133,8 @@
 
 void ProxiedRequest::LogAttempt(const Placement& placement, AttemptOutcome outcome,
                                 const net::HttpCall& call) const {
-  base::LogEvent("attempt_ended")
-      .Text("request", request_info_.id)
+  base::LogEvent line("attempt_ended");
+  line.Text("request", request_info_.id)
       .Text(placement.replica ? "replica" : "region", served_by_)
       .Text("end", AttemptOutcomeName(outcome))
       .Text("fault", net::CallFaultName(call.fault()))
@@ -134,6 +142,8 @@
       .Number("sends", progress_.sends)
       .Number("answer_begun", prefill_done_ ? 1 : 0)
       .Time("after_ms", deps_.clock.Now() - received_at_);
+  if (attempt_software_) LogSoftware(line, *attempt_software_);
+  if (placement.replica) line.Text("version", placement.replica->published.software_version);
 }
 
 void ProxiedRequest::LogRequestEnd(const char* outcome, unsigned status) const {
@@ -155,10 +165,16 @@
     if (course_.longest_pause) line.Time("pause_ms", *course_.longest_pause);
     line.Time("forecast_end_ms", forecast_->end.mean).Time("end_ms", course_.end);
   }
-  if (refusal_reason_ != RefusalReason::kNone && (status == 503 || std::string_view(outcome) == "refused")) {
+  // A stream that has begun can't go on when no replica of its software is left.
+  const bool lost_software =
+      refusal_reason_ == RefusalReason::kSoftwareUnknown || refusal_reason_ == RefusalReason::kSoftwareGone;
+  const bool refused = status == 503 || std::string_view(outcome) == "refused";
+  if (lost_software || (refused && refusal_reason_ != RefusalReason::kNone)) {
     line.Text("reason", RefusalReasonName(refusal_reason_));
   }
   if (!tenant_name_.empty()) line.Text("tenant", tenant_name_);
+  if (software_) LogSoftware(line, *software_);
+  if (ResumesStream()) line.Number("resumed", 1).Text("resumes", request_info_.resumes.value_or(""));
   if (hop_) line.Number("hop", 1);
 }
 
