Admit requests that resume a stream

Cause: a request that resumes a stream drew for admission like a new one. It had been admitted before, replicas have worked on it, and its client mostly has no further attempt.

AdmissionControlRefusesNoTakeUp fails before (503 engines_late) and passes after. The line of a start says whether it is the first one of the whole system.

--- a/apps/entry/entry_vm.cc
+++ b/apps/entry/entry_vm.cc
@@ -181,7 +181,8 @@
       .Text("version", base::kVersion)
       .Text("vm", settings.name)
       .Text("zone", settings.zone)
-      .Number("incarnation", static_cast<int64_t>(vm->members_.own().incarnation));
+      .Number("incarnation", static_cast<int64_t>(vm->members_.own().incarnation))
+      .Number("first_start", settings.first_start ? 1 : 0);
   return vm;
 }
 
--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -210,7 +210,8 @@
 
 bool ProxiedRequest::TryAdmit() {
   const ServiceConfig* service = config_->FindService(service_);
-  if (hop_ || service == nullptr || !service->engine) return true;
+  // A stream that is resumed has been admitted, and its replicas have worked on it.
+  if (hop_ || ResumesStream() || service == nullptr || !service->engine) return true;
   if (!proxy_.Admission(service_, priority_).Admits(proxy_.random_.Unit())) return false;
   timeliness_pending_ = true;
   return true;
--- a/tests/platform/stream_versions_test.cc
+++ b/tests/platform/stream_versions_test.cc
@@ -307,5 +307,26 @@
   EXPECT_EQ(first.requests(), 0);
 }
 
+// Guards against admission control that breaks off streams which have been admitted before.
+TEST_F(StreamVersionsTest, AdmissionControlRefusesNoTakeUp) {
+  constexpr int kStreams = 60;
+  SequenceServer first(loop, std::vector<Answer>(kStreams, Ends("1")));
+  SequenceServer second(loop, {});
+  Connect(first.Endpoint(), second.Endpoint(), false);
+  ChangeConfig(*entry, [](serving::RoutingConfig& config) {
+    config.services["svc"].engine = serving::ModelEngineConfig{8, 90000};
+    for (serving::RouteConfig& route : config.routes) route.target_latency = milliseconds(0);
+  });
+  int refused = 0;
+  for (int i = 0; i < kStreams; ++i) refused += IsRefusal(Send("/stream/a", "1", milliseconds(1))) ? 1 : 0;
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(Reason(), entry->last_request.summary.outcome == "refused" ? "engines_late" : "");
+  entry_origins.Set("1", "v1");
+  for (int i = 0; i < 10; ++i) {
+    const std::string response = Send("/stream/a", "1", milliseconds(1), "hi", TakeUp("1"));
+    EXPECT_TRUE(IsWhole(response)) << response;
+  }
+}
+
 }  // namespace
 }  // namespace cornelplank
