Don't take an early end of file for the end of a response when the server is gone

Callers of a replica that answered a long upload at once, without a length, and crashed in the middle got the first part as a whole answer: 200 with the replica's signature and a Content-Length of 15 in the test, and a stream ended in good order.

Cause: the kernel closes the sockets of a process that ends. Where it has read all that had arrived, the close is an orderly one: the reset follows only as the answer to the next bytes of the request. The read sees the end of file first, and the write's EPIPE counted as "after an orderly close" where it came in time at all.

When the end of the connection ends a response and the server hasn't acknowledged the whole request, the call now waits for up to 10 ms for the reset, and asks the kernel whether the connection still exists (TCP_INFO) in place of the error that the write has seen. A server that has closed its direction only (and reads the rest of the request, or doesn't) keeps the connection: its response is whole, as before. With the whole request acknowledged nothing changes.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -1,7 +1,11 @@
 #include "libs/net/internal/http_call.h"
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <limits>
@@ -23,6 +27,10 @@
 constexpr int64_t kMaxKeepAliveSeconds = 3600;
 // Size of the buffer for one read of a body, in bytes.
 constexpr size_t kReadBufferBytes = 4096;
+// A closed socket answers the next bytes of the request with a reset, one round trip after the end of its
+// response. Calls that read such responses go to servers in the same region.
+constexpr std::chrono::milliseconds kResetWait{10};
+constexpr std::chrono::milliseconds kResetPollInterval{1};
 
 /// The idle timeout that the peer announces in the header Keep-Alive ("timeout=5"), if any.
 std::optional<std::chrono::seconds> KeepAliveTimeout(const http::fields& fields) {
@@ -51,6 +59,19 @@
   return text.str();
 }
 
+/// Whether the peer has acknowledged all bytes that were written.
+bool AllAcknowledged(int socket) {
+  int unacknowledged = 0;
+  return ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
+/// Whether the connection no longer exists, in contrast to one of which the peer has closed its direction.
+bool IsReset(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_state == TCP_CLOSE;
+}
+
 /// kMalformed when the parser refused the bytes that arrived, and kLost when too few arrived.
 CallFault FaultOfRead(const Error& error) {
   const bool lost = error == http::error::end_of_stream || error == http::error::partial_message ||
@@ -149,13 +170,18 @@
 }
 
 Task<bool> HttpCall::EndedInOrder() {
-  // The write may have ended in the same round of the loop as the read, and its coroutine not yet have run.
-  if (writing_ && !write_error_) {
-    co_await asio::post(loop_, asio::use_awaitable);
+  // The end of file alone doesn't show it: the kernel reports a reset to one call only, which may have been
+  // the write, and a process that ends after it has read all that had arrived closes its sockets in order.
+  const auto connection = connection_;
+  const int socket = connection->stream.socket().native_handle();
+  const auto end = std::chrono::steady_clock::now() + kResetWait;
+  while (writing_ || !AllAcknowledged(socket)) {
+    if (IsReset(socket)) co_return false;
+    if (std::chrono::steady_clock::now() >= end) break;
+    co_await Sleep(loop_, kResetPollInterval);
+    if (fault_ != CallFault::kNone) co_return false;
   }
-  // The kernel reports a reset or a timeout of the connection to one call only. When that was the write, the
-  // read gets an end of file as after an orderly close. EPIPE is what a reset after an orderly close gives.
-  co_return !write_error_ || write_error_ == asio::error::broken_pipe;
+  co_return true;
 }
 
 Task<std::optional<ResponseHead>> HttpCall::ReadHead(base::Duration timeout) {
@@ -219,7 +245,7 @@
   *done = parser_->is_done();
   if (!*done || !EndsWithConnection()) co_return true;
   *done = co_await EndedInOrder();
-  if (!*done) RecordFault(*write_error_, CallFault::kLost);
+  if (!*done) RecordFault(write_error_.value_or(asio::error::connection_reset), CallFault::kLost);
   co_return *done;
 }
 
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -149,13 +150,15 @@
 
   /// Sends a request on a connection of its own and runs the loop for `time`, and on until the VM has closed
   /// the connection after its response. Returns the bytes received. `headers`: further lines of the request.
+  /// `chunked`: the body is sent in chunks, without its length.
   std::string Send(const std::string& path, const std::string& id, std::chrono::milliseconds time,
-                   const std::string& body = "hi", const std::string& headers = "") {
+                   const std::string& body = "hi", const std::string& headers = "", bool chunked = false) {
     net::Tcp::socket socket(loop);
     socket.connect(Loopback(entry->server->Port()));
     const std::string request =
         "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 2000\r\n" +
-        headers + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        headers + "Connection: close\r\n" +
+        (chunked ? Chunks(body) : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     net::Spawn(loop, "send", [](net::Tcp::socket& to, const std::string& bytes) -> net::Task<> {
       net::Error ignored;  // the VM may respond and close before it has read everything
       co_await asio::async_write(to, asio::buffer(bytes), net::Into(ignored));
@@ -176,6 +179,19 @@
     return response;
   }
 
+  /// The rest of a request with this body in chunks, from the header line that says so.
+  static std::string Chunks(const std::string& body) {
+    constexpr size_t kChunkBytes = 65536;
+    std::ostringstream text;
+    text << "Transfer-Encoding: chunked\r\n\r\n" << std::hex;
+    for (size_t begin = 0; begin < body.size(); begin += kChunkBytes) {
+      const std::string part = body.substr(begin, kChunkBytes);
+      text << part.size() << "\r\n" << part << "\r\n";
+    }
+    text << "0\r\n\r\n";
+    return text.str();
+  }
+
   struct Hops final : serving::HopDirectory {
     std::vector<serving::RemoteRegion> RemoteRegions(const std::string&) const override { return regions; }
     std::optional<net::Tcp::endpoint> PickVm(const std::string& region) override {
