Treat a status outside of 200 to 599 as a malformed response

Clients of a replica in trouble got its answer with status 000 (and 099, 101, 600, 999) as an answer of the service. An interim response other than 100 (102, 103) counted as the final one, so the client got it in place of the answer that followed.

Cause: HttpCall::ReadHead took any three digits. A head with a status that is no final one is now malformed: what became of the request is unknown, so it is repeated where it may run twice, and answered 502 otherwise. All interim responses are skipped, at most 8 as before; 101 is malformed, since no request asks for an upgrade. Reads of the store, of mirrors and over hops use the same call.

Before: net.StatusTest failed in 9 of 18 cases (Zero, BelowInterim, AboveErrors, Greatest, SwitchingProtocols, Processing, EarlyHints, UnknownInterim, TooManyInterim; "2000", "20" and no digits were malformed already), platform.OddStatusTest in the 24 cases of 000, 099, 101, 103, 600 and 999 on a route that may run once at most (with and without hop, plain and as a stream), and InterimResponseTest with 102 and 103, with and without hop. After: all pass.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -21,7 +21,7 @@
 // Bodies are passed on in parts, so their length is not limited. Boost 1.74 fails when the limit is set to
 // none, so the greatest number stands for it.
 constexpr uint64_t kUnlimitedBodyBytes = std::numeric_limits<uint64_t>::max();
-// Greatest number of interim (100 Continue) responses before the final one.
+// Greatest number of interim responses before the final one.
 constexpr int kMaxInterimResponses = 8;
 // Greatest idle timeout of a peer that is believed, in seconds.
 constexpr int64_t kMaxKeepAliveSeconds = 3600;
@@ -59,6 +59,12 @@
   return text.str();
 }
 
+/// Whether the status is that of an interim response (100 Continue, 103 Early Hints). 101 Switching Protocols
+/// is not: no request asks for it.
+bool IsInterim(unsigned status) { return status >= 100 && status < 200 && status != 101; }
+
+bool IsFinal(unsigned status) { return status >= 200 && status < 600; }
+
 /// Whether the peer has acknowledged all bytes that were written.
 bool AllAcknowledged(int socket) {
   int unacknowledged = 0;
@@ -194,7 +200,7 @@
   Error error;
   for (int interim = 0;; ++interim) {
     co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_, Into(error));
-    if (error || parser_->get().result_int() != 100) break;
+    if (error || !IsInterim(parser_->get().result_int())) break;
     if (interim == kMaxInterimResponses) {
       error = http::error::header_limit;
       break;
@@ -203,6 +209,7 @@
     parser_->header_limit(kMaxHeadBytes);
     parser_->body_limit(kUnlimitedBodyBytes);
   }
+  if (!error && !IsFinal(parser_->get().result_int())) error = http::error::bad_status;
   if (error) {
     RecordFault(error, FaultOfRead(error));
     co_return std::nullopt;
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -39,8 +39,8 @@
   /// Sends the request, with Content-Length for its body. The rest of a long body is written in the
   /// background, so true doesn't mean that all has been sent. Returns false when the connection is broken.
   Task<bool> Send(const Request& request);
-  /// Reads the status and the headers of the response, and skips interim (100) responses. Returns nothing on
-  /// a fault, such as a head that is not complete after `timeout`.
+  /// Reads the status and the headers of the response, and skips interim (1xx) responses. Returns nothing on
+  /// a fault, such as a status outside of 200 to 599, or a head that is not complete after `timeout`.
   Task<std::optional<ResponseHead>> ReadHead(base::Duration timeout);
   /// Appends the next part of the body to `out` and sets `*done` when the body is complete. Returns false on
   /// a fault, such as no further byte within `timeout`, or a broken connection in place of the orderly close
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -85,6 +85,10 @@
         AnswerCase{"NoHttp", "SSH-2.0-nothing\r\n\r\n", Ending::kClose, false, "", 2},
         AnswerCase{"ExtraBytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n",
                    Ending::kKeepOpen, true, "ok", 2},
+        AnswerCase{"NoContentWithBody", "HTTP/1.1 204 No\r\nContent-Length: 2\r\n\r\nok", Ending::kKeepOpen,
+                   true, "", 2},
+        AnswerCase{"NotModifiedWithBody", "HTTP/1.1 304 Same\r\nContent-Length: 2\r\n\r\nok",
+                   Ending::kKeepOpen, true, "", 2},
         AnswerCase{"LargeWithoutLimit",
                    "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + std::string(2000000, 'x'),
                    Ending::kClose, true, std::string(2000000, 'x'), 2}),
@@ -136,6 +140,57 @@
                                            EarlyEndCase{"ShutDown", Ending::kShutDown, true}),
                          [](const auto& info) { return info.param.name; });
 
+struct StatusCase {
+  const char* name;
+  std::string bytes;
+  unsigned status;  // of the response; 0: there is none, since the bytes are malformed
+};
+
+class StatusTest : public ::testing::TestWithParam<StatusCase> {};
+
+// Guards against an invalid status, or an interim one, that counts as that of a final response.
+TEST_P(StatusTest, IsOneOfAFinalResponse) {
+  asio::io_context loop(1);
+  base::SystemClock clock;
+  net::ConnectionPool pool(loop, clock, {});
+  ScriptedServer server(loop, GetParam().bytes, Ending::kKeepOpen);
+  FetchResult result;
+  ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, server.Endpoint(), &result)));
+  const bool valid = GetParam().status != 0;
+  EXPECT_EQ(result.head ? result.head->status : 0U, GetParam().status);
+  EXPECT_EQ(result.complete, valid);
+  EXPECT_EQ(result.fault, valid ? CallFault::kNone : CallFault::kMalformed);
+}
+
+std::string WithStatus(const std::string& status) {
+  return "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+std::string Interim(const std::string& status, int count) {
+  std::string bytes;
+  for (int i = 0; i < count; ++i) bytes += "HTTP/1.1 " + status + "\r\nA: b\r\n\r\n";
+  return bytes;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses, StatusTest,
+    ::testing::Values(
+        StatusCase{"Zero", WithStatus("000 No"), 0}, StatusCase{"ZeroWithoutReason", WithStatus("000"), 0},
+        StatusCase{"BelowInterim", WithStatus("099 No"), 0},
+        StatusCase{"AboveErrors", WithStatus("600 No"), 0}, StatusCase{"Greatest", WithStatus("999 No"), 0},
+        StatusCase{"FourDigits", WithStatus("2000 OK"), 0}, StatusCase{"TwoDigits", WithStatus("20 OK"), 0},
+        StatusCase{"NoDigits", WithStatus("OK"), 0}, StatusCase{"Missing", WithStatus(""), 0},
+        StatusCase{"SwitchingProtocols", Interim("101 Up", 1) + WithStatus("200 OK"), 0},
+        StatusCase{"Continue", Interim("100 Continue", 2) + WithStatus("200 OK"), 200},
+        StatusCase{"Processing", Interim("102 Wait", 2) + WithStatus("200 OK"), 200},
+        StatusCase{"EarlyHints", Interim("103 Hints", 2) + WithStatus("200 OK"), 200},
+        StatusCase{"UnknownInterim", Interim("199 Wait", 1) + WithStatus("500 No"), 500},
+        StatusCase{"TooManyInterim", Interim("103 Hints", 9) + WithStatus("200 OK"), 0},
+        StatusCase{"NoContent", "HTTP/1.1 204 No\r\n\r\n", 204},
+        StatusCase{"NotModified", "HTTP/1.1 304 Same\r\nContent-Length: 9\r\n\r\n", 304},
+        StatusCase{"LastError", WithStatus("599 No"), 599}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a refused connection that is reported as a loss after the request was sent, which forbids a
 // retry.
 TEST(HttpCallTest, RefusedConnectionSendsNothing) {
--- a/tests/platform/faulty_replica_test.cc
+++ b/tests/platform/faulty_replica_test.cc
@@ -117,6 +117,76 @@
       return std::string(std::get<0>(info.param).name) + (std::get<1>(info.param) ? "OverAHop" : "");
     });
 
+struct OddStatusCase {
+  const char* name;
+  std::string status;
+};
+struct RouteCase {
+  const char* name;
+  const char* path;
+  const char* expected_status;
+};
+class OddStatusTest : public ProxyPath,
+                      public ::testing::WithParamInterface<std::tuple<OddStatusCase, RouteCase, bool, bool>> {
+};
+
+// Guards against a replica's invalid status, or an interim one, that the client gets as that of an answer.
+TEST_P(OddStatusTest, IsNoAnswer) {
+  const auto& [param, route, event_stream, over_hops] = GetParam();
+  const std::string type = event_stream ? "Content-Type: text/event-stream\r\n" : "";
+  const std::string event = "id: 1\ndata: why\n\n";
+  SequenceServer first(loop, {{Response(param.status, "2", event, kSigned + type), true, ""}});
+  SequenceServer second(loop, {{Response("200 OK", "2", "id: 1\ndata: a\n\n", kSigned + type), false, ""}});
+  Connect(first.Endpoint(), second.Endpoint(), over_hops);
+  const std::string response = Send(route.path, "2", kAnswerTime);
+  EXPECT_TRUE(response.starts_with(std::string("HTTP/1.1 ") + route.expected_status)) << response;
+  EXPECT_EQ(response.find("why"), std::string::npos) << response;
+  EXPECT_EQ(response.find("data: a") != std::string::npos, second.requests() == 1) << response;
+  EXPECT_EQ(second.requests(), std::string(route.expected_status) == "200" ? 1 : 0);
+}
+
+std::string OddStatusName(const ::testing::TestParamInfo<OddStatusTest::ParamType>& info) {
+  const auto& [status, route, event_stream, over_hops] = info.param;
+  return std::string(status.name) + route.name + (event_stream ? "Events" : "") +
+         (over_hops ? "OverAHop" : "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses, OddStatusTest,
+    ::testing::Combine(
+        ::testing::Values(OddStatusCase{"Zero", "000 No"}, OddStatusCase{"BelowInterim", "099 No"},
+                          OddStatusCase{"SwitchingProtocols", "101 Up"}, OddStatusCase{"Hints", "103 Hints"},
+                          OddStatusCase{"AboveErrors", "600 No"}, OddStatusCase{"Greatest", "999 No"},
+                          OddStatusCase{"FourDigits", "2000 OK"}, OddStatusCase{"TwoDigits", "20 OK"},
+                          OddStatusCase{"NoDigits", "OK"}),
+        ::testing::Values(RouteCase{"Once", "/once/a", "502"}, RouteCase{"Safe", "/safe/a", "200"},
+                          RouteCase{"Stream", "/stream/a", "200"}),
+        ::testing::Bool(), ::testing::Bool()),
+    OddStatusName);
+
+class InterimResponseTest : public ProxyPath,
+                            public ::testing::WithParamInterface<std::tuple<const char*, bool>> {};
+
+// Guards against an interim response before the answer that the client gets in its place.
+TEST_P(InterimResponseTest, IsDropped) {
+  const auto& [status, over_hops] = GetParam();
+  const std::string interim = std::string("HTTP/1.1 ") + status + "\r\nLink: </a>\r\n\r\n";
+  SequenceServer first(loop, {{interim + Response("200 OK", "2", "own", kSigned), false, ""}});
+  SequenceServer second(loop, {});
+  Connect(first.Endpoint(), second.Endpoint(), over_hops);
+  const std::string response = Send("/once/a", "2", kAnswerTime);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+  EXPECT_TRUE(response.ends_with("\r\n\r\nown")) << response;
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, InterimResponseTest,
+                         ::testing::Combine(::testing::Values("100 Continue", "102 Wait", "103 Hints"),
+                                            ::testing::Bool()),
+                         [](const auto& info) {
+                           return "Status" + std::string(std::get<0>(info.param)).substr(0, 3) +
+                                  (std::get<1>(info.param) ? "OverAHop" : "");
+                         });
+
 struct CutHeadCase {
   const char* name;
   std::string head;
