Don't take an early end of file for the end of a response at the gateway

A response that the end of the connection ends is now complete only when libcurl has sent the whole request and the server has acknowledged it; the latter is read when the socket is closed. A server that ends its direction early and reads on counts as failed too: libcurl doesn't wait.

--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -1,6 +1,9 @@
 #include "libs/http/internal/client.h"
 
 #include <curl/curl.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <deque>
@@ -51,6 +54,7 @@
  private:
   static size_t OnHeader(char* data, size_t size, size_t count, void* self);
   static size_t OnBody(char* data, size_t size, size_t count, void* self);
+  static int OnCloseSocket(void* self, curl_socket_t socket);
 
   void SetOptions();
   /// Records the reason for which the transfer fails. Returns the number that makes libcurl end it.
@@ -60,6 +64,9 @@
   }
   /// Queues the head of the response, unless it is interim.
   void DeliverHead();
+  /// Whether the end of the connection ended the response before the server had received the request, as a
+  /// crash of the server does.
+  bool EndedEarly() const;
   /// Sends and receives what is possible without blocking, and queues the event for the end.
   void Perform();
   /// `head_timeout` or `progress_timeout`, if it has passed without a byte.
@@ -75,7 +82,8 @@
   std::deque<ExchangeEvent> events_;
   size_t head_bytes_ = 0;
   size_t body_bytes_ = 0;
-  const char* problem_ = nullptr;  // why this class has ended the transfer, if it has
+  const char* problem_ = nullptr;        // why this class has ended the transfer, if it has
+  bool request_unacknowledged_ = false;  // when the connection was closed
   bool head_received_ = false;
   bool finished_ = false;
   bool complete_ = false;
@@ -111,6 +119,26 @@
   events_.push_back(std::move(event));
 }
 
+bool Transfer::EndedEarly() const {
+  constexpr long kNoContent = 204;
+  constexpr long kNotModified = 304;
+  long status = 0;
+  curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+  if (status == kNoContent || status == kNotModified) return false;
+  if (headers_.contains("Content-Length") || headers_.contains("Transfer-Encoding")) return false;
+  curl_off_t sent = 0;
+  curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return request_unacknowledged_ || static_cast<size_t>(sent) < request_.body.size();
+}
+
+int Transfer::OnCloseSocket(void* self, curl_socket_t socket) {
+  int unacknowledged = 0;
+  if (ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0) {
+    static_cast<Transfer*>(self)->request_unacknowledged_ = true;
+  }
+  return close(socket);
+}
+
 size_t Transfer::OnBody(char* data, size_t size, size_t count, void* self) {
   auto* transfer = static_cast<Transfer*>(self);
   const size_t limit = transfer->request_.max_body_bytes;
@@ -131,7 +159,7 @@
   events_.clear();
   head_bytes_ = body_bytes_ = 0;
   problem_ = nullptr;
-  head_received_ = finished_ = complete_ = false;
+  head_received_ = finished_ = complete_ = request_unacknowledged_ = false;
   begun_ = std::chrono::steady_clock::now();
   last_byte_ = {};
   curl_easy_reset(easy_);
@@ -164,6 +192,8 @@
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
   }
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION, &Transfer::OnCloseSocket);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
@@ -207,11 +237,12 @@
   const CURLcode code = message == nullptr ? CURLE_RECV_ERROR : message->data.result;
   finished_ = true;
   // libcurl reports success when the server closes inside the head.
-  complete_ = code == CURLE_OK && head_received_;
+  const bool ended_early = code == CURLE_OK && head_received_ && EndedEarly();
+  complete_ = code == CURLE_OK && head_received_ && !ended_early;
   ExchangeEvent event{complete_ ? ExchangeEvent::Kind::kEnd : ExchangeEvent::Kind::kFailed};
   if (!complete_) {
-    event.reason =
-        code == CURLE_OK ? HttpReason{HttpErrorCode::kBroken, "the head is incomplete"} : ToReason(code);
+    const char* problem = ended_early ? "the connection ended early" : "the head is incomplete";
+    event.reason = code == CURLE_OK ? HttpReason{HttpErrorCode::kBroken, problem} : ToReason(code);
   }
   events_.push_back(std::move(event));
 }
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -167,6 +168,84 @@
                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r"));
 
+enum class Crash { kReset, kCloseUnread, kCloseWhileReading };
+struct CrashCase {
+  const char* name;
+  Crash crash;
+};
+
+/// Accepts one connection, reads the start of a request, sends the first part of a response without a length
+/// and ends the connection. `read`: the bytes of the request's body that it has read.
+void ServeAndCrash(int listener, Crash crash, std::chrono::microseconds pause, size_t* read) {
+  const int connection = accept(listener, nullptr, nullptr);
+  std::string bytes(65536, 0);
+  const auto read_some = [&](int flags) {
+    const ssize_t size = recv(connection, bytes.data(), bytes.size(), flags);
+    if (size > 0) *read += static_cast<size_t>(size);
+    return size > 0;
+  };
+  read_some(0);
+  *read -= std::min(*read, bytes.find("\r\n\r\n") + 4);
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\nfirst part";
+  send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+  const auto end = std::chrono::steady_clock::now() + pause;
+  while (std::chrono::steady_clock::now() < end) {
+    if (crash != Crash::kCloseWhileReading || !read_some(MSG_DONTWAIT)) std::this_thread::yield();
+  }
+  const linger reset{1, 0};
+  if (crash == Crash::kReset) setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  while (crash == Crash::kCloseWhileReading && read_some(MSG_DONTWAIT)) {
+  }
+  close(connection);
+}
+
+class EarlyEndTest : public testing::TestWithParam<std::tuple<CrashCase, size_t>> {};
+
+// Guards against the first part of a response without a length that counts as the whole response, when the
+// server crashes while the request's body is being sent.
+TEST_P(EarlyEndTest, IsNoResponseUnlessTheRequestWasRead) {
+  const auto& [param, body_bytes] = GetParam();
+  const Crash crash = param.crash;
+  constexpr int kRounds = 100;
+  constexpr std::chrono::microseconds kStep{25};
+  int wrongly_complete = 0;
+  int wrongly_lost = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    ASSERT_EQ(bind(listener, generic, size), 0);
+    ASSERT_EQ(listen(listener, 1), 0);
+    getsockname(listener, generic, &size);
+    size_t read = 0;
+    std::thread server([&] { ServeAndCrash(listener, crash, kStep * round, &read); });
+    const auto response =
+        Client::Create()->Send({.method = "POST",
+                                .url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/",
+                                .body = std::string(body_bytes, 'x')},
+                               nullptr, nullptr);
+    server.join();
+    close(listener);
+    const bool complete = read == body_bytes && crash == Crash::kCloseWhileReading;
+    wrongly_complete += response && !complete ? 1 : 0;
+    wrongly_lost += !response && complete ? 1 : 0;
+  }
+  EXPECT_EQ(wrongly_complete, 0) << "of " << kRounds;
+  EXPECT_EQ(wrongly_lost, 0) << "of " << kRounds;
+}
+INSTANTIATE_TEST_SUITE_P(
+    Crashes, EarlyEndTest,
+    testing::Combine(testing::Values(CrashCase{"Reset", Crash::kReset},
+                                     CrashCase{"CloseUnread", Crash::kCloseUnread},
+                                     CrashCase{"CloseWhileReading", Crash::kCloseWhileReading}),
+                     testing::Values(64 << 10, 1 << 20, 16 << 20)),
+    [](const auto& info) {
+      return std::get<0>(info.param).name + std::to_string(std::get<1>(info.param) >> 10) + "KB";
+    });
+
 /// Accepts one connection, reads from it, and sends `start` and then `part` again and again until the peer
 /// closes the connection or has taken `limit` bytes.
 class EndlessServer {
