Treat a status outside of 200 to 599 as a failure at the gateway

Clients of cornelplank-gateway could get a service's answer with status 600 or 999, and after a 101 the client of libs/http delivered the bytes that followed as a body without a head. libcurl refuses 000, 099, "2000", "20" and no digits by itself.

Before: http.StatusTest failed in AboveErrors, Greatest and SwitchingProtocols. After: all 10 cases pass. http_test (40) and gateway_test (53) pass whole.

--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -62,8 +62,8 @@
     problem_ = problem;
     return 0;
   }
-  /// Queues the head of the response, unless it is interim.
-  void DeliverHead();
+  /// Queues the head of the response, unless it is interim. Returns false when its status is no valid one.
+  bool DeliverHead();
   /// Whether the end of the connection ended the response before the server had received the request, as a
   /// crash of the server does.
   bool EndedEarly() const;
@@ -102,21 +102,25 @@
   } else if (colon != std::string_view::npos) {
     transfer->headers_[std::string(line.substr(0, colon))] = std::string(Trim(line.substr(colon + 1)));
   } else if (Trim(line).empty()) {
-    transfer->DeliverHead();
+    if (!transfer->DeliverHead()) return transfer->StopReceiving("the status is invalid");
   }
   return line.size();
 }
 
-void Transfer::DeliverHead() {
+bool Transfer::DeliverHead() {
+  constexpr long kSwitchingProtocols = 101;  // no request asks for it
   constexpr long kFirstFinalStatus = 200;
+  constexpr long kLastFinalStatus = 599;
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-  if (status < kFirstFinalStatus || head_received_) return;
+  if (status < 100 || status == kSwitchingProtocols || status > kLastFinalStatus) return false;
+  if (status < kFirstFinalStatus || head_received_) return true;
   head_received_ = true;
   ExchangeEvent event{ExchangeEvent::Kind::kHead};
   event.status = static_cast<int>(status);
   event.headers = headers_;
   events_.push_back(std::move(event));
+  return true;
 }
 
 bool Transfer::EndedEarly() const {
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -168,6 +168,43 @@
                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r"));
 
+struct StatusCase {
+  const char* name;
+  std::string start;
+  int status;  // of the response; 0: there is none
+};
+class StatusTest : public testing::TestWithParam<StatusCase> {};
+
+// Guards against an invalid status that counts as that of a response, and against a body without a head.
+TEST_P(StatusTest, IsOneOfAFinalResponse) {
+  const OneAnswerServer server(GetParam().start + "\r\nContent-Length: 2\r\n\r\nok");
+  ASSERT_NE(server.port(), 0);
+  const auto client = Client::Create();
+  const auto exchange = client->Open({.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/"});
+  int status = 0;
+  std::string body;
+  ExchangeEvent event;
+  do {
+    event = exchange->Next(milliseconds{5000});
+    if (event.kind == ExchangeEvent::Kind::kHead) status = event.status;
+    body += event.data;
+  } while (event.kind == ExchangeEvent::Kind::kHead || event.kind == ExchangeEvent::Kind::kData);
+  const bool valid = GetParam().status != 0;
+  EXPECT_EQ(status, GetParam().status);
+  EXPECT_EQ(body, valid ? "ok" : "");
+  EXPECT_EQ(event.kind, valid ? ExchangeEvent::Kind::kEnd : ExchangeEvent::Kind::kFailed);
+}
+INSTANTIATE_TEST_SUITE_P(
+    Statuses, StatusTest,
+    testing::Values(
+        StatusCase{"Zero", "HTTP/1.1 000 No", 0}, StatusCase{"BelowInterim", "HTTP/1.1 099 No", 0},
+        StatusCase{"AboveErrors", "HTTP/1.1 600 No", 0}, StatusCase{"Greatest", "HTTP/1.1 999 No", 0},
+        StatusCase{"FourDigits", "HTTP/1.1 2000 OK", 0}, StatusCase{"TwoDigits", "HTTP/1.1 20 OK", 0},
+        StatusCase{"NoDigits", "HTTP/1.1 OK", 0}, StatusCase{"SwitchingProtocols", "HTTP/1.1 101 Up", 0},
+        StatusCase{"EarlyHints", "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK", 200},
+        StatusCase{"LastError", "HTTP/1.1 599 No", 599}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 enum class Crash { kReset, kCloseUnread, kCloseWhileReading };
 struct CrashCase {
   const char* name;
