--- a/tests/platform/early_answer_test.cc
+++ b/tests/platform/early_answer_test.cc
@@ -39,7 +39,9 @@
     co_await net::asio::async_read_until(socket, net::asio::dynamic_buffer(request, 65536), "\r\n\r\n",
                                          net::Into(error));
     co_await net::asio::async_write(socket, net::asio::buffer(answer_), net::Into(error));
-    if (crash_ == Crash::kLate) co_await net::Sleep(loop_, std::chrono::milliseconds(150));
+    if (crash_ == Crash::kLate) {
+      co_await net::Sleep(loop_, std::chrono::milliseconds(150));
+    }
     if (crash_ == Crash::kWhileReading) {
       ReadAll(socket);
     } else {
