End a read whose deadline has passed

Cause, by reading: each part of a response is read with the time that is left. Once that is negative, the timer has expired, but a read that finds bytes completes first and takes the timer with it, so that a response whose bytes are always there is read until its size is too great.

ReadsNoBytesThatArrivedAfterTheDeadline fails before and passes after. Where else: ReadHead reads under one timer.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -235,6 +235,11 @@
   const auto self = shared_from_this();
   *done = parser_->is_done();
   if (*done) co_return true;
+  // A read that finds bytes completes before a timer that has expired already.
+  if (timeout <= base::Duration::zero()) {
+    RecordFault(boost::beast::error::timeout, CallFault::kTimeout);
+    co_return false;
+  }
   std::array<char, kReadBufferBytes> part;
   auto& body = parser_->get().body();
   body.data = part.data();
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -35,6 +35,28 @@
   if (out->complete) call->Finish();
 }
 
+// Guards against a response without end that is read beyond its deadline, as its bytes are always there.
+TEST(HttpCallTest, ReadsNoBytesThatArrivedAfterTheDeadline) {
+  asio::io_context loop(1);
+  base::SystemClock clock;
+  net::ConnectionPool pool(loop, clock, {});
+  ScriptedServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", Ending::kKeepOpen);
+  const auto call = std::make_shared<net::HttpCall>(loop, pool);
+  bool read = true;
+  std::string body;
+  ASSERT_TRUE(RunTask(
+      loop, [](net::HttpCall& http, net::Tcp::endpoint endpoint, bool* ok, std::string* out) -> net::Task<> {
+        const net::Request request{"GET", "/", {}, ""};
+        bool done = false;
+        *ok = co_await http.Connect(endpoint, std::chrono::seconds(60));
+        *ok = co_await http.Send(request);
+        co_await http.ReadHead(std::chrono::milliseconds(300));
+        *ok = co_await http.ReadSome(out, &done, std::chrono::milliseconds(-1));
+      }(*call, server.Endpoint(), &read, &body)));
+  EXPECT_FALSE(read);
+  EXPECT_EQ(call->fault(), CallFault::kTimeout);
+}
+
 struct AnswerCase {
   const char* name;
   std::string bytes;
