Announce the end of a connection that has been evicted

Found by a review: a session that is evicted just when its next request arrives serves it, and further ones that are sent ahead, without telling its client that the connection ends, though it no longer counts against the limits. By reasoning; no run has shown it, and no test was added.

Its responses now carry Connection: close.

--- a/libs/net/internal/http_session.cc
+++ b/libs/net/internal/http_session.cc
@@ -536,7 +536,7 @@
 
 void HttpSession::FillHead(ResponseWriter& writer, const ResponseHead& head, http::fields& fields) const {
   for (const Header& field : head.headers.fields()) fields.insert(field.name, field.value);
-  if (server_.announce_close_ || !keep_alive_) writer.CloseAfter();
+  if (server_.announce_close_ || !keep_alive_ || !listed_) writer.CloseAfter();
   if (writer.close_after_) fields.set(http::field::connection, "close");
 }
 
