Record the origin of a forwarded stream at the VM that answers the client

Found by a review of the trace: the VM next to the replica recorded the version of a first event that the forwarding VM might never relay (a link that is cut, an attempt that is cancelled while the event is on its way). The forwarding VM then sends the request to another version and records that, and two records of one stream disagree.

Only the VM that answers the client, and one that is told the version by it, records now. The record that survives the loss of the answering VM is the one at its two receivers.

--- a/libs/serving/internal/proxied_request_software.cc
+++ b/libs/serving/internal/proxied_request_software.cc
@@ -51,6 +51,8 @@
   if (route_.kind != RequestKind::kStream) return;
   if (ResumesStream() && !hop_ && !writer_.Started()) ++proxy_.counters_.resumed_streams;
   if (!software_) software_ = attempt_software_;
+  // The VM that forwarded the request may never get this event, and try another version.
+  if (hop_ && !hop_->software) return;
   if (!software_ || deps_.stream_origins == nullptr) return;
   deps_.stream_origins->Record(base::Hash64(request_info_.id), *software_);
   if (ResumesStream() && request_info_.resumes) {
