--- a/tests/fleet/stream_origin_exchange_test.cc
+++ b/tests/fleet/stream_origin_exchange_test.cc
@@ -341,8 +341,9 @@
     fleet.Run(seconds(2));
     if (c.asker_is_new) fleet.Start(5, 2);
     fleet.Run(seconds(1));
-    for (const uint64_t version : c.seen_by_asker)
+    for (const uint64_t version : c.seen_by_asker) {
       fleet.vm(5).history.OnListed(kService, version, fleet.now());
+    }
     const Found found = fleet.Find(5, attempt, c.services);
     EXPECT_EQ(found.software, c.expected);
     EXPECT_LE(found.time, milliseconds(140));
--- a/tests/platform/proxy_path.h
+++ b/tests/platform/proxy_path.h
@@ -95,7 +95,9 @@
                                           std::vector<uint64_t> services) override {
     ++lookups;
     asked_services = std::move(services);
-    if (delay.count() > 0) co_await net::Sleep(loop, delay);
+    if (delay.count() > 0) {
+      co_await net::Sleep(loop, delay);
+    }
     if (!attempt) co_return without_attempt;
     const auto origin = known.find(*attempt);
     if (origin == known.end()) co_return std::nullopt;
