--- a/libs/fleet/internal/stream_origin_exchange.cc
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -108,8 +108,9 @@
       ++counters_.records_sent;
     }
     OriginMessages messages;
-    for (auto& [software, attempts] : by_software)
+    for (auto& [software, attempts] : by_software) {
       messages.records.push_back({software, std::move(attempts)});
+    }
     outbox_.emplace_back(vm, std::move(messages));
   }
   receiver.next_record = next;
