Keep that a call is a HEAD request over interim responses

What callers saw: a HEAD request whose response came after an interim one (100 Continue, 103 Early Hints) waited for a body until its timeout, and its connection was lost.

Cause: ReadHead makes a new parser for each interim response, and the new one was not told that the response has no body.

net.HeadRequestTest: its cases Continue and EarlyHints fail before (timeout, two connections for two calls) and pass after; the case without an interim response passes before and after. All parsers are now prepared in one place.

--- a/libs/net/internal/http_call.cc
+++ b/libs/net/internal/http_call.cc
@@ -190,12 +190,16 @@
   co_return true;
 }
 
-Task<std::optional<ResponseHead>> HttpCall::ReadHead(base::Duration timeout) {
-  const auto self = shared_from_this();
+void HttpCall::ResetParser() {
   parser_.emplace();
   parser_->header_limit(kMaxHeadBytes);
   parser_->body_limit(kUnlimitedBodyBytes);
   if (head_request_) parser_->skip(true);
+}
+
+Task<std::optional<ResponseHead>> HttpCall::ReadHead(base::Duration timeout) {
+  const auto self = shared_from_this();
+  ResetParser();
   connection_->stream.expires_after(timeout);
   Error error;
   for (int interim = 0;; ++interim) {
@@ -205,9 +209,7 @@
       error = http::error::header_limit;
       break;
     }
-    parser_.emplace();  // discards an interim response
-    parser_->header_limit(kMaxHeadBytes);
-    parser_->body_limit(kUnlimitedBodyBytes);
+    ResetParser();  // discards an interim response
   }
   if (!error && !IsFinal(parser_->get().result_int())) error = http::error::bad_status;
   if (error) {
--- a/libs/net/internal/http_call.h
+++ b/libs/net/internal/http_call.h
@@ -75,6 +75,8 @@
   /// Writes what `Send` could not write at once: the bytes after the first `written` ones of head and body.
   static Task<> WriteRest(std::shared_ptr<HttpCall> call, std::shared_ptr<PooledConnection> connection,
                           std::string head, Body body, size_t written);
+  /// Prepares the parser for the next head.
+  void ResetParser();
   /// Whether the server has closed only its direction of the connection, or has received the whole request
   /// before it closed both. Called when the end of the connection has ended the response.
   Task<bool> EndedInOrder();
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -213,6 +213,37 @@
         StatusCase{"LastError", WithStatus("599 No"), 599}),
     [](const auto& info) { return info.param.name; });
 
+struct HeadRequestCase {
+  const char* name;
+  std::string interim;  // sent before the final response
+};
+
+class HeadRequestTest : public ::testing::TestWithParam<HeadRequestCase> {};
+
+// Guards against a call that waits for the body of a response to a HEAD request, which has none, when an
+// interim response precedes it.
+TEST_P(HeadRequestTest, EndsWithTheHeadOfItsResponse) {
+  asio::io_context loop(1);
+  base::SystemClock clock;
+  net::ConnectionPool pool(loop, clock, {});
+  ScriptedServer server(loop, GetParam().interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+                        Ending::kKeepOpen);
+  for (int i = 0; i < 2; ++i) {
+    FetchResult result;
+    ASSERT_TRUE(RunTask(loop, Fetch(loop, pool, server.Endpoint(), &result, {"HEAD", "/", {}, ""})));
+    ASSERT_TRUE(result.head);
+    EXPECT_EQ(result.head->status, 200U);
+    EXPECT_TRUE(result.complete) << net::CallFaultName(result.fault);
+  }
+  EXPECT_EQ(server.connections(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Interim, HeadRequestTest,
+                         ::testing::Values(HeadRequestCase{"None", ""},
+                                           HeadRequestCase{"Continue", Interim("100 Continue", 1)},
+                                           HeadRequestCase{"EarlyHints", Interim("103 Hints", 2)}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against a refused connection that is reported as a loss after the request was sent, which forbids a
 // retry.
 TEST(HttpCallTest, RefusedConnectionSendsNothing) {
