Test that an evicted connection that serves announces its end

The test evicts a connection at each of the first steps of the loop after a request that was sent ahead; where the session has read that request already, it serves it.

--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -530,6 +530,50 @@
   EXPECT_EQ(handler.clients_gone_, 0);
 }
 
+// Guards against a connection that is evicted when its next request has just been read, and that serves it
+// without telling its client that it ends.
+TEST_F(ConnectionLimitTest, AnEvictedConnectionThatServesAnnouncesItsEnd) {
+  constexpr int kMaxSteps = 20;  // more than the loop takes for the first response and the second request
+  int served = 0;
+  for (int steps = 0; steps < kMaxSteps; ++steps) {
+    asio::io_context own_loop{1};
+    EchoHandler own_handler(own_loop);
+    net::Error error;
+    const auto own_server = net::HttpServer::Listen(own_loop, testing::Loopback(), own_handler, &error);
+    ASSERT_TRUE(own_server) << error.message();
+    net::ServerLimits limits;
+    limits.connections = 1;
+    own_server->SetLimits(limits);
+    net::Tcp::socket socket(own_loop);
+    socket.connect(testing::Loopback(own_server->Port()));
+    own_handler.hold_ = true;
+    asio::write(socket, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+    for (int i = 0; i < 1000 && own_handler.requests_ == 0; ++i) {
+      own_loop.run_one_for(std::chrono::milliseconds(5));
+    }
+    asio::write(socket, asio::buffer(kPost + "Content-Length: 0\r\n\r\n"));
+    own_handler.hold_ = false;
+    for (int i = 0; i < steps; ++i) own_loop.run_one_for(std::chrono::milliseconds(10));
+    net::Tcp::socket added(own_loop);
+    added.connect(testing::Loopback(own_server->Port()));
+    while (own_server->counters().evicted == 0 && own_handler.requests_ < 2) {
+      if (own_loop.run_one_for(std::chrono::milliseconds(10)) == 0) break;
+    }
+    const bool evicted_first = own_server->counters().evicted > 0 && own_handler.requests_ < 2;
+    RunFor(own_loop, std::chrono::milliseconds(20));
+    const std::string answers = testing::ReadAvailable(socket);
+    const size_t second = answers.find("HTTP/1.1 200", 1);
+    if (evicted_first && own_handler.requests_ == 2) {
+      ++served;
+      ASSERT_NE(second, std::string::npos) << answers;
+      EXPECT_NE(answers.find("Connection: close", second), std::string::npos) << answers;
+    }
+    own_server->StopAccepting();
+    RunFor(own_loop, std::chrono::milliseconds(20));
+  }
+  EXPECT_GT(served, 0);
+}
+
 // Guards against clients that keep others out by beginning requests and never completing them.
 TEST_F(ConnectionLimitTest, ANewConnectionReplacesAStalledOne) {
   std::vector<std::shared_ptr<net::Tcp::socket>> stalled;
