Test early answers, odd statuses and faults at the gateway process

That cornelplank-gateway keeps the first part of an early answer without a length, and statuses such as 000, from its clients was shown with its HTTP client only; that it logs event=fatal_signal was not shown at all.

StartVm of the harness takes the limit of a body, since a crash shows only with more bytes than the buffers hold.

--- a/tests/system/harness/deployment.cc
+++ b/tests/system/harness/deployment.cc
@@ -62,6 +62,17 @@
   AddService(document_, id, partner, zone, processes_->address(id + "-relay"));
 }
 
+void Deployment::AddEngineAt(const std::string& id, const std::string& partner, const std::string& zone,
+                             const std::string& address) {
+  constexpr int kSlots = 8;
+  AddEngine(document_, id, partner, zone, address, kSlots);
+}
+
+void Deployment::AddServiceAt(const std::string& id, const std::string& partner, const std::string& zone,
+                              const std::string& address) {
+  AddService(document_, id, partner, zone, address);
+}
+
 void Deployment::AddClient(const std::string& id, const std::string& partner, const std::string& home,
                            const std::string& rule) {
   const std::vector<std::string> classes = partner == "leakline"
@@ -79,7 +90,7 @@
   if (snapshot != 200 || directory != 200) throw std::runtime_error("the platform refused the documents");
 }
 
-void Deployment::StartVm(const std::string& id, const std::string& zone) {
+void Deployment::StartVm(const std::string& id, const std::string& zone, size_t body_bytes) {
   const std::string region = zone.substr(0, zone.rfind('-'));
   const std::string partner = document_["regions"][region]["partner"];
   Process& relay = processes_->StartListening(id + "-relay", "standin-relay",
@@ -104,7 +115,7 @@
                             {"platform", {{"address", platform}}},
                             {"peers", {{"seeds", seeds}, {"key_file", peers_key_file_}}},
                             {"operators", {{"token_file", token_file_}}},
-                            {"limits", {{"drain", "20s"}}},
+                            {"limits", {{"drain", "20s"}, {"body_bytes", std::to_string(body_bytes)}}},
                             {"upstreams", {{"poll_interval", "200ms"}}}}));
   Process& process = processes_->Start(id, "cornelplank-gateway", {"--settings", settings});
   const auto line = process.WaitForLine("listening on ", kStartLimit);
--- a/tests/system/harness/deployment.h
+++ b/tests/system/harness/deployment.h
@@ -22,6 +22,11 @@
                         const std::vector<std::string>& options = {});
   /// Starts a replica of the partner's service, also behind a relay `ID-relay`.
   void AddServiceProcess(const std::string& id, const std::string& partner, const std::string& zone);
+  /// Adds an engine or a replica of the partner's service that the test itself runs at `address`, IP:PORT.
+  void AddEngineAt(const std::string& id, const std::string& partner, const std::string& zone,
+                   const std::string& address);
+  void AddServiceAt(const std::string& id, const std::string& partner, const std::string& zone,
+                    const std::string& address);
   /// Adds a client whose bearer key is "key-" followed by its id.
   void AddClient(const std::string& id, const std::string& partner, const std::string& home,
                  const std::string& rule);
@@ -30,8 +35,9 @@
   void Publish();
 
   /// Starts an entry VM and adds it to the VM list. The relay `ID-relay` carries the connections of other VMs
-  /// to it (pair 0) and its own connections to the platform (pair 1).
-  void StartVm(const std::string& id, const std::string& zone);
+  /// to it (pair 0) and its own connections to the platform (pair 1). `body_bytes`: limit of a request's
+  /// body.
+  void StartVm(const std::string& id, const std::string& zone, size_t body_bytes = 1 << 20);
   /// Waits until every running entry VM has the configuration version and all clients. Returns false if that
   /// takes longer than `limit`.
   bool WaitForVersion(uint64_t version, std::chrono::milliseconds limit);
