Expect no body after the head of a response to HEAD

Cause: libcurl was given the method's name only, so that it read the response as that of a POST request.

http.HeadRequestTest: 3 of its 4 cases fail before (a length, chunks, and an interim response before a length) and all pass after. http_test: 44 of 44 pass. Shown with the HTTP client of libs/http, not with the process.

--- a/libs/http/internal/client.cc
+++ b/libs/http/internal/client.cc
@@ -128,7 +128,7 @@
   constexpr long kNotModified = 304;
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-  if (status == kNoContent || status == kNotModified) return false;
+  if (request_.method == "HEAD" || status == kNoContent || status == kNotModified) return false;
   if (headers_.contains("Content-Length") || headers_.contains("Transfer-Encoding")) return false;
   curl_off_t sent = 0;
   curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
@@ -185,6 +185,8 @@
   curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
   if (request_.method == "GET") {
     curl_easy_setopt(easy_, CURLOPT_HTTPGET, 1L);
+  } else if (request_.method == "HEAD") {
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
   } else {
     curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.data());
     curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE, static_cast<long>(request_.body.size()));
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -205,6 +205,25 @@
         StatusCase{"LastError", "HTTP/1.1 599 No", 599}),
     [](const auto& info) { return std::string(info.param.name); });
 
+class HeadRequestTest : public testing::TestWithParam<const char*> {};
+
+// Guards against a call that waits for the body of a response to a HEAD request, which has none.
+TEST_P(HeadRequestTest, EndsWithTheHeadOfItsResponse) {
+  const OneAnswerServer server(GetParam());
+  ASSERT_NE(server.port(), 0);
+  HttpReason reason;
+  const auto response = Client::Create()->Send(
+      {.method = "HEAD", .url = "http://127.0.0.1:" + std::to_string(server.port()) + "/"}, &reason, nullptr);
+  ASSERT_TRUE(response) << reason.detail;
+  EXPECT_EQ(response->status, 200);
+  EXPECT_EQ(response->body, "");
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, HeadRequestTest,
+    testing::Values("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"));
+
 enum class Crash { kReset, kCloseUnread, kCloseWhileReading };
 struct CrashCase {
   const char* name;
