--- a/tests/system/odd_upstream_test.cc
+++ b/tests/system/odd_upstream_test.cc
@@ -173,8 +173,9 @@
     const std::string text(kBodyBytes, 'x');
     const http::Headers headers{{"Authorization", "Bearer key-home"}};
     const std::string url = deployment_.clients_url("a") + "/v1/";
-    if (call == Call::kService)
+    if (call == Call::kService) {
       return processes_.Post(url + "services/ledger/receipts", {{"text", text}}, headers);
+    }
     return processes_.Post(url + "chat/completions",
                            {{"model", "letter"},
                             {"messages", {{{"role", "user"}, {"content", "hello"}}}},
