Keep a request's attempts when another region refuses it unsent

Cause: a refusal by a VM counted like one by a replica. It used up one of the route's attempts and a token of the budget of second sends, which is empty right after a crash; a route with one attempt ended at the first one. The final reason was that of the own region (no_replica), and the Retry-After of the VM that refused was dropped.

A VM now states in its refusal when it has sent the request to no replica, as it knows; that attempt counts like one that found no connection, and the region isn't tried again. A refusal after a replica has been reached counts as before, as does one of a VM of an older release. What is left at the end is reported as turned_away, with the Retry-After of the last region.

Ruled out: dropping the limit for all refusals, since a replica that rejects a request has got it, and these arrivals are limited.

--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -68,6 +68,7 @@
   std::string request_id;      // request that the response belongs to; empty when the header is missing
   bool has_signature = false;  // the header with the replica's signature is present
   bool not_run = false;        // the replica states that it did not run the request
+  bool unsent = false;         // in the response to a hop: the request was sent to no replica
   bool wrong_replica = false;  // the address now belongs to a replica other than the expected one
   bool encoded = false;        // the body has a content encoding, although none was asked for
   std::optional<ReportedLoad> load;
@@ -109,8 +110,9 @@
   /// The head of a response that this VM makes itself. An empty `request_id` or `retry_after` is left out.
   virtual net::ResponseHead MakeLocalResponse(unsigned status, const std::string& request_id,
                                               std::optional<base::Duration> retry_after) const = 0;
-  /// Marks a local response so that the entry VM that forwarded the request knows that it was not run.
-  virtual void MarkNotRun(net::ResponseHead* head) const = 0;
+  /// Marks a local response so that the entry VM that forwarded the request knows that it was not run and
+  /// whether it was `sent` to a replica.
+  virtual void MarkNotRun(net::ResponseHead* head, bool sent) const = 0;
   /// Replaces what the head of a response states as `ResponseInfo::software`; none: removes it.
   virtual void StateSoftware(net::ResponseHead* head, std::optional<uint64_t> software) const = 0;
 };
--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -123,6 +123,8 @@
       return "quota_exceeded";
     case RefusalReason::kQuotaUnavailable:
       return "quota_unavailable";
+    case RefusalReason::kTurnedAway:
+      return "turned_away";
     case RefusalReason::kSoftwareUnknown:
       return "software_unknown";
     case RefusalReason::kSoftwareGone:
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -54,6 +54,7 @@
   kQuotaExceeded,   // its tenant has used up the quota
   kQuotaUnavailable,  // no VM that keeps its tenant's quota could be reached
   kSoftwareUnknown,   // it resumes a stream, and no VM knows at which software version that began
+  kTurnedAway,        // replicas or VMs of other regions refused it, and nothing else is left
   kSoftwareGone,  // it resumes a stream, and the software version that began it serves the route no longer
 };
 
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -211,7 +211,9 @@
   std::shared_ptr<Reservation> reservation_;
   base::TimePoint reserve_after_{};      // no reservation is made before
   base::Duration quota_retry_after_{0};  // set with the refusal reason
-  base::Duration quarantine_left_{0};    // until a request with the prompt's condemned part may be tried
+  bool turned_away_ = false;             // a replica or a VM of another region has refused it as not run
+  std::optional<base::Duration> hop_retry_after_;  // of the last region that refused it
+  base::Duration quarantine_left_{0};  // until a request with the prompt's condemned part may be tried
   RefusalReason refusal_reason_ = RefusalReason::kNone;
   base::Duration expected_first_byte_{0};  // estimate for the last placement, from the time of its choice
 };
--- a/libs/serving/internal/proxied_request_end.cc
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -42,6 +42,9 @@
     return quota_retry_after_;
   }
   if (refusal_reason_ == RefusalReason::kStopping) return kStoppingRetryAfter;
+  if (refusal_reason_ == RefusalReason::kTurnedAway && hop_retry_after_) {
+    return std::min<base::Duration>(*hop_retry_after_, kMaxRetryAfter);
+  }
   if (refusal_reason_ == RefusalReason::kSoftwareUnknown || refusal_reason_ == RefusalReason::kSoftwareGone) {
     return kLostStreamRetryAfter;
   }
@@ -77,7 +80,7 @@
   std::optional<base::Duration> retry_after;
   if (status == 503 || status == 429) retry_after = RetryAfter();
   auto head = deps_.codec.MakeLocalResponse(status, request_info_.id, retry_after);
-  if (hop_ && not_run) deps_.codec.MarkNotRun(&head);
+  if (hop_ && not_run) deps_.codec.MarkNotRun(&head, progress_.sends > 0);
   co_await writer_.Send(head, "");
 }
 
@@ -98,6 +101,9 @@
       co_await writer_.Send(held_error_->head, held_error_->body, std::move(held_error_->charge));
       break;
     case NextStep::kRefuse: {
+      if (turned_away_ && refusal_reason_ == RefusalReason::kNoReplica) {
+        refusal_reason_ = RefusalReason::kTurnedAway;
+      }
       const unsigned status = RefusalStatus();
       ++(status == 401 ? proxy_.counters_.denied : proxy_.counters_.refused);
       if (!hop_ && refusal_reason_ == RefusalReason::kSoftwareUnknown) {
--- a/libs/serving/internal/proxied_request_response.cc
+++ b/libs/serving/internal/proxied_request_response.cc
@@ -143,6 +143,12 @@
     deps_.registry.RecordLimit(*replica_, info.rate_limit, deps_.clock.Now());
   }
   if (info.not_run) {
+    turned_away_ = true;
+    if (!replica_) hop_retry_after_ = info.push_back;
+    if (!replica_ && info.unsent) {
+      --progress_.sends;
+      co_return AttemptOutcome::kNotSent;
+    }
     if (replica_ && head->status == 503) deps_.registry.RecordFull(*replica_, deps_.clock.Now());
     co_return AttemptOutcome::kNotRun;
   }
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -136,7 +136,7 @@
 net::ResponseHead RequestProxy::MakeHopRefusal(const net::Request& request,
                                                std::chrono::milliseconds retry_after) const {
   net::ResponseHead head = MakeUndecodedRefusal(request, retry_after);
-  deps_.codec.MarkNotRun(&head);
+  deps_.codec.MarkNotRun(&head, false);
   return head;
 }
 
@@ -177,7 +177,7 @@
                         : unknown_tenant   ? "unknown_tenant"
                                            : "no_route");
     auto head = deps_.codec.MakeLocalResponse(503, client ? client->id : "", kNoConfigRetryAfter);
-    deps_.codec.MarkNotRun(&head);
+    deps_.codec.MarkNotRun(&head, false);
     co_await writer.Send(head, "");
     co_return;
   }
