Refuse to resume a stream whose records name two versions

What callers saw: a resumed stream could go on at another software version than the one that began it, when two records of its attempt disagreed (two clients that state the same attempt, or one attempt that reached two VMs). Found in a review by reading; not seen in a run.

Cause: StreamOriginTable::Record overwrote the version that was there, and OnMessages took the last recorded answer. A lookup also never looked again at its own table.

The table now merges records: one of another version makes the stream conflicting, and it stays so until its records are forgotten. Answers have a kind for this, a lookup merges its own record with all answers that are there when it is polled, and a conflict ends it as unknown at once and is remembered. No lookup waits longer.

--- a/libs/fleet/internal/stream_origin_exchange.cc
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -20,11 +20,20 @@
   return {reinterpret_cast<const char*>(&address), sizeof address};
 }
 
+/// Adds what a record says, if there is one, to what others said.
+void Merge(std::optional<StreamOrigin>& origin, const std::optional<StreamOrigin>& other) {
+  if (!origin) {
+    origin = other;
+  } else if (other) {
+    origin->Merge(*other);
+  }
+}
+
 }  // namespace
 
 void StreamOriginExchange::Record(uint64_t attempt, uint64_t software, base::TimePoint now) {
   if (attempt == 0) return;
-  table_.Record(attempt, software, now);
+  table_.Record(attempt, {software}, now);
   own_records_.push_back({attempt, software, now});
   ForgetOld(now);
 }
@@ -119,7 +128,8 @@
 
 OriginAnswer StreamOriginExchange::Answer(const OriginQuery& query, base::TimePoint now) const {
   const auto recorded = table_.Find(query.attempt);
-  if (recorded) return {query.sequence, OriginAnswer::Kind::kRecorded, *recorded};
+  if (recorded && recorded->conflicting) return {query.sequence, OriginAnswer::Kind::kConflicting, 0};
+  if (recorded) return {query.sequence, OriginAnswer::Kind::kRecorded, recorded->software};
   const auto only = history_.OnlyVersion(query.services, now);
   if (only) return {query.sequence, OriginAnswer::Kind::kOnlyVersion, *only};
   return {query.sequence, OriginAnswer::Kind::kUnknown, 0};
@@ -132,7 +142,7 @@
   ForgetOld(now);
   for (const OriginRecords& records : messages.records) {
     for (const uint64_t attempt : records.attempts) {
-      if (attempt != 0) table_.Record(attempt, records.software, now);
+      if (attempt != 0) table_.Record(attempt, {records.software}, now);
     }
   }
   OriginMessages answers;
@@ -144,7 +154,10 @@
     const auto answered = lookup->second.answered.find(from);
     if (answered == lookup->second.answered.end()) continue;
     answered->second = true;
-    if (answer.kind == OriginAnswer::Kind::kRecorded) lookup->second.recorded = answer.software;
+    const bool conflicting = answer.kind == OriginAnswer::Kind::kConflicting;
+    if (conflicting || answer.kind == OriginAnswer::Kind::kRecorded) {
+      Merge(lookup->second.recorded, StreamOrigin{conflicting ? 0 : answer.software, conflicting});
+    }
     if (answer.kind == OriginAnswer::Kind::kOnlyVersion) lookup->second.only_versions.insert(answer.software);
     changed.push_back(answer.sequence);
   }
@@ -162,7 +175,6 @@
   lookup.attempt = attempt.value_or(0);
   lookup.services = std::move(services);
   lookup.begun_at = now;
-  lookup.recorded = table_.Find(lookup.attempt);
   return sequence;
 }
 
@@ -202,7 +214,12 @@
     lookups_.erase(found);
     return Result{software};
   };
-  if (lookup.recorded) return end(lookup.recorded, counters_.found);
+  Merge(lookup.recorded, table_.Find(lookup.attempt));
+  if (lookup.recorded && lookup.recorded->conflicting) {
+    table_.Record(lookup.attempt, *lookup.recorded, now);
+    return end(std::nullopt, counters_.unknown);
+  }
+  if (lookup.recorded) return end(lookup.recorded->software, counters_.found);
   const auto all_answered = [&] {
     return std::all_of(lookup.answered.begin(), lookup.answered.end(),
                        [](const auto& vm) { return vm.second; });
--- a/libs/fleet/internal/stream_origin_exchange.h
+++ b/libs/fleet/internal/stream_origin_exchange.h
@@ -34,7 +34,8 @@
     kUnknown,
     kRecorded,     // the answering VM has a record of the stream
     kOnlyVersion,  // the services had no other version within the retention time
-    kLastKind = kOnlyVersion,
+    kConflicting,  // the answering VM has records of the stream at several versions
+    kLastKind = kConflicting,
   };
 
   uint64_t sequence = 0;  // of the query
@@ -63,7 +64,7 @@
   uint64_t lookups = 0;
   uint64_t found = 0;             // by a record of this or another VM
   uint64_t found_by_history = 0;  // since the services had only one version
-  uint64_t unknown = 0;
+  uint64_t unknown = 0;           // conflicting records included
 };
 
 /// Keeps the origins of streams at several VMs, and finds them again. Decides who is told and asked what;
@@ -121,7 +122,7 @@
     std::map<VmAddress, bool> answered;  // of each VM that was asked
     bool asked_all = false;
     bool repeated = false;
-    std::optional<uint64_t> recorded;
+    std::optional<StreamOrigin> recorded;
     std::set<uint64_t> only_versions;  // by the histories of the VMs that have answered
   };
 
--- a/libs/fleet/internal/stream_origin_table.cc
+++ b/libs/fleet/internal/stream_origin_table.cc
@@ -2,16 +2,18 @@
 
 namespace cornelplank::fleet {
 
-void StreamOriginTable::Record(uint64_t attempt, uint64_t software, base::TimePoint now) {
-  entries_[attempt] = {software, now};
+void StreamOriginTable::Record(uint64_t attempt, const StreamOrigin& origin, base::TimePoint now) {
+  Entry& entry = entries_.try_emplace(attempt, Entry{origin, now}).first->second;
+  entry.origin.Merge(origin);
+  entry.recorded_at = now;
   order_.push_back({attempt, now});
   while (order_.size() > max_records_) ForgetOldest();
 }
 
-std::optional<uint64_t> StreamOriginTable::Find(uint64_t attempt) const {
+std::optional<StreamOrigin> StreamOriginTable::Find(uint64_t attempt) const {
   const auto entry = entries_.find(attempt);
   if (entry == entries_.end()) return std::nullopt;
-  return entry->second.software;
+  return entry->second.origin;
 }
 
 void StreamOriginTable::ForgetBefore(base::TimePoint time) {
--- a/tests/fleet/origin_datagram_test.cc
+++ b/tests/fleet/origin_datagram_test.cc
@@ -11,7 +11,8 @@
   OriginMessages messages;
   messages.records = {{1ULL << 63, {1, 2, 3}}, {8, {}}};
   messages.queries = {{1ULL << 60, 5, {6, 7}}, {9, 0, {}}};
-  messages.answers = {{1ULL << 61, Kind::kOnlyVersion, 4}, {3, Kind::kUnknown, 0}};
+  messages.answers = {
+      {1ULL << 61, Kind::kOnlyVersion, 4}, {3, Kind::kUnknown, 0}, {6, Kind::kConflicting, 0}};
   return messages;
 }
 
@@ -35,11 +36,12 @@
   EXPECT_EQ(read.queries[0].sequence, 1ULL << 60);
   EXPECT_EQ(read.queries[0].attempt, 5U);
   EXPECT_EQ(read.queries[0].services, (std::vector<uint64_t>{6, 7}));
-  ASSERT_EQ(read.answers.size(), 2U);
+  ASSERT_EQ(read.answers.size(), 3U);
   EXPECT_EQ(read.answers[0].sequence, 1ULL << 61);
   EXPECT_EQ(read.answers[0].kind, Kind::kOnlyVersion);
   EXPECT_EQ(read.answers[0].software, 4U);
   EXPECT_EQ(read.answers[1].kind, Kind::kUnknown);
+  EXPECT_EQ(read.answers[2].kind, Kind::kConflicting);
 }
 
 // Guards against lists of any length from outside, and against answers that are read as another kind.
--- a/tests/fleet/stream_origin_exchange_test.cc
+++ b/tests/fleet/stream_origin_exchange_test.cc
@@ -105,6 +105,7 @@
     }
   }
 
+  void Record(size_t vm, uint64_t software) { vms_[vm]->exchange.Record(kAttempt, software, now_); }
   void Kill(size_t vm) { vms_[vm]->dead = true; }
   void KillAll(const std::set<size_t>& vms) {
     for (const size_t vm : vms) Kill(vm);
@@ -162,7 +163,7 @@
 class StreamOriginFailureTest : public testing::TestWithParam<FailureCase> {};
 
 // Guards against the loss of a stream's version with any one VM, zone or region, and against a version that
-// nobody can know.
+// nobody can know or that other records contradict.
 TEST_P(StreamOriginFailureTest, FindsWhatIsLeft) {
   Fleet fleet;
   fleet.listed = {kOld, kNew};
@@ -256,6 +257,23 @@
                                 milliseconds(140)}),
     [](const auto& info) { return info.param.name; });
 
+INSTANTIATE_TEST_SUITE_P(Conflicts, StreamOriginFailureTest,
+                         testing::Values(FailureCase{"Here", [](Fleet& fleet) { fleet.Record(0, kNew); }, 0,
+                                                     std::nullopt, milliseconds(0)},
+                                         FailureCase{"AtOneVm", [](Fleet& fleet) { fleet.Record(0, kNew); },
+                                                     3, std::nullopt, milliseconds(20)},
+                                         FailureCase{"AtTwoVms", [](Fleet& fleet) { fleet.Record(1, kNew); },
+                                                     3, std::nullopt, milliseconds(20)},
+                                         FailureCase{"TheFirstAgain",
+                                                     [](Fleet& fleet) {
+                                                       fleet.Record(0, kNew);
+                                                       fleet.Run(seconds(50));
+                                                       fleet.Record(0, kOld);
+                                                       fleet.Run(seconds(50));
+                                                     },
+                                                     0, std::nullopt, milliseconds(0)}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against records that only the first receivers have, which may be gone before the VM of the stream.
 TEST(StreamOriginExchangeTest, TellsNewReceivers) {
   Fleet fleet;
@@ -362,6 +380,25 @@
         HistoryCase{"TooManyServices", {kOld}, {}, true, std::vector<uint64_t>(65, kService), std::nullopt}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a version that another VM contradicts before the lookup ends, and against a conflict that is
+// forgotten with the lookup.
+TEST(StreamOriginExchangeTest, NoticesAnAnswerThatContradictsItsRecord) {
+  Fleet fleet;
+  fleet.listed = {kOld, kNew};
+  fleet.Run(milliseconds(50));
+  StreamOriginExchange& exchange = fleet.vm(3).exchange;
+  const uint64_t lookup = exchange.Begin(kAttempt, {kService}, fleet.now());
+  EXPECT_FALSE(exchange.Poll(lookup, fleet.now()).has_value());
+  exchange.Record(kAttempt, kNew, fleet.now());
+  OriginMessages answer;
+  answer.answers = {{lookup, OriginAnswer::Kind::kRecorded, kOld}};
+  exchange.OnMessages(1, answer, fleet.now());
+  const auto found = exchange.Poll(lookup, fleet.now());
+  ASSERT_TRUE(found.has_value());
+  EXPECT_FALSE(found->software.has_value());
+  EXPECT_FALSE(fleet.Find(3).software.has_value());
+}
+
 // Guards against lookups without bound, and against answers from VMs that weren't asked.
 TEST(StreamOriginExchangeTest, BoundsItsLookups) {
   Fleet fleet;
