Bound the age of the listing that answers by history rest on

What callers saw: a VM that is cut off from the store could name the old version as the only one for up to 5 s, although a stream had begun at a new one elsewhere.

Cause: SoftwareHistory::OnlyVersion used kMaxGap, which bounds gaps in the past, also as the age of the last confirmation, and ignored that a read of the listing had failed.

An answer by history, own or given to others, now needs that no read has failed since the last confirmation, which is 3.2 s old at most. Without one this VM asks others, as one without a history does, and sends its records to others (IsMixed), since histories can't answer for it. The start of a history keeps its bound of 5 s.

Not 2 s: a watch with changes confirms only its begin, so while the store answers the age reaches two waits (3 s) and the way after each change of the listing, at all VMs at the same time, and all would refuse. This is by the times in read_times.h, not measured.

Tests: with the old condition NotConfirmedSinceThen and StoreLost of SoftwareHistoryAnswerTest failed.

--- a/libs/serving/internal/software_history.cc
+++ b/libs/serving/internal/software_history.cc
@@ -28,6 +28,7 @@
 }
 
 void SoftwareHistory::OnConfirmed(base::TimePoint at) {
+  read_failed_ = false;
   if (confirmed_at_ && at <= *confirmed_at_) return;
   if (!known_since_ || at - *confirmed_at_ > kMaxGap) {
     if (known_since_) first_start_ = false;
@@ -54,8 +55,12 @@
   return first_start_ || now - *known_since_ >= retention_;
 }
 
+bool SoftwareHistory::IsCurrent(base::TimePoint now) const {
+  return confirmed_at_ && !read_failed_ && now - *confirmed_at_ <= kMaxAnswerAge;
+}
+
 bool SoftwareHistory::IsMixed(base::TimePoint now) const {
-  if (!IsComplete(now)) return true;
+  if (!IsComplete(now) || !IsCurrent(now)) return true;
   return std::any_of(routes_.begin(), routes_.end(),
                      [&](const auto& route) { return Versions(route.second, now).size() > 1; });
 }
@@ -63,7 +68,7 @@
 std::optional<uint64_t> SoftwareHistory::OnlyVersion(const std::vector<uint64_t>& services,
                                                      base::TimePoint now) const {
   const std::set<uint64_t> versions = Versions(services, now);
-  if (!IsComplete(now) || versions.size() != 1) return std::nullopt;
+  if (!IsComplete(now) || !IsCurrent(now) || versions.size() != 1) return std::nullopt;
   return *versions.begin();
 }
 
--- a/libs/serving/internal/software_history.h
+++ b/libs/serving/internal/software_history.h
@@ -17,6 +17,9 @@
  public:
   /// A longer gap between two confirmed states of the listing may hide a version that came and went.
   static constexpr std::chrono::milliseconds kMaxGap{5000};
+  /// Greatest age of the last confirmed state by which streams may go on: a version may have come since then.
+  /// Covers two waits for changes at the store, since an answer with changes confirms the begin of its wait.
+  static constexpr std::chrono::milliseconds kMaxAnswerAge{3200};
 
   /// Sets the time for which versions count after their last replica has gone.
   void SetRetention(base::Duration retention);
@@ -30,22 +33,29 @@
   void OnListed(uint64_t service, uint64_t software, base::TimePoint now);
   /// All changes of the listing up to `at` are known.
   void OnConfirmed(base::TimePoint at);
+  /// The listing could not be read. Nothing is known of the present versions until the next confirmation.
+  void OnReadFailed() { read_failed_ = true; }
 
   /// The versions that the services have had within the retention time.
   std::set<uint64_t> Versions(const std::vector<uint64_t>& services, base::TimePoint now) const;
   /// Whether `Versions` is complete: the listing was known for the whole retention time.
   bool IsComplete(base::TimePoint now) const;
-  /// Whether the streams of some route may have begun at more than one version within the retention time.
+  /// Whether the streams of some route may have begun at more than one version within the retention time, as
+  /// far as this VM can tell now.
   bool IsMixed(base::TimePoint now) const;
-  /// The only version of the services, if they had just one for the whole retention time.
+  /// The only version of the services, if they had just one for the whole retention time until now.
   std::optional<uint64_t> OnlyVersion(const std::vector<uint64_t>& services, base::TimePoint now) const;
 
  private:
+  /// Whether the listing is known as it is now.
+  bool IsCurrent(base::TimePoint now) const;
+
   base::Duration retention_ = std::chrono::seconds(60);
   std::map<std::string, std::vector<uint64_t>> routes_;
   bool first_start_ = false;
   std::optional<base::TimePoint> known_since_;
   std::optional<base::TimePoint> confirmed_at_;
+  bool read_failed_ = false;                                             // since the last confirmation
   std::map<uint64_t, std::map<uint64_t, base::TimePoint>> last_listed_;  // by service and software
 };
 
--- a/tests/serving/software_history_test.cc
+++ b/tests/serving/software_history_test.cc
@@ -8,6 +8,7 @@
 namespace cornelplank::serving {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr uint64_t kService = 1;
@@ -122,6 +123,47 @@
                     std::nullopt}),
     [](const auto& info) { return info.param.name; });
 
+struct AnswerCase {
+  const char* name;
+  milliseconds age;     // of the last confirmation
+  bool read_failed;     // after it
+  bool confirmed_then;  // once more, for the same time
+  bool answers;
+};
+class SoftwareHistoryAnswerTest : public ::testing::TestWithParam<AnswerCase> {};
+
+// Guards against a VM that is cut off from the store and takes the old version for the only one, and against
+// refusals in the longest time between two confirmations while the store answers.
+TEST_P(SoftwareHistoryAnswerTest, RestsOnTheListingOfNow) {
+  const auto& param = GetParam();
+  base::TimePoint now{std::chrono::hours(1)};
+  SoftwareHistory history;
+  history.SetRetention(kRetention);
+  history.SetRoutes({{"chat", {kService}}});
+  for (int second = 0; second <= 30; ++second, now += seconds(1)) {
+    history.OnListed(kService, kOld, now);
+    history.OnConfirmed(now);
+  }
+  const base::TimePoint confirmed_at = now;
+  history.OnConfirmed(confirmed_at);
+  now += param.age;
+  if (param.read_failed) history.OnReadFailed();
+  if (param.confirmed_then) history.OnConfirmed(confirmed_at);
+  const auto expected = param.answers ? std::optional(kOld) : std::nullopt;
+  EXPECT_EQ(history.OnlyVersion({kService}, now), expected);
+  EXPECT_EQ(history.IsMixed(now), !param.answers);
+  history.OnConfirmed(now);  // no gap that the history begins anew after
+  EXPECT_EQ(history.OnlyVersion({kService}, now), kOld);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ages, SoftwareHistoryAnswerTest,
+    ::testing::Values(AnswerCase{"AfterTwoWaitsForChanges", milliseconds(3100), false, false, true},
+                      AnswerCase{"NotConfirmedSinceThen", milliseconds(3300), false, false, false},
+                      AnswerCase{"StoreLost", milliseconds(100), true, false, false},
+                      AnswerCase{"StoreRegained", milliseconds(100), true, true, true}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a history that counts as complete for a longer time than the one for which it was kept.
 TEST(SoftwareHistoryRetentionTest, IsIncompleteAfterTheRetentionTimeHasGrown) {
   const base::TimePoint start{std::chrono::hours(1)};
