Bound what lookups of invented streams cost

What callers could do: resume streams with invented attempts. Each one asked all live VMs, twice where there was no answer, with one datagram for each VM, before quota and admission were looked at; 1,024 lookups at a time were allowed. Found in a review by reading.

The questions for a VM now go into one datagram every 20 ms; the first goes at once, so that a single lookup waits no longer. 256 lookups at once and 128 a second may ask others; further ones end as unknown at once and are counted (stream_origin_lookups_limited). Lookups that the VM's own records or history answer are not limited. A charge of the quota before the lookup would not help: a request that is not sent gets it back. A lookup also counts its open answers instead of walking over all VMs for each answer.

Evidence: StreamOriginCostTest, 300 members without a network, none of which answers. One lookup: 598 datagrams before and after. One second with 10,000 invented attempts: 1,674,400 datagrams of 3,072 lookups before, where the case Flood failed, and 14,800 of at most 384 lookups after. fleet_test passes, 83 tests. The load of a machine under a flood was not measured.

--- a/apps/entry/entry_metrics.cc
+++ b/apps/entry/entry_metrics.cc
@@ -134,6 +134,7 @@
   set(totals_, "stream_origins_found", static_cast<double>(origins.found));
   set(totals_, "stream_origins_found_by_history", static_cast<double>(origins.found_by_history));
   set(totals_, "stream_origins_unknown", static_cast<double>(origins.unknown));
+  set(totals_, "stream_origin_lookups_limited", static_cast<double>(origins.limited));
 }
 
 std::string EntryMetrics::PrometheusText() {
--- a/libs/fleet/internal/stream_origin_exchange.cc
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -13,6 +13,8 @@
 // software version takes the room of kGroupAttempts.
 constexpr size_t kAttemptsPerDatagram = 128;
 constexpr size_t kGroupAttempts = 4;
+// The same for queries: each one takes the room of kQueryAttempts and of one more for each service.
+constexpr size_t kQueryAttempts = 3;
 // Datagrams with records that a VM gets at once, when it gets the records of the whole retention time.
 constexpr size_t kDatagramsAtOnce = 16;
 
@@ -153,6 +155,7 @@
     if (lookup == lookups_.end()) continue;
     const auto answered = lookup->second.answered.find(from);
     if (answered == lookup->second.answered.end()) continue;
+    if (!answered->second) --lookup->second.unanswered;
     answered->second = true;
     const bool conflicting = answer.kind == OriginAnswer::Kind::kConflicting;
     if (conflicting || answer.kind == OriginAnswer::Kind::kRecorded) {
@@ -168,7 +171,6 @@
                                      base::TimePoint now) {
   ++counters_.lookups;
   const uint64_t sequence = ++last_sequence_;
-  if (lookups_.size() >= kMaxLookups) return sequence;
   ForgetOld(now);
   if (services.size() > OriginMessages::kMaxServices) services.clear();  // then no history can answer
   Lookup& lookup = lookups_[sequence];
@@ -182,14 +184,55 @@
   for (const auto& [address, entry] : members_.others()) {
     const bool of_own_region = members_.DistanceOf(entry.member) != Distance::kOtherRegion;
     if (of_own_region != own_region || !members_.IsAlive(entry, now)) continue;
-    if (lookup.answered.try_emplace(address, false).second) SendQuery(sequence, lookup, address);
+    if (!lookup.answered.try_emplace(address, false).second) continue;
+    ++lookup.unanswered;
+    QueueQuery(sequence, address, now);
   }
 }
 
-void StreamOriginExchange::SendQuery(uint64_t sequence, const Lookup& lookup, VmAddress vm) {
-  OriginMessages messages;
-  messages.queries.push_back({sequence, lookup.attempt, lookup.services});
-  outbox_.emplace_back(vm, std::move(messages));
+bool StreamOriginExchange::TakeLookup(base::TimePoint now) {
+  const auto passed = std::chrono::duration<double>(now - lookups_counted_at_).count();
+  lookups_left_ = std::min<double>(kMaxLookups, lookups_left_ + passed * kLookupsPerSecond);
+  lookups_counted_at_ = now;
+  if (lookups_left_ < 1) return false;
+  lookups_left_ -= 1;
+  return true;
+}
+
+void StreamOriginExchange::QueueQuery(uint64_t sequence, VmAddress vm, base::TimePoint now) {
+  QueryQueue& queue = queries_[vm];
+  queue.lookups.push_back(sequence);
+  next_queries_at_ = std::min(next_queries_at_, std::max(now, queue.sent_at + kQueryInterval));
+}
+
+void StreamOriginExchange::SendQueries(base::TimePoint now) {
+  if (now < next_queries_at_) return;
+  next_queries_at_ = base::TimePoint::max();
+  for (auto& [vm, queue] : queries_) {
+    if (now - queue.sent_at >= kQueryInterval) {
+      OriginMessages messages;
+      size_t room = kAttemptsPerDatagram;
+      for (; !queue.lookups.empty(); queue.lookups.pop_front()) {
+        const uint64_t sequence = queue.lookups.front();
+        const auto lookup = lookups_.find(sequence);
+        if (lookup == lookups_.end()) continue;  // has ended
+        const size_t needed = kQueryAttempts + lookup->second.services.size();
+        if (room < needed) break;
+        room -= needed;
+        messages.queries.push_back({sequence, lookup->second.attempt, lookup->second.services});
+      }
+      if (!messages.empty()) {
+        outbox_.emplace_back(vm, std::move(messages));
+        queue.sent_at = now;
+      }
+    }
+    if (!queue.lookups.empty()) {
+      next_queries_at_ = std::min(next_queries_at_, std::max(now, queue.sent_at + kQueryInterval));
+    }
+  }
+  std::erase_if(queries_, [&](const auto& entry) {
+    return entry.second.lookups.empty() && now - entry.second.sent_at >= kQueryInterval;
+  });
 }
 
 std::optional<uint64_t> StreamOriginExchange::VersionByHistory(const Lookup& lookup,
@@ -204,10 +247,7 @@
 std::optional<StreamOriginExchange::Result> StreamOriginExchange::Poll(uint64_t sequence,
                                                                        base::TimePoint now) {
   const auto found = lookups_.find(sequence);
-  if (found == lookups_.end()) {  // too many at once
-    ++counters_.unknown;
-    return Result{};
-  }
+  if (found == lookups_.end()) return Result{};
   Lookup& lookup = found->second;
   const auto end = [&](std::optional<uint64_t> software, uint64_t& counter) {
     ++counter;
@@ -220,34 +260,37 @@
     return end(std::nullopt, counters_.unknown);
   }
   if (lookup.recorded) return end(lookup.recorded->software, counters_.found);
-  const auto all_answered = [&] {
-    return std::all_of(lookup.answered.begin(), lookup.answered.end(),
-                       [](const auto& vm) { return vm.second; });
-  };
-  if (lookup.answered.empty() && !lookup.asked_all) {
+  if (!lookup.begun) {
     const auto only = history_.OnlyVersion(lookup.services, now);
     if (only) return end(only, counters_.found_by_history);
     // Without an attempt only histories can answer, and no answer of theirs would count.
     if (lookup.attempt == 0 && history_.Versions(lookup.services, now).size() > 1) {
       return end(std::nullopt, counters_.unknown);
     }
+    if (!TakeLookup(now)) {
+      ++counters_.limited;
+      return end(std::nullopt, counters_.unknown);
+    }
+    lookup.begun = true;
     Ask(sequence, lookup, true, now);
   }
+  SendQueries(now);
   const base::Duration age = now - lookup.begun_at;
-  if (!lookup.asked_all && age < kOwnRegionTime && !all_answered()) return std::nullopt;
+  if (!lookup.asked_all && age < kOwnRegionTime && lookup.unanswered > 0) return std::nullopt;
   const auto by_history = VersionByHistory(lookup, now);
   if (by_history) return end(by_history, counters_.found_by_history);
   if (!lookup.asked_all) {
     lookup.asked_all = true;
     Ask(sequence, lookup, false, now);
   }
-  if (all_answered() || age >= kLookupTime) return end(std::nullopt, counters_.unknown);
+  if (lookup.unanswered == 0 || age >= kLookupTime) return end(std::nullopt, counters_.unknown);
   if (!lookup.repeated && age >= kRepeatTime) {
     lookup.repeated = true;
     for (const auto& [vm, answered] : lookup.answered) {
-      if (!answered) SendQuery(sequence, lookup, vm);
+      if (!answered) QueueQuery(sequence, vm, now);
     }
   }
+  SendQueries(now);
   return std::nullopt;
 }
 
@@ -255,8 +298,10 @@
   const auto lookup = lookups_.find(sequence);
   if (lookup == lookups_.end()) return {};
   const base::TimePoint begun_at = lookup->second.begun_at;
-  if (!lookup->second.asked_all) return begun_at + kOwnRegionTime;
-  return begun_at + (lookup->second.repeated ? kLookupTime : kRepeatTime);
+  const auto step = !lookup->second.asked_all ? kOwnRegionTime
+                    : lookup->second.repeated ? kLookupTime
+                                              : kRepeatTime;
+  return std::min(begun_at + step, next_queries_at_);
 }
 
 }  // namespace cornelplank::fleet
--- a/libs/fleet/internal/stream_origin_exchange.h
+++ b/libs/fleet/internal/stream_origin_exchange.h
@@ -65,6 +65,7 @@
   uint64_t found = 0;             // by a record of this or another VM
   uint64_t found_by_history = 0;  // since the services had only one version
   uint64_t unknown = 0;           // conflicting records included
+  uint64_t limited = 0;           // of the unknown: nobody was asked, since there were too many lookups
 };
 
 /// Keeps the origins of streams at several VMs, and finds them again. Decides who is told and asked what;
@@ -76,7 +77,12 @@
   /// Time after which the VMs that haven't answered are asked again.
   static constexpr std::chrono::milliseconds kRepeatTime{150};
   static constexpr std::chrono::milliseconds kLookupTime{400};
-  static constexpr size_t kMaxLookups = 1024;
+  /// Least time between two datagrams with queries to the same VM.
+  static constexpr std::chrono::milliseconds kQueryInterval{20};
+  /// Lookups that may begin to ask other VMs: in a burst, and per second in the long run. Further ones end as
+  /// unknown at once.
+  static constexpr size_t kMaxLookups = 256;
+  static constexpr size_t kLookupsPerSecond = 128;
 
   /// `first_sequence`: greater than those of earlier processes of this VM.
   StreamOriginExchange(const MemberTable& members, const serving::SoftwareHistory& history,
@@ -115,11 +121,18 @@
     uint64_t incarnation = 0;
     uint64_t next_record = 0;  // number of the first one that it hasn't got
   };
+  /// Queries for a VM that are not sent yet.
+  struct QueryQueue {
+    base::TimePoint sent_at{};     // the last ones before
+    std::deque<uint64_t> lookups;  // by sequence
+  };
   struct Lookup {
     uint64_t attempt = 0;
     std::vector<uint64_t> services;
     base::TimePoint begun_at{};
     std::map<VmAddress, bool> answered;  // of each VM that was asked
+    size_t unanswered = 0;               // of these
+    bool begun = false;                  // the VMs of the own region were asked
     bool asked_all = false;
     bool repeated = false;
     std::optional<StreamOrigin> recorded;
@@ -134,7 +147,11 @@
   OriginAnswer Answer(const OriginQuery& query, base::TimePoint now) const;
   /// Asks the live VMs of the own region or those of the others.
   void Ask(uint64_t sequence, Lookup& lookup, bool own_region, base::TimePoint now);
-  void SendQuery(uint64_t sequence, const Lookup& lookup, VmAddress vm);
+  /// Counts a lookup that asks other VMs, unless there have been too many of them.
+  bool TakeLookup(base::TimePoint now);
+  void QueueQuery(uint64_t sequence, VmAddress vm, base::TimePoint now);
+  /// Puts the queries that may be sent now into the outbox, those for a VM into one datagram.
+  void SendQueries(base::TimePoint now);
   /// The version that the histories of other VMs tell, if it is the only one that this VM has seen too.
   std::optional<uint64_t> VersionByHistory(const Lookup& lookup, base::TimePoint now) const;
 
@@ -146,6 +163,10 @@
   std::map<VmAddress, Receiver> receivers_;
   uint64_t last_sequence_;
   std::unordered_map<uint64_t, Lookup> lookups_;  // by sequence
+  double lookups_left_ = kMaxLookups;             // that may begin to ask
+  base::TimePoint lookups_counted_at_{};
+  std::map<VmAddress, QueryQueue> queries_;
+  base::TimePoint next_queries_at_ = base::TimePoint::max();  // when the next ones may be sent
   std::vector<std::pair<VmAddress, OriginMessages>> outbox_;
   StreamOriginCounters counters_;
 };
--- a/tests/fleet/stream_origin_exchange_test.cc
+++ b/tests/fleet/stream_origin_exchange_test.cc
@@ -399,6 +399,54 @@
   EXPECT_FALSE(fleet.Find(3).software.has_value());
 }
 
+struct CostCase {
+  const char* name;
+  size_t new_lookups;   // every millisecond, of streams that nobody knows
+  milliseconds time;    // for which they come
+  size_t most_lookups;  // that ask other VMs
+  size_t most_datagrams;
+};
+class StreamOriginCostTest : public testing::TestWithParam<CostCase> {};
+
+// Guards against clients whose invented attempts make a VM of a large system flood the others.
+TEST_P(StreamOriginCostTest, IsBounded) {
+  constexpr VmAddress kMembers = 300;
+  serving::SoftwareHistory history;
+  MemberTable members(Vm::MakeMember(1, 1), kZones);
+  for (VmAddress address = 2; address <= kMembers; ++address) {
+    Member member = Vm::MakeMember(address, 1);
+    member.zone = NameKey("z" + std::to_string(address % 4));
+    members.MergeMember(member, kStart);
+  }
+  StreamOriginExchange exchange(members, history, 1);
+  std::set<uint64_t> waiting;
+  std::set<uint64_t> asked;
+  size_t datagrams = 0;
+  for (milliseconds time{0}; time < seconds(1); time += milliseconds(1)) {
+    for (size_t i = 0; time < GetParam().time && i < GetParam().new_lookups; ++i) {
+      waiting.insert(exchange.Begin(kAttempt, {kService}, kStart + time));
+    }
+    std::erase_if(waiting, [&](uint64_t lookup) { return exchange.Poll(lookup, kStart + time).has_value(); });
+    for (const auto& [to, messages] : exchange.TakeOutbox()) {
+      ++datagrams;
+      for (const OriginQuery& query : messages.queries) asked.insert(query.sequence);
+      Heartbeat heartbeat;
+      heartbeat.sender = members.own();
+      heartbeat.origins = messages;
+      ASSERT_LE(EncodeHeartbeat(heartbeat).size(), 1400U);
+    }
+  }
+  EXPECT_GT(asked.size(), 0U);
+  EXPECT_LE(asked.size(), GetParam().most_lookups);
+  EXPECT_LE(datagrams, GetParam().most_datagrams);
+  RecordProperty("datagrams", static_cast<int>(datagrams));
+}
+
+INSTANTIATE_TEST_SUITE_P(All, StreamOriginCostTest,
+                         testing::Values(CostCase{"One", 1, milliseconds(1), 1, 2 * 299},
+                                         CostCase{"Flood", 10, seconds(1), 256 + 128, 51 * 299}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against lookups without bound, and against answers from VMs that weren't asked.
 TEST(StreamOriginExchangeTest, BoundsItsLookups) {
   Fleet fleet;
