--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -65,6 +65,8 @@
 
   /// Sets the program that the VMs run, a path, and the memory that each may use.
   void SetProgram(const std::string& program, size_t memory_mb) { fleet_.SetProgram(program, memory_mb); }
+  /// Sets the file descriptors that each VM may use.
+  void SetDescriptors(size_t descriptors) { fleet_.SetDescriptors(descriptors); }
   /// Returns the number of checks that failed.
   uint64_t Run();
 
@@ -479,7 +481,9 @@
       "routes without requests in each configuration, 0 to 3000")(
       "entry", po::value<std::string>(), "path of the program of the VMs, such as one built with sanitizers")(
       "memory-mb", po::value<size_t>()->default_value(cornelplank::soak::kMemoryMb),
-      "memory that a VM may use; more only for sanitizers");
+      "memory that a VM may use; more only for sanitizers")(
+      "descriptors", po::value<size_t>()->default_value(cornelplank::soak::kDescriptors),
+      "file descriptors that a VM may use, 64 to 3900");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -496,9 +500,12 @@
   const int vms = values["vms"].as<int>();
   const int replicas = values["replicas"].as<int>();
   const int routes = values["routes"].as<int>();
-  if (!duration || duration->count() < 20 || vms < 3 || vms > 90 || replicas < 1 || replicas > 20 ||
+  const auto descriptors = values["descriptors"].as<size_t>();
+  if (!duration || duration->count() < 20 || descriptors < 64 ||
+      descriptors > cornelplank::soak::kDescriptors || vms < 3 || vms > 90 || replicas < 1 || replicas > 20 ||
       routes < 0 || routes > 3000) {
-    std::cerr << "--duration, --vms, --replicas or --routes is out of range; --help prints the ranges\n";
+    std::cerr << "--duration, --vms, --replicas, --routes or --descriptors is out of range; --help prints "
+                 "the ranges\n";
     return 2;
   }
   const auto seed = values["seed"].as<uint64_t>();
@@ -509,5 +516,6 @@
   const auto entry = values.count("entry") > 0 ? std::filesystem::absolute(values["entry"].as<std::string>())
                                                : std::filesystem::path("cornelplank-entry");
   soak->SetProgram(entry.string(), values["memory-mb"].as<size_t>());
+  soak->SetDescriptors(descriptors);
   std::_Exit(soak->Run() > 0 ? 1 : 0);
 }
--- a/tests/soak/vm_fleet.cc
+++ b/tests/soak/vm_fleet.cc
@@ -16,8 +16,6 @@
 constexpr std::chrono::seconds kGrace{6};
 constexpr int kDefaultSecondSends = 100;
 constexpr size_t kMaxSeeds = 3;
-// As in the deployments, those that are left for sockets.
-constexpr rlim_t kDescriptors = 3900;
 const char* const kListeners[] = {"clients", "readiness", "directory", "beats", "hops", "metrics"};
 
 /// Resident memory of the process; 0 when it has ended.
@@ -64,7 +62,7 @@
   const std::string path = SettingsPath(vm);
   std::ofstream file(path + ".new");
   file << "[vm]\nname=" << (valid ? "vm-" + std::to_string(vm.index) : "") << "\nmemory_mb=" << kMemoryMb
-       << "\ndescriptors=" << kDescriptors << "\nip=" << vm.address.to_string() << "\nzone=" << vm.zone.name
+       << "\ndescriptors=" << descriptors_ << "\nip=" << vm.address.to_string() << "\nzone=" << vm.zone.name
        << "\nzones=";
   for (size_t i = 0; i < Zones().size(); ++i) {
     file << (i > 0 ? "," : "") << Zones()[i].name << ":" << Zones()[i].region;
@@ -93,7 +91,7 @@
   // listeners open that this program has closed.
   if (close_range(3, ~0U, CLOSE_RANGE_CLOEXEC) != 0) throw std::runtime_error("close_range failed");
   vm.process = harness::Process::Start(folder_, name, program_, {"--settings", SettingsPath(vm)});
-  const rlimit descriptors{kDescriptors, kDescriptors};
+  const rlimit descriptors{descriptors_, descriptors_};
   if (vm.process && prlimit(vm.process->pid(), RLIMIT_NOFILE, &descriptors, nullptr) != 0) {
     throw std::runtime_error("prlimit failed");
   }
--- a/tests/soak/vm_fleet.h
+++ b/tests/soak/vm_fleet.h
@@ -23,6 +23,8 @@
 
 /// Memory of a VM, as in the deployments.
 inline constexpr size_t kMemoryMb = 260;
+/// Descriptors of a VM, as in the deployments: those that are left for sockets.
+inline constexpr size_t kDescriptors = 3900;
 
 /// The processes of the program under test, one for each VM. All VMs use the same ports on their own loopback
 /// addresses.
@@ -53,6 +55,8 @@
     program_ = std::move(program);
     memory_mb_ = memory_mb;
   }
+  /// Sets the file descriptors that each VM may use.
+  void SetDescriptors(size_t descriptors) { descriptors_ = descriptors; }
   ConfigLag& config_lag() { return config_lag_; }
   std::vector<Vm>& vms() { return vms_; }
   net::Tcp::endpoint EndpointOf(const Vm& vm, const std::string& listener) const {
@@ -100,6 +104,7 @@
   std::string store_;
   std::string program_ = "cornelplank-entry";
   size_t memory_mb_ = kMemoryMb;
+  size_t descriptors_ = kDescriptors;
   std::map<std::string, uint16_t> ports_;
   std::vector<Vm> vms_;
   Ledger* ledger_ = nullptr;
