Forward a bound stream by the state of its own version's replicas

Cause: a region qualified when any replica of the version was listed there, and its price was the wait that the region reports, which is that of its replicas of all versions without the cold ones.

A region now has to have a replica of the version that may be sent requests, by the listing that each VM has of all regions, and costs what a cold or unlisted replica costs in the own region unless it has a better one. A region with only cold ones stays the last resort.

--- a/libs/serving/internal/placement.cc
+++ b/libs/serving/internal/placement.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace cornelplank::serving {
@@ -435,12 +435,22 @@
     *reason = RefusalReason::kConfigOutdated;
     return std::nullopt;
   }
-  std::set<std::string_view> regions;  // with a replica of the software that the request is bound to
+  // Regions with a replica of the software that the request is bound to. What they report as their wait says
+  // nothing of these replicas.
+  std::map<std::string_view, base::Duration> penalties;
   if (query.software) {
+    bool listed = false;
     for (const auto& [id, replica] : registry.replicas()) {
-      if (replica->software == *query.software) regions.insert(replica->published.region);
+      if (replica->software != *query.software) continue;
+      listed = true;
+      if (!SendGate::CheckStanding(*replica, registry, now).allowed()) continue;
+      base::Duration penalty{0};
+      if (replica->IsCold(now)) penalty += SendGate::kColdPenalty;
+      if (replica->unlisted_since) penalty += SendGate::kUnlistedPenalty;
+      const auto known = penalties.try_emplace(replica->published.region, penalty).first;
+      known->second = std::min(known->second, penalty);
     }
-    if (regions.empty()) {
+    if (!listed) {
       *reason = RefusalReason::kSoftwareGone;
       return std::nullopt;
     }
@@ -454,7 +464,8 @@
   const pace::ServicePace* pace = registry.FindPace(query.service);
   for (const RemoteRegion& remote : hops.RemoteRegions(query.service)) {
     if (!query.residency.Allows(remote.region) || Contains(query.excluded_regions, remote.region)) continue;
-    if (query.software && !regions.contains(remote.region)) continue;
+    const auto bound = penalties.find(remote.region);
+    if (query.software && bound == penalties.end()) continue;
     base::Duration expected = remote.wait + remote.round_trip + settings_.hop_cost;
     if (pace != nullptr) {
       const auto price = PriceHop(remote, query, *service, *pace, now);
@@ -463,8 +474,9 @@
     } else if (service->engine) {
       expected += EstimatePrefillTime(query.prompt_tokens);
     }
-    if (best && best->cost <= expected) continue;
-    best = Placement{nullptr, remote.region, expected, expected, remote.wait, false, std::nullopt};
+    const base::Duration cost = expected + (query.software ? bound->second : base::Duration::zero());
+    if (best && best->cost <= cost) continue;
+    best = Placement{nullptr, remote.region, expected, cost, remote.wait, false, std::nullopt};
   }
   return best;
 }
--- a/libs/serving/internal/send_gate.cc
+++ b/libs/serving/internal/send_gate.cc
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr std::chrono::seconds kEjectedPenalty{5};
-constexpr std::chrono::seconds kUnlistedPenalty{3};
-constexpr std::chrono::seconds kColdPenalty{1};
 
 }  // namespace
 
--- a/libs/serving/internal/send_gate.h
+++ b/libs/serving/internal/send_gate.h
@@ -35,6 +35,10 @@
 /// serves one decision at one moment.
 class SendGate {
  public:
+  /// Penalties of replicas that the store no longer lists, and of cold ones.
+  static constexpr std::chrono::seconds kUnlistedPenalty{3};
+  static constexpr std::chrono::seconds kColdPenalty{1};
+
   /// `own_id`: this VM among `hops.OwnRegionVms()`. The references must outlive the gate.
   SendGate(const ReplicaRegistry& registry, const HopDirectory& hops, const std::string& own_id,
            base::TimePoint now)
--- a/tests/serving/placement_test.cc
+++ b/tests/serving/placement_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 
 #include "libs/serving/serving.h"
@@ -357,6 +358,57 @@
                       SoftwareCase{"Unstated", {{"r", ""}, {"far", ""}}, "", RefusalReason::kSoftwareGone}),
     [](const auto& info) { return info.param.name; });
 
+struct BoundHopCase {
+  const char* name;
+  std::function<void(ReplicaRegistry&, TrackedReplica&)> change;  // of the nearer region's replica
+  const char* expected;                                           // region; empty: none
+  bool far_serves = true;
+};
+class BoundHopTest : public PlacementTest, public ::testing::WithParamInterface<BoundHopCase> {};
+
+// Guards against a stream that is forwarded to a region in which no replica of its version takes it.
+TEST_P(BoundHopTest, GoesWhereItsVersionTakesRequests) {
+  for (const auto& [region, version] :
+       {std::pair("near", "v1"), std::pair("near", "v2"), std::pair("far", "v1")}) {
+    if (!GetParam().far_serves && region == std::string("far")) continue;
+    PublishedReplica published;
+    published.id = std::string(region) + version;
+    published.service = "llm";
+    published.zone = region;
+    published.region = region;
+    published.slots = 64;
+    published.software_version = version;
+    registry.Upsert(published, kStart);
+  }
+  GetParam().change(registry, *registry.Find("nearv1"));
+  hops.remote_regions = {{"near", {}, {}}, {"far", std::chrono::milliseconds(300), {}}};
+  query.software = SoftwareKey("llm", "v1");
+  const auto placement = Choose();
+  EXPECT_EQ(placement ? placement->region : "", GetParam().expected);
+}
+
+void BecomeCold(ReplicaRegistry& registry, TrackedReplica& replica) {
+  registry.MarkCold(replica, std::chrono::seconds(3), kStart);
+}
+
+void BecomeUnlisted(ReplicaRegistry& registry, TrackedReplica& replica) {
+  registry.MarkUnlisted(replica.published.id, kStart);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    States, BoundHopTest,
+    ::testing::Values(BoundHopCase{"Ready", [](ReplicaRegistry&, TrackedReplica&) {}, "near"},
+                      BoundHopCase{"Cold", BecomeCold, "far"},
+                      BoundHopCase{"ColdAndTheOnlyOne", BecomeCold, "near", false},
+                      BoundHopCase{"Leaving",
+                                   [](ReplicaRegistry& registry, TrackedReplica& replica) {
+                                     registry.RecordLeaving(replica, kStart);
+                                   },
+                                   "far"},
+                      BoundHopCase{"Unlisted", BecomeUnlisted, "far"},
+                      BoundHopCase{"UnlistedAndTheOnlyOne", BecomeUnlisted, "near", false}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against the version of one service that is taken for the same version of another.
 TEST(SoftwareKeyTest, DiffersBetweenServices) {
   EXPECT_NE(SoftwareKey("a", "v1"), SoftwareKey("b", "v1"));
