Reject a resumption whose Last-Event-Id can't be read

What callers saw: on a route of streams, a request whose Last-Event-Id is no number was forwarded with that header and placed like a new request, at any software version. The client asked for the rest of a stream and got whatever the replica makes of the header. Of two such headers the first one counted here, and both were forwarded. Found in a review by reading; not seen in a run.

Cause: the codec could not tell "no header" from "unreadable header".

So it gets 400 with the client's attempt id, and reaches no replica. An empty header states no event, as in server-sent events, and is handled as before. Routes without streams forward the header as before.

Tests: without the check, the five cases of EventIdTest that expect 400 failed (four got a replica's stream with status 200, two headers got 503). With it the seven cases pass.

--- a/libs/serving/internal/message_codec.h
+++ b/libs/serving/internal/message_codec.h
@@ -27,6 +27,7 @@
   std::string key;                          // of the client's tenant; empty when it states none
   std::optional<base::Duration> time_left;  // until the client gives up; none when it states no deadline
   std::optional<uint64_t> last_event_id;    // set when the client resumes a stream after this event
+  bool unreadable_event_id = false;         // it resumes a stream, but after which event can't be told
   std::optional<std::string> resumes;       // id of the attempt that brought that stream's first event
   std::vector<PromptPart> prompt_parts;     // in order; other requests may share all but the last
   uint32_t prompt_tokens = 0;
--- a/libs/serving/internal/request_proxy.cc
+++ b/libs/serving/internal/request_proxy.cc
@@ -113,6 +113,15 @@
     co_await Deny(*client, *config, route == nullptr ? 404 : 401, writer);
     co_return;
   }
+  if (route->kind == RequestKind::kStream && client->unreadable_event_id) {
+    // Placed as a new request, it might be answered from the beginning, or by another software version.
+    base::LogEvent("request_rejected")
+        .Text("request", client->id)
+        .Text("reason", "the id of the last event can't be read")
+        .Number("status", 400);
+    co_await writer.Send(deps_.codec.MakeLocalResponse(400, client->id, std::nullopt), "");
+    co_return;
+  }
   const std::string service = route->PickService(base::Hash64(client->id));
   RetryBudget(service).OnRequest();
   ProxiedRequest proxied(*this, config, *route, service, *client, request, writer, received_at, std::nullopt);
--- a/tests/platform/stream_versions_test.cc
+++ b/tests/platform/stream_versions_test.cc
@@ -231,6 +231,37 @@
   EXPECT_EQ(first.requests(), 0);
 }
 
+struct EventIdCase {
+  const char* name;
+  const char* path;
+  const char* headers;
+  const char* status;
+};
+class EventIdTest : public StreamVersionsTest, public ::testing::WithParamInterface<EventIdCase> {};
+
+// Guards against a resumption whose event can't be told and that is placed as a new request.
+TEST_P(EventIdTest, UnreadableReachesNoReplica) {
+  SequenceServer first(loop, {Ends("2")});
+  SequenceServer second(loop, {});
+  Connect(first.Endpoint(), second.Endpoint(), false);
+  const std::string response =
+      Send(GetParam().path, "2", milliseconds(100), "hi", std::string(GetParam().headers));
+  EXPECT_TRUE(response.starts_with(std::string("HTTP/1.1 ") + GetParam().status)) << response;
+  EXPECT_NE(response.find("Attempt-Id: 2\r\n"), std::string::npos) << response;
+  EXPECT_EQ(first.requests(), std::string(GetParam().status) == "200" ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Headers, EventIdTest,
+    ::testing::Values(EventIdCase{"Text", "/stream/a", "Last-Event-Id: x\r\n", "400"},
+                      EventIdCase{"TextAfterNumber", "/stream/a", "Last-Event-Id: 1x\r\n", "400"},
+                      EventIdCase{"Negative", "/stream/a", "Last-Event-Id: -1\r\n", "400"},
+                      EventIdCase{"TooLarge", "/stream/a", "Last-Event-Id: 18446744073709551616\r\n", "400"},
+                      EventIdCase{"Two", "/stream/a", "Last-Event-Id: 1\r\nlast-event-id: 2\r\n", "400"},
+                      EventIdCase{"Empty", "/stream/a", "Last-Event-Id:\r\n", "200"},
+                      EventIdCase{"NoStream", "/safe/a", "Last-Event-Id: x\r\n", "200"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a route of several services on which a take-up goes to another service than its stream.
 TEST_F(StreamVersionsTest, ATakeUpStaysAtItsService) {
   SequenceServer first(loop, {Ends("2")});
