Give back load and quota of a request that ends with an exception

What callers saw: after an exception in the handler of a request, the request's work stayed counted at its replica for good, so that the replica looked busier than it was; the quota taken for a send that didn't happen was not given back; the attempt went on until the replica ended it; and the request was in no counter. The writer also kept a callback into the destroyed request, which ran if the client left before the 500 was sent. Found in a review by reading; not seen in a run.

Cause: all of this is done at the ends of RunAttempt and Finish, which an exception skips; the destructor only removes the request from the set of active ones.

Run now catches, ends the attempt, returns what no send has used, counts the request as failed, and throws on. It is not in the destructor, since that also runs when the loop destroys its coroutines after the proxy and the registry are gone. A charge whose send has begun is not given back: the request may have run.

Tests: without the call of Abandon both cases of HandlerExceptionTest failed (nothing given back; the work still counted). With it they pass. The release of the client's callback has no test of its own.

--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -228,6 +228,32 @@
 }
 
 net::Task<> ProxiedRequest::Run() {
+  try {
+    co_await RunToEnd();
+  } catch (...) {
+    // Not in the destructor, which also runs with the loop's when the registry is gone.
+    Abandon();
+    throw;
+  }
+}
+
+void ProxiedRequest::Abandon() {
+  writer_.OnClientGone(nullptr);
+  CancelAttempt();
+  if (replica_) {
+    if (prefill_done_) work_.prefill_tokens = 0;
+    deps_.registry.EndAttempt(*replica_, work_, HealthObservation::kNeutral, deps_.clock.Now());
+    replica_.reset();
+  }
+  SettleCharge(true);
+  ReturnCharge();
+  ++proxy_.counters_.failed;
+  ReportMissedTarget();
+  LogRequestEnd("failed", writer_.Started() ? 0 : 500);
+  NotifyObserver("failed");
+}
+
+net::Task<> ProxiedRequest::RunToEnd() {
   if (ResumesStream() || (hop_ && hop_->software)) {
     const bool bound = co_await BindToOrigin();
     if (writer_.CheckClient() && !bound) {
--- a/libs/serving/internal/proxied_request.h
+++ b/libs/serving/internal/proxied_request.h
@@ -126,6 +126,10 @@
   /// Whether the attempt that has ended with `outcome` shows that its replica crashed before the first event.
   bool CrashedBeforeAnswer(AttemptOutcome outcome) const;
 
+  /// Runs the request up to its final step.
+  net::Task<> RunToEnd();
+  /// Ends the attempt and gives back what no send has used, after an exception.
+  void Abandon();
   /// Makes one attempt: connects, sends the request and relays the response.
   net::Task<AttemptOutcome> RunAttempt(Placement placement);
   /// The request as it is sent to the replica or the VM of `placement`. Its body is shared, not copied.
