Revert "Don't take replicas without a stated version for the same one"

With it RequestProxyTest.ResumesAStreamAfterTheLastCompleteEvent failed in all of six runs, and in the same run StreamEndTest InsideAnEvent: their replicas state no version, and a stream has to go on from one to the other.

--- a/libs/serving/internal/replica_registry.cc
+++ b/libs/serving/internal/replica_registry.cc
@@ -39,14 +39,6 @@
 
 void Subtract(uint64_t* value, uint64_t amount) { *value -= std::min(*value, amount); }
 
-/// The SoftwareKey of a replica. Without a stated version it is that of this run of it alone.
-uint64_t SoftwareOf(const PublishedReplica& replica) {
-  if (!replica.software_version.empty()) return SoftwareKey(replica.service, replica.software_version);
-  std::string run(1, '\0');
-  run += replica.id + '\0' + std::to_string(replica.incarnation);
-  return SoftwareKey(replica.service, run);
-}
-
 }  // namespace
 
 uint32_t ReplicaKey(std::string_view id) { return static_cast<uint32_t>(base::Hash64(id)); }
@@ -114,7 +106,7 @@
   }
   entry->published = published;
   entry->service_key = base::Hash64(published.service);
-  entry->software = SoftwareOf(published);
+  entry->software = SoftwareKey(published.service, published.software_version);
   NoteSoftware(*entry, now);
   entry->unlisted_since.reset();
   if (published.cold_remaining.count() > 0) MarkCold(*entry, published.cold_remaining, now);
