--- a/libs/fleet/internal/stream_origin_exchange.cc
+++ b/libs/fleet/internal/stream_origin_exchange.cc
@@ -13,8 +13,8 @@
 // software version takes the room of kGroupAttempts.
 constexpr size_t kAttemptsPerDatagram = 128;
 constexpr size_t kGroupAttempts = 4;
-// The same for queries: each one takes the room of kQueryAttempts and of one more for each service.
-constexpr size_t kQueryAttempts = 3;
+// The same for queries: each one takes the room of kQueryRoom and of one more for each service.
+constexpr size_t kQueryRoom = 3;
 // Datagrams with records that a VM gets at once, when it gets the records of the whole retention time.
 constexpr size_t kDatagramsAtOnce = 16;
 
@@ -190,7 +190,7 @@
   }
 }
 
-bool StreamOriginExchange::TakeLookup(base::TimePoint now) {
+bool StreamOriginExchange::TakeLookupToken(base::TimePoint now) {
   const auto passed = std::chrono::duration<double>(now - lookups_counted_at_).count();
   lookups_left_ = std::min<double>(kMaxLookups, lookups_left_ + passed * kLookupsPerSecond);
   lookups_counted_at_ = now;
@@ -216,7 +216,7 @@
         const uint64_t sequence = queue.lookups.front();
         const auto lookup = lookups_.find(sequence);
         if (lookup == lookups_.end()) continue;  // has ended
-        const size_t needed = kQueryAttempts + lookup->second.services.size();
+        const size_t needed = kQueryRoom + lookup->second.services.size();
         if (room < needed) break;
         room -= needed;
         messages.queries.push_back({sequence, lookup->second.attempt, lookup->second.services});
@@ -260,18 +260,18 @@
     return end(std::nullopt, counters_.unknown);
   }
   if (lookup.recorded) return end(lookup.recorded->software, counters_.found);
-  if (!lookup.begun) {
+  if (!lookup.asked_own_region) {
     const auto only = history_.OnlyVersion(lookup.services, now);
     if (only) return end(only, counters_.found_by_history);
     // Without an attempt only histories can answer, and no answer of theirs would count.
     if (lookup.attempt == 0 && history_.Versions(lookup.services, now).size() > 1) {
       return end(std::nullopt, counters_.unknown);
     }
-    if (!TakeLookup(now)) {
+    if (!TakeLookupToken(now)) {
       ++counters_.limited;
       return end(std::nullopt, counters_.unknown);
     }
-    lookup.begun = true;
+    lookup.asked_own_region = true;
     Ask(sequence, lookup, true, now);
   }
   SendQueries(now);
--- a/libs/fleet/internal/stream_origin_exchange.h
+++ b/libs/fleet/internal/stream_origin_exchange.h
@@ -132,7 +132,7 @@
     base::TimePoint begun_at{};
     std::map<VmAddress, bool> answered;  // of each VM that was asked
     size_t unanswered = 0;               // of these
-    bool begun = false;                  // the VMs of the own region were asked
+    bool asked_own_region = false;
     bool asked_all = false;
     bool repeated = false;
     std::optional<StreamOrigin> recorded;
@@ -148,7 +148,7 @@
   /// Asks the live VMs of the own region or those of the others.
   void Ask(uint64_t sequence, Lookup& lookup, bool own_region, base::TimePoint now);
   /// Counts a lookup that asks other VMs, unless there have been too many of them.
-  bool TakeLookup(base::TimePoint now);
+  bool TakeLookupToken(base::TimePoint now);
   void QueueQuery(uint64_t sequence, VmAddress vm, base::TimePoint now);
   /// Puts the queries that may be sent now into the outbox, those for a VM into one datagram.
   void SendQueries(base::TimePoint now);
--- a/libs/serving/internal/attempt_policy.h
+++ b/libs/serving/internal/attempt_policy.h
@@ -12,7 +12,7 @@
 enum class AttemptOutcome {
   kComplete,       // the complete response was forwarded to the client
   kErrorResponse,  // a complete response with an error status of the replica's own
-  kNotSent,        // the connection could not be established; nothing was sent
+  kNotSent,        // sent to no replica: no connection, or refused by the VM that it was forwarded to
   kNotRun,         // the replica states that it did not run the request
   kWrongReplica,   // the address now belongs to another replica, which did not run the request
   kUnknown,        // the request may have run: connection lost, silence, or no valid response
@@ -39,14 +39,14 @@
   bool repeatable = false;        // the request may run again after an attempt with an unknown outcome
   uint32_t sends = 0;             // attempts whose bytes may have reached a replica
   uint32_t max_sends = 1;         // limit on `sends`
-  uint32_t unsent_attempts = 0;   // attempts that found no connection or the wrong replica
+  uint32_t unsent_attempts = 0;   // attempts that reached no replica, or the wrong one
   bool may_have_run = false;      // some attempt ran the request or had an unknown outcome
   bool response_started = false;  // the client has received a part of the response
   bool retry_budget_left = true;  // the service's budget allows another send
   base::Duration time_left{0};    // until the request's deadline
 };
 
-/// Limit on attempts that reached no replica. They don't count as sends, but each costs a connection attempt.
+/// Limit on attempts that reached no replica. They don't count as sends, but each costs time.
 inline constexpr uint32_t kMaxUnsentAttempts = 4;
 /// No attempt starts with less time left, since its response could not arrive in time.
 inline constexpr std::chrono::milliseconds kMinAttemptTime{40};
--- a/libs/serving/internal/placement.h
+++ b/libs/serving/internal/placement.h
@@ -37,7 +37,7 @@
 enum class RefusalReason {
   kNone,
   kUnknownService,  // not in the configuration
-  kNoReplica,       // none is known, or all were tried, are leaving or are in evacuated zones
+  kNoReplica,       // none is known, or all have failed, are leaving or are in evacuated zones
   kConfigOutdated,  // the data is bound to regions, and the configuration may have been replaced by a newer
                     // one
   kNotAllowed,      // its data may not be processed here, and no region where it may is available
