Report refusals by all home regions with their reason and Retry-After

Requests whose data may be processed in other regions only, and that all of those refused before a replica was reached, ended as not_allowed, with a Retry-After of this VM's own: covered only the reason no_replica.

Cause: the placer reports kNotAllowed when it has excluded the regions that refused, since the own region is none of the request's.

HopRefusalTest ByAllHomes fails before (reason not_allowed) and passes after; the other 4 cases pass before and after.

--- a/libs/serving/internal/proxied_request_end.cc
+++ b/libs/serving/internal/proxied_request_end.cc
@@ -101,7 +101,8 @@
       co_await writer_.Send(held_error_->head, held_error_->body, std::move(held_error_->charge));
       break;
     case NextStep::kRefuse: {
-      if (turned_away_ && refusal_reason_ == RefusalReason::kNoReplica) {
+      if (turned_away_ &&
+          (refusal_reason_ == RefusalReason::kNoReplica || refusal_reason_ == RefusalReason::kNotAllowed)) {
         refusal_reason_ = RefusalReason::kTurnedAway;
       }
       const unsigned status = RefusalStatus();
--- a/tests/platform/hop_refusal_test.cc
+++ b/tests/platform/hop_refusal_test.cc
@@ -21,8 +21,9 @@
   bool near_sends;  // the nearer region's VM sends the request to its replica, which is full
   bool far_serves;
   int far_requests;
-  const char* head;    // of the response
-  const char* reason;  // of the refusal
+  const char* head;                     // of the response
+  const char* reason;                   // of the refusal
+  std::vector<std::string> homes = {};  // regions of the route's data
 };
 class HopRefusalTest : public ProxyPath, public ::testing::WithParamInterface<HopRefusalCase> {};
 
@@ -34,7 +35,10 @@
   hop_wait = milliseconds(150);
   Connect(first.Endpoint(), second.Endpoint(), true);
   ChangeConfig(*entry, [&](serving::RoutingConfig& config) {
-    for (serving::RouteConfig& route : config.routes) route.attempts = param.attempts;
+    for (serving::RouteConfig& route : config.routes) {
+      route.attempts = param.attempts;
+      route.home_regions = param.homes;
+    }
   });
   entry->proxy.SetSecondSendBurst(param.second_sends);
   if (!param.near_sends) remote[0]->proxy.BeginStop(clock.Now());
@@ -56,6 +60,16 @@
         HopRefusalCase{"ByAllRegions", "/safe/a", 4, 100, false, false, 0,
                        "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: 1\r\nRetry-After: 0.020",
                        "turned_away"},
+        HopRefusalCase{"ByAllHomes",
+                       "/safe/a",
+                       4,
+                       100,
+                       false,
+                       false,
+                       0,
+                       "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: 1\r\nRetry-After: 0.020",
+                       "turned_away",
+                       {"near", "far"}},
         HopRefusalCase{"ByAReplica", "/once/a", 1, 100, true, true, 0, "HTTP/1.1 503", "turned_away"}),
     [](const auto& info) { return info.param.name; });
 
