Try the next region after a refused hop without the checks of a first send

Since a refusal that reached no replica takes the send back, so that the checks for the first send (expected time, stop of this VM) were applied again. They are for requests that nobody was asked for yet, and now say so.

--- a/libs/serving/internal/proxied_request.cc
+++ b/libs/serving/internal/proxied_request.cc
@@ -284,12 +284,13 @@
       placement = deps_.placer.Choose(MakePlacementQuery(), deps_.registry, deps_.hops, deps_.clock.Now(),
                                       &refusal_reason_);
     }
-    if (placement && !placement->forecast && placement->expected > TimeLeft() && progress_.sends == 0) {
+    const bool untried = progress_.sends == 0 && !turned_away_;
+    if (placement && !placement->forecast && placement->expected > TimeLeft() && untried) {
       expected_first_byte_ = placement->expected;
       refusal_reason_ = RefusalReason::kNoTime;
       placement.reset();
     }
-    if (proxy_.ended_ || (placement && progress_.sends == 0 && OutlastsVm())) {
+    if (proxy_.ended_ || (placement && untried && OutlastsVm())) {
       refusal_reason_ = RefusalReason::kStopping;
       placement.reset();
     }
