--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -88,12 +88,12 @@
          R"("limits":{"header_bytes":16384,"body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
-/// The store's entry of a replica in zone "z".
+/// The store's entry of a replica.
 inline std::string ReplicaText(const std::string& service, const net::Tcp::endpoint& address,
-                               const std::string& state = "ready") {
+                               const std::string& state = "ready", const std::string& zone = "z") {
   return R"({"service":")" + service + R"(","address":")" + address.address().to_string() + ":" +
-         std::to_string(address.port()) + R"(","zone":"z","version":"v1","slots":4,"state":")" + state +
-         R"(","cold_remaining_ms":0,"sequence":1,"born":1700000000000})";
+         std::to_string(address.port()) + R"(","zone":")" + zone + R"(","version":"v1","slots":4,"state":")" +
+         state + R"(","cold_remaining_ms":0,"sequence":1,"born":1700000000000})";
 }
 
 }  // namespace cornelplank::testing
--- a/tests/platform/odd_key_test.cc
+++ b/tests/platform/odd_key_test.cc
@@ -1,5 +1,4 @@
 #include <gtest/gtest.h>
-#include <kj/encoding.h>
 
 #include "tests/platform/paged_store.h"
 #include "tests/platform/vm_under_test.h"
@@ -28,7 +27,7 @@
       if (GetParam().has_value) {
         store_.PutValue("servers/" + id, "{}");
       } else {
-        store_.Put("servers/" + id, R"(,"revision":5)");
+        store_.Put("servers/" + id, "");
       }
     }
   }
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <kj/encoding.h>
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -11,23 +13,24 @@
 
 namespace cornelplank::testing {
 
-/// A fake of the platform's store that lists its items in pages of one. It refuses targets that RFC 3986 does
-/// not allow. Watches bring no changes.
+/// A fake of the platform's store that lists its items in small pages. It refuses targets that RFC 3986 does
+/// not allow.
 class PagedStore final : public net::RequestHandler {
  public:
-  explicit PagedStore(net::asio::io_context& loop) : loop_(loop) {
+  explicit PagedStore(net::asio::io_context& loop, size_t page_size = 1)
+      : loop_(loop), page_size_(page_size) {
     net::Error error;
     server_ = net::HttpServer::Listen(loop, Loopback(), *this, &error);
     if (!server_) throw std::runtime_error(error.message());
   }
 
   net::Tcp::endpoint Endpoint() const { return Loopback(server_->Port()); }
-  /// Adds an item with these members besides the key, which is sent as it is, between quotes.
-  void Put(const std::string& key, const std::string& members) { items_[key] = members; }
+  /// Writes an item with these members besides the key and the revision. The key is sent as it is, between
+  /// quotes.
+  void Put(const std::string& key, const std::string& members) { items_[key] = {members, ++revision_}; }
   void PutValue(const std::string& key, const std::string& value) {
     const auto* bytes = reinterpret_cast<const kj::byte*>(value.data());
-    Put(key,
-        R"(,"revision":5,"value":")" + std::string(kj::encodeBase64({bytes, value.size()}).cStr()) + "\"");
+    Put(key, R"(,"value":")" + std::string(kj::encodeBase64({bytes, value.size()}).cStr()) + "\"");
   }
   /// Lets every page be the first one of its prefix.
   void StopAdvancing() { advances_ = false; }
@@ -35,35 +38,61 @@
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
     const std::string target = request.target;
-    if (target.starts_with("/kv-watch")) {
-      co_await net::Sleep(loop_, std::chrono::milliseconds(500));
-      co_await writer.Send({200, {}}, R"({"current_rev":50,"events":[]})");
-      co_return;
-    }
-    ++listing_calls_;
     std::map<std::string, std::string> query;
     if (!ParseQuery(target, &query)) {
       co_await writer.Send({400, {}}, "");
-      co_return;
-    }
-    const std::string prefix = query["path_prefix"];
-    auto item = items_.lower_bound(prefix);
-    if (advances_ && !query["after"].empty()) item = items_.upper_bound(query["after"]);
-    std::string body = R"({"current_rev":50,"items":[)";
-    bool has_more = false;
-    if (item != items_.end() && item->first.starts_with(prefix)) {
-      body += R"({"key":")" + JsonText(item->first) + "\"" + item->second + "}";
-      has_more = ++item != items_.end() && item->first.starts_with(prefix);
+    } else if (target.starts_with("/kv-watch")) {
+      co_await Watch(query["path_prefix"], query["after"], writer);
+    } else {
+      ++listing_calls_;
+      co_await writer.Send({200, {}}, List(query["path_prefix"], query["after"]));
     }
-    co_await writer.Send({200, {}}, body + R"(],"has_more":)" + (has_more ? "true}" : "false}"));
   }
 
  private:
+  struct Item {
+    std::string members;
+    uint64_t revision;
+  };
+
+  std::string List(const std::string& prefix, const std::string& after) const {
+    auto item = advances_ && !after.empty() ? items_.upper_bound(after) : items_.lower_bound(prefix);
+    const auto in_prefix = [&] { return item != items_.end() && item->first.starts_with(prefix); };
+    std::string items;
+    for (size_t count = 0; count < page_size_ && in_prefix(); ++count, ++item) {
+      items += (items.empty() ? "" : ",") + ItemText(*item);
+    }
+    return R"({"current_rev":)" + std::to_string(revision_) + R"(,"items":[)" + items + R"(],"has_more":)" +
+           (in_prefix() ? "true}" : "false}");
+  }
+
+  net::Task<> Watch(std::string prefix, std::string after, net::ResponseWriter& writer) {
+    constexpr std::chrono::milliseconds kWait{500};
+    constexpr std::chrono::milliseconds kPollInterval{20};
+    std::string events;
+    for (std::chrono::milliseconds waited{0}; events.empty() && waited < kWait; waited += kPollInterval) {
+      for (const auto& item : items_) {
+        if (!item.first.starts_with(prefix) || item.second.revision <= std::stoull(after)) continue;
+        events += (events.empty() ? "" : ",") + ItemText(item);
+      }
+      if (events.empty()) co_await net::Sleep(loop_, kPollInterval);
+    }
+    co_await writer.Send({200, {}},
+                         R"({"current_rev":)" + std::to_string(revision_) + R"(,"events":[)" + events + "]}");
+  }
+
+  static std::string ItemText(const std::pair<const std::string, Item>& item) {
+    return R"({"key":")" + JsonText(item.first) + R"(","revision":)" + std::to_string(item.second.revision) +
+           item.second.members + "}";
+  }
   static std::string JsonText(const std::string& key) {
     std::string text;
     for (const char c : key) {
       if (c == '"' || c == '\\') text += '\\';
-      text += c == '\r' ? "\\r" : c == '\n' ? "\\n" : std::string(1, c);
+      constexpr char kDigits[] = "0123456789abcdef";
+      const auto byte = static_cast<unsigned char>(c);
+      text +=
+          byte < 0x20 ? std::string("\\u00") + kDigits[byte / 16] + kDigits[byte % 16] : std::string(1, c);
     }
     return text;
   }
@@ -89,7 +118,9 @@
 
   net::asio::io_context& loop_;
   std::unique_ptr<net::HttpServer> server_;
-  std::map<std::string, std::string> items_;
+  size_t page_size_;
+  std::map<std::string, Item> items_;
+  uint64_t revision_ = 50;
   bool advances_ = true;
   int listing_calls_ = 0;
 };
