--- a/tests/platform/odd_key_test.cc
+++ b/tests/platform/odd_key_test.cc
@@ -9,6 +9,12 @@
 using testing::kFirstVmAddress;
 using testing::RunFor;
 
+std::set<std::string> KnownReplicas(const testing::VmUnderTest& vm) {
+  std::set<std::string> ids;
+  for (const auto& [id, replica] : vm.registry.replicas()) ids.insert(id);
+  return ids;
+}
+
 struct OddKeyCase {
   const char* name;
   std::vector<std::string> ids;  // of the other writer's entries
@@ -32,12 +38,6 @@
     }
   }
 
-  std::set<std::string> KnownReplicas() const {
-    std::set<std::string> ids;
-    for (const auto& [id, replica] : vm_.registry.replicas()) ids.insert(id);
-    return ids;
-  }
-
   net::asio::io_context loop_{1};
   base::SystemClock clock_;
   testing::PagedStore store_{loop_};
@@ -47,7 +47,7 @@
 // Guards against a listing that stops or never ends at a key of another writer, so that replicas are missing.
 TEST_P(OddKeyTest, DoesNotHideTheOtherItems) {
   RunFor(loop_, std::chrono::milliseconds(1000));
-  EXPECT_EQ(KnownReplicas(), (std::set<std::string>{"a", "m", "z"}));
+  EXPECT_EQ(KnownReplicas(vm_), (std::set<std::string>{"a", "m", "z"}));
   EXPECT_TRUE(vm_.sync.Loaded());
   EXPECT_LE(store_.listing_calls(), static_cast<int>(1 + 3 + GetParam().ids.size()));
 }
@@ -84,7 +84,7 @@
   net::asio::io_context loop{1};
   base::SystemClock clock;
   testing::PagedStore store{loop, 2};
-  store.StopDecoding();
+  store.SetEscapes(testing::PagedStore::Escapes::kKeep);
   store.PutValue("op/config", testing::ConfigText(7));
   const std::set<std::string> ids = {"a", "b-c", "b.c", "b_c", "b~c", "b:1", "b@1", "b,c", "b=c", "b/c", "c"};
   for (const std::string& id : ids) {
@@ -93,11 +93,44 @@
   testing::VmUnderTest vm(loop, clock, store.Endpoint(), kFirstVmAddress, testing::OwnMirrorPort());
   RunFor(loop, std::chrono::milliseconds(1000));
   EXPECT_TRUE(vm.sync.Loaded());
-  std::set<std::string> known;
-  for (const auto& [id, replica] : vm.registry.replicas()) known.insert(id);
-  EXPECT_EQ(known, ids);
+  EXPECT_EQ(KnownReplicas(vm), ids);
 }
 
+struct MisreadKeyCase {
+  const char* name;
+  std::set<std::string> ids;  // of replicas
+  std::string odd_id;         // of the other writer's entry
+  testing::PagedStore::Escapes escapes;
+};
+class MisreadKeyTest : public ::testing::TestWithParam<MisreadKeyCase> {};
+
+// Guards against a key at the border of a page that hides replicas, since the store misreads or refuses its
+// escapes.
+TEST_P(MisreadKeyTest, DoesNotHideThePlainOnes) {
+  net::asio::io_context loop{1};
+  base::SystemClock clock;
+  testing::PagedStore store{loop, 2};
+  store.SetEscapes(GetParam().escapes);
+  store.PutValue("op/config", testing::ConfigText(7));
+  for (const std::string& id : GetParam().ids) {
+    store.PutValue("servers/" + id, testing::ReplicaText("svc", testing::Loopback(1)));
+  }
+  store.PutValue("servers/" + GetParam().odd_id, "{}");
+  testing::VmUnderTest vm(loop, clock, store.Endpoint(), kFirstVmAddress, testing::OwnMirrorPort());
+  RunFor(loop, std::chrono::milliseconds(1000));
+  EXPECT_TRUE(vm.sync.Loaded());
+  EXPECT_EQ(KnownReplicas(vm), GetParam().ids);
+}
+
+using Escapes = testing::PagedStore::Escapes;
+INSTANTIATE_TEST_SUITE_P(
+    Keys, MisreadKeyTest,
+    ::testing::Values(MisreadKeyCase{"ListedAgain", {"bz", "m", "z"}, "b\xc3\xa9", Escapes::kKeep},
+                      MisreadKeyCase{"SkipsTheNext", {"a", "b!d", "z"}, "b c", Escapes::kKeep},
+                      MisreadKeyCase{"Ampersand", {"a", "m", "z"}, "b&c", Escapes::kKeep},
+                      MisreadKeyCase{"Refused", {"a", "m", "z"}, "b&c", Escapes::kRefuse}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against calls without a pause to a store whose pages do not advance.
 TEST(PagingTest, OfAStoreThatDoesNotAdvanceIsAFailedCall) {
   net::asio::io_context loop{1};
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -34,8 +34,9 @@
   }
   /// Lets every page be the first one of its prefix.
   void StopAdvancing() { advances_ = false; }
-  /// Takes the values in queries as they are from now on.
-  void StopDecoding() { decodes_ = false; }
+  /// What becomes of escapes in targets. kRefuse: calls with one are answered 400.
+  enum class Escapes { kDecode, kKeep, kRefuse };
+  void SetEscapes(Escapes escapes) { escapes_ = escapes; }
   int listing_calls() const { return listing_calls_; }
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
@@ -104,7 +105,8 @@
     const bool allowed = std::all_of(target.begin(), target.end(), [&](unsigned char c) {
       return c < 0x80 && (std::isalnum(c) != 0 || kPlain.find(static_cast<char>(c)) != kPlain.npos);
     });
-    if (!allowed) return false;
+    const bool refused = escapes_ == Escapes::kRefuse && target.find('%') != std::string_view::npos;
+    if (!allowed || refused) return false;
     std::string_view rest = target.substr(std::min(target.find('?'), target.size() - 1) + 1);
     while (!rest.empty()) {
       const std::string_view pair = rest.substr(0, rest.find('&'));
@@ -114,7 +116,7 @@
       const auto value = kj::decodeWwwForm(kj::arrayPtr(text.data(), text.size()));
       if (value.hadErrors) return false;
       (*query)[std::string(pair.substr(0, equals))] =
-          decodes_ ? std::string(value.begin(), value.size()) : std::string(text);
+          escapes_ == Escapes::kDecode ? std::string(value.begin(), value.size()) : std::string(text);
     }
     return true;
   }
@@ -125,7 +127,7 @@
   std::map<std::string, Item> items_;
   uint64_t revision_ = 50;
   bool advances_ = true;
-  bool decodes_ = true;
+  Escapes escapes_ = Escapes::kDecode;
   int listing_calls_ = 0;
 };
 
