--- a/tests/platform/odd_key_test.cc
+++ b/tests/platform/odd_key_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "tests/platform/paged_store.h"
 #include "tests/platform/vm_under_test.h"
 
@@ -144,5 +146,56 @@
   EXPECT_LE(store.listing_calls(), 40);
 }
 
+/// A VM beside a store that refuses escapes, so that its listings end at the page of an odd key.
+class UnfinishedListingTest : public ::testing::Test {
+ protected:
+  UnfinishedListingTest() {
+    store_.PutValue("op/config", testing::ConfigText(7));
+    for (const char* id : {"a", "m", "z"}) PutReplica(id);
+    store_.SetEscapes(Escapes::kRefuse);
+  }
+
+  void PutReplica(const std::string& id) {
+    store_.PutValue("servers/" + id, testing::ReplicaText("svc", testing::Loopback(1)));
+  }
+  void Start() {
+    vm_.emplace(loop_, clock_, store_.Endpoint(), kFirstVmAddress, testing::OwnMirrorPort());
+    Run();
+  }
+  void Run() { RunFor(loop_, std::chrono::milliseconds(2500)); }
+
+  net::asio::io_context loop_{1};
+  base::SystemClock clock_;
+  testing::PagedStore store_{loop_};
+  std::optional<testing::VmUnderTest> vm_;
+};
+
+// Guards against a VM that serves nobody after its start, though it has read entries of replicas.
+TEST_F(UnfinishedListingTest, AddsWhatWasReadAtTheStart) {
+  store_.PutValue("servers/n&o", "{}");
+  Start();
+  EXPECT_EQ(KnownReplicas(*vm_), (std::set<std::string>{"a", "m"}));
+  EXPECT_TRUE(vm_->sync.Loaded());
+  EXPECT_LE(store_.listing_calls(), 40);
+  store_.SetEscapes(Escapes::kDecode);
+  store_.Remove("servers/a");
+  Run();
+  RunFor(loop_, serving::ReplicaRegistry::kUnlistedGrace);
+  vm_->registry.Tick(clock_.Now());
+  EXPECT_EQ(KnownReplicas(*vm_), (std::set<std::string>{"m", "z"}));
+}
+
+// Guards against a VM that stays without new replicas, or loses known ones, once it has to list again.
+TEST_F(UnfinishedListingTest, AddsWhatWasReadLater) {
+  Start();
+  ASSERT_EQ(KnownReplicas(*vm_), (std::set<std::string>{"a", "m", "z"}));
+  store_.DropHistory();
+  store_.PutValue("servers/n&o", "{}");
+  PutReplica("b");
+  Run();
+  vm_->registry.Tick(clock_.Now());
+  EXPECT_EQ(KnownReplicas(*vm_), (std::set<std::string>{"a", "b", "m", "z"}));
+}
+
 }  // namespace
 }  // namespace cornelplank
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -37,6 +37,9 @@
   /// What becomes of escapes in targets. kRefuse: calls with one are answered 400.
   enum class Escapes { kDecode, kKeep, kRefuse };
   void SetEscapes(Escapes escapes) { escapes_ = escapes; }
+  void Remove(const std::string& key) { items_.erase(key); }
+  /// Answers watches from before now with 410.
+  void DropHistory() { oldest_revision_ = ++revision_; }
   int listing_calls() const { return listing_calls_; }
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
@@ -73,15 +76,21 @@
     constexpr std::chrono::milliseconds kWait{500};
     constexpr std::chrono::milliseconds kPollInterval{20};
     std::string events;
+    uint64_t revision = 0;
     for (std::chrono::milliseconds waited{0}; events.empty() && waited < kWait; waited += kPollInterval) {
+      revision = revision_;
       for (const auto& item : items_) {
         if (!item.first.starts_with(prefix) || item.second.revision <= std::stoull(after)) continue;
         events += (events.empty() ? "" : ",") + ItemText(item);
       }
       if (events.empty()) co_await net::Sleep(loop_, kPollInterval);
     }
+    if (std::stoull(after) < oldest_revision_) {
+      co_await writer.Send({410, {}}, "");
+      co_return;
+    }
     co_await writer.Send({200, {}},
-                         R"({"current_rev":)" + std::to_string(revision_) + R"(,"events":[)" + events + "]}");
+                         R"({"current_rev":)" + std::to_string(revision) + R"(,"events":[)" + events + "]}");
   }
 
   static std::string ItemText(const std::pair<const std::string, Item>& item) {
@@ -126,6 +135,7 @@
   size_t page_size_;
   std::map<std::string, Item> items_;
   uint64_t revision_ = 50;
+  uint64_t oldest_revision_ = 0;  // of the changes that watches may continue from
   bool advances_ = true;
   Escapes escapes_ = Escapes::kDecode;
   int listing_calls_ = 0;
