--- a/tests/platform/odd_key_test.cc
+++ b/tests/platform/odd_key_test.cc
@@ -146,6 +146,28 @@
   EXPECT_LE(store.listing_calls(), 40);
 }
 
+// Guards against a replica that is used further after its entry has become unreadable.
+TEST(UnreadableEventTest, EndsTheUseOfItsReplicaOnly) {
+  net::asio::io_context loop{1};
+  base::SystemClock clock;
+  testing::PagedStore store{loop, 500};
+  store.PutValue("op/config", testing::ConfigText(7));
+  for (const char* id : {"a", "m"}) {
+    store.PutValue(std::string("servers/") + id, testing::ReplicaText("svc", testing::Loopback(1)));
+  }
+  testing::VmUnderTest vm(loop, clock, store.Endpoint(), kFirstVmAddress, testing::OwnMirrorPort());
+  RunFor(loop, std::chrono::milliseconds(700));
+  ASSERT_EQ(KnownReplicas(vm), (std::set<std::string>{"a", "m"}));
+  store.Put("servers/a", R"(,"value":"*")");
+  store.Put("op/config", "");
+  RunFor(loop, std::chrono::milliseconds(700));
+  RunFor(loop, serving::ReplicaRegistry::kUnlistedGrace);
+  vm.registry.Tick(clock.Now());
+  EXPECT_EQ(KnownReplicas(vm), (std::set<std::string>{"m"}));
+  EXPECT_EQ(vm.versions.back(), 7U);
+  EXPECT_EQ(store.listing_calls(), 2);
+}
+
 /// A VM beside a store that refuses escapes, so that its listings end at the page of an odd key.
 class UnfinishedListingTest : public ::testing::Test {
  protected:
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -78,6 +78,10 @@
     std::string events;
     uint64_t revision = 0;
     for (std::chrono::milliseconds waited{0}; events.empty() && waited < kWait; waited += kPollInterval) {
+      if (std::stoull(after) < oldest_revision_) {
+        co_await writer.Send({410, {}}, "");
+        co_return;
+      }
       revision = revision_;
       for (const auto& item : items_) {
         if (!item.first.starts_with(prefix) || item.second.revision <= std::stoull(after)) continue;
@@ -85,10 +89,6 @@
       }
       if (events.empty()) co_await net::Sleep(loop_, kPollInterval);
     }
-    if (std::stoull(after) < oldest_revision_) {
-      co_await writer.Send({410, {}}, "");
-      co_return;
-    }
     co_await writer.Send({200, {}},
                          R"({"current_rev":)" + std::to_string(revision) + R"(,"events":[)" + events + "]}");
   }
