--- a/tests/platform/odd_key_test.cc
+++ b/tests/platform/odd_key_test.cc
@@ -133,6 +133,37 @@
                       MisreadKeyCase{"Refused", {"a", "m", "z"}, "b&c", Escapes::kRefuse}),
     [](const auto& info) { return info.param.name; });
 
+struct FruitlessWatchCase {
+  const char* name;
+  testing::PagedStore::Watches watches;
+};
+class FruitlessWatchTest : public ::testing::TestWithParam<FruitlessWatchCase> {};
+
+// Guards against calls without a pause to a store whose watches end at once and bring nothing new.
+TEST_P(FruitlessWatchTest, LeadsToFewCalls) {
+  net::asio::io_context loop{1};
+  base::SystemClock clock;
+  testing::PagedStore store{loop, 500};
+  store.PutValue("op/config", testing::ConfigText(7));
+  store.PutValue("servers/a", testing::ReplicaText("svc", testing::Loopback(1)));
+  store.SetWatches(GetParam().watches);
+  testing::VmUnderTest vm(loop, clock, store.Endpoint(), kFirstVmAddress, testing::OwnMirrorPort());
+  RunFor(loop, std::chrono::milliseconds(3000));
+  EXPECT_TRUE(vm.sync.Loaded());
+  EXPECT_LE(store.calls(), 40);
+  store.PutValue("servers/b", testing::ReplicaText("svc", testing::Loopback(1)));
+  RunFor(loop, std::chrono::milliseconds(1500));
+  EXPECT_EQ(KnownReplicas(vm), (std::set<std::string>{"a", "b"}));
+  EXPECT_LE(store.calls(), 60);
+}
+
+using Watches = testing::PagedStore::Watches;
+INSTANTIATE_TEST_SUITE_P(Answers, FruitlessWatchTest,
+                         ::testing::Values(FruitlessWatchCase{"HistoryGone", Watches::kHistoryGone},
+                                           FruitlessWatchCase{"NoWait", Watches::kNoWait},
+                                           FruitlessWatchCase{"SameRevision", Watches::kSameRevision}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against calls without a pause to a store whose pages do not advance.
 TEST(PagingTest, OfAStoreThatDoesNotAdvanceIsAFailedCall) {
   net::asio::io_context loop{1};
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -40,9 +40,16 @@
   void Remove(const std::string& key) { items_.erase(key); }
   /// Answers watches from before now with 410.
   void DropHistory() { oldest_revision_ = ++revision_; }
+  /// How watches end. kHistoryGone: with 410 at once. kNoWait: without waiting for a change. kSameRevision:
+  /// with the revision that they continue from, also after a change.
+  enum class Watches { kWait, kHistoryGone, kNoWait, kSameRevision };
+  void SetWatches(Watches watches) { watches_ = watches; }
   int listing_calls() const { return listing_calls_; }
+  /// Listings and watches.
+  int calls() const { return calls_; }
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
+    ++calls_;
     const std::string target = request.target;
     std::map<std::string, std::string> query;
     if (!ParseQuery(target, &query)) {
@@ -73,12 +80,12 @@
   }
 
   net::Task<> Watch(std::string prefix, std::string after, net::ResponseWriter& writer) {
-    constexpr std::chrono::milliseconds kWait{500};
     constexpr std::chrono::milliseconds kPollInterval{20};
+    const std::chrono::milliseconds wait(watches_ == Watches::kNoWait ? 1 : 500);
     std::string events;
     uint64_t revision = 0;
-    for (std::chrono::milliseconds waited{0}; events.empty() && waited < kWait; waited += kPollInterval) {
-      if (std::stoull(after) < oldest_revision_) {
+    for (std::chrono::milliseconds waited{0}; events.empty() && waited < wait; waited += kPollInterval) {
+      if (watches_ == Watches::kHistoryGone || std::stoull(after) < oldest_revision_) {
         co_await writer.Send({410, {}}, "");
         co_return;
       }
@@ -87,8 +94,9 @@
         if (!item.first.starts_with(prefix) || item.second.revision <= std::stoull(after)) continue;
         events += (events.empty() ? "" : ",") + ItemText(item);
       }
-      if (events.empty()) co_await net::Sleep(loop_, kPollInterval);
+      if (events.empty() && watches_ != Watches::kNoWait) co_await net::Sleep(loop_, kPollInterval);
     }
+    if (watches_ == Watches::kSameRevision) revision = std::stoull(after);
     co_await writer.Send({200, {}},
                          R"({"current_rev":)" + std::to_string(revision) + R"(,"events":[)" + events + "]}");
   }
@@ -138,7 +146,9 @@
   uint64_t oldest_revision_ = 0;  // of the changes that watches may continue from
   bool advances_ = true;
   Escapes escapes_ = Escapes::kDecode;
+  Watches watches_ = Watches::kWait;
   int listing_calls_ = 0;
+  int calls_ = 0;
 };
 
 }  // namespace cornelplank::testing
