Test copied entries of replicas and odd names in load reports

Names of odd bytes in the load report of an engine, and models that are no list, leave cornelplank-gateway serving (gateway.OddLoadTest, two more cases); this had only been read before. Both hold on the code as it is.

The replicas of the restart test check the id that they are asked for, as real ones do.

--- a/tests/gateway/odd_input_test.cc
+++ b/tests/gateway/odd_input_test.cc
@@ -35,13 +35,16 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Loads, OddLoadTest,
-    testing::Values(LoadCase{"StateIsNumber", R"({"state":5,"running":0})"},
-                    LoadCase{"VersionIsNumber", R"({"models":[{"model":"m","version":1}]})"},
-                    LoadCase{
-                        "NumbersTooLarge",
-                        R"({"running":18446744073709551615,"queued":1e300,"age_ms":18446744073709551615})"},
-                    LoadCase{"DeeplyNested", R"({"models":)" + Nested(100'000) + "}"},
-                    LoadCase{"NumberBeyondDoubles", R"({"running":1e999})"}),
+    testing::Values(
+        LoadCase{"StateIsNumber", R"({"state":5,"running":0})"},
+        LoadCase{"VersionIsNumber", R"({"models":[{"model":"m","version":1}]})"},
+        LoadCase{"NumbersTooLarge",
+                 R"({"running":18446744073709551615,"queued":1e300,"age_ms":18446744073709551615})"},
+        LoadCase{"NamesOfOddBytes",
+                 R"({"state":"\u0000","models":[{"model":"a&b+c#d%zz e\r\n\u0000","version":"\u2028"}]})"},
+        LoadCase{"ModelsIsObject", R"({"incarnation":{"a":1},"models":{"model":"m"}})"},
+        LoadCase{"DeeplyNested", R"({"models":)" + Nested(100'000) + "}"},
+        LoadCase{"NumberBeyondDoubles", R"({"running":1e999})"}),
     [](const auto& info) { return info.param.name; });
 
 // Guards against a VM that ends because a client's body is nested deeply.
--- a/tests/platform/odd_entry_restart_test.cc
+++ b/tests/platform/odd_entry_restart_test.cc
@@ -17,7 +17,6 @@
 namespace asio = net::asio;
 using harness::Process;
 using testing::RunFor;
-using testing::ScriptedServer;
 
 struct RestartCase {
   const char* name;
@@ -25,14 +24,42 @@
   size_t page_size = 1;
 };
 
+/// A replica that refuses requests for another id than its own.
+class Replica final : public net::RequestHandler {
+ public:
+  Replica(asio::io_context& loop, std::string id) : id_(std::move(id)) {
+    net::Error error;
+    server_ = net::HttpServer::Listen(loop, testing::Loopback(), *this, &error);
+    if (!server_) throw std::runtime_error(error.message());
+  }
+
+  net::Tcp::endpoint Endpoint() const { return testing::Loopback(server_->Port()); }
+  /// Number of requests for another id.
+  int refused() const { return refused_; }
+
+  net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
+    const bool expected = request.headers.Find("Expected-Instance") == id_;
+    net::ResponseHead head{expected ? 200U : 421U, {}};
+    head.headers.Add("Attempt-Id", std::string(request.headers.Find("Attempt-Id").value_or("")));
+    head.headers.Add(expected ? "Response-Signature" : "Not-Executed", "1");
+    if (!expected) ++refused_;
+    co_await writer.Send(head, "body");
+  }
+
+ private:
+  std::string id_;
+  std::unique_ptr<net::HttpServer> server_;
+  int refused_ = 0;
+};
+
 /// Two processes of the program `cornelplank-entry` in each of three zones, and a replica in each zone. The
 /// store and the replicas run on the event loop of the test.
-class OddEntryRestartTest : public ::testing::TestWithParam<RestartCase> {
+class EntryFleetTest : public ::testing::Test {
  protected:
   static constexpr std::chrono::seconds kTimeout{15};  // ample, as other processes may keep the machine busy
   static constexpr size_t kVms = 6;
 
-  OddEntryRestartTest() {
+  explicit EntryFleetTest(size_t page_size = 1) : store_(loop_, page_size) {
     folder_ = ::testing::TempDir() + "odd-entry-" + std::to_string(getpid());
     std::filesystem::create_directories(folder_);
     for (const char* name : {"clients", "readiness", "directory", "beats", "hops", "metrics"}) {
@@ -40,18 +67,20 @@
     }
     store_.PutValue("op/config", testing::ConfigText(3));
     for (const char* zone : {"z1", "z2", "z3"}) {
-      store_.PutValue(std::string("servers/i-") + zone,
-                      testing::ReplicaText("svc", replica_.Endpoint(), "ready", zone));
+      const std::string id = std::string("i-") + zone;
+      replicas_.push_back(std::make_unique<Replica>(loop_, id));
+      store_.PutValue("servers/" + id,
+                      testing::ReplicaText("svc", replicas_.back()->Endpoint(), "ready", zone));
     }
   }
-  ~OddEntryRestartTest() override {
+  ~EntryFleetTest() override {
     processes_.clear();
     std::filesystem::remove_all(folder_);
   }
 
   net::Tcp::endpoint EndpointOf(size_t vm, const std::string& listener) const {
     // Tests that run at the same time use other addresses.
-    const auto first = 0x7f400000 + 8 * (static_cast<uint32_t>(getpid()) & 0x3ffff);
+    const auto first = 0x7f800000 + 8 * (static_cast<uint32_t>(getpid()) & 0x3ffff);
     return {asio::ip::address_v4(first + 1 + static_cast<uint32_t>(vm)), ports_.at(listener)};
   }
   static std::string Text(const net::Tcp::endpoint& endpoint) {
@@ -129,13 +158,16 @@
   asio::io_context loop_{1};
   std::string folder_;
   std::map<std::string, uint16_t> ports_;
-  testing::PagedStore store_{loop_, GetParam().page_size};
-  ScriptedServer replica_{
-      loop_, "HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
-      ScriptedServer::Ending::kKeepOpen};
+  testing::PagedStore store_;
+  std::vector<std::unique_ptr<Replica>> replicas_;
   std::vector<std::unique_ptr<Process>> processes_;
 };
 
+class OddEntryRestartTest : public EntryFleetTest, public ::testing::WithParamInterface<RestartCase> {
+ protected:
+  OddEntryRestartTest() : EntryFleetTest(GetParam().page_size) {}
+};
+
 // Guards against an entry of another writer that leaves all VMs without replicas once they have restarted.
 TEST_P(OddEntryRestartTest, AllVmsServe) {
   StartAll();
@@ -153,6 +185,15 @@
   EXPECT_LE(store_.listing_calls() - calls_before, static_cast<int>(kVms * 2 * (pages + 1)));
 }
 
+// Guards against requests that fail since an entry names the address of another replica.
+TEST_F(EntryFleetTest, ServesBesideACopyOfAnEntry) {
+  store_.PutValue("servers/i-copy", testing::ReplicaText("svc", replicas_[0]->Endpoint(), "ready", "z1"));
+  StartAll();
+  ASSERT_EQ(WaitUntilReady(), kVms);
+  EXPECT_EQ(CountServed(), 6 * kVms);
+  EXPECT_GT(replicas_[0]->refused(), 0);
+}
+
 std::map<std::string, std::string> Entries(const std::vector<std::string>& ids) {
   std::map<std::string, std::string> entries;
   for (const std::string& id : ids) entries["servers/" + id] = "{}";
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -94,7 +94,9 @@
         if (!item.first.starts_with(prefix) || item.second.revision <= std::stoull(after)) continue;
         events += (events.empty() ? "" : ",") + ItemText(item);
       }
-      if (events.empty() && watches_ != Watches::kNoWait) co_await net::Sleep(loop_, kPollInterval);
+      if (events.empty() && watches_ != Watches::kNoWait) {
+        co_await net::Sleep(loop_, kPollInterval);
+      }
     }
     if (watches_ == Watches::kSameRevision) revision = std::stoull(after);
     co_await writer.Send({200, {}},
