Run the soak beside odd entries and with small pages

The store of the soak now lists three items a page, and ten entries of another writer stand among the replicas, with names of separators, escapes, controls and bytes outside ASCII.

--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -41,6 +41,8 @@
     MirrorOf(key).Apply({{key, std::nullopt, revision_}});
   }
   void SetMode(Mode mode) { mode_ = mode; }
+  /// Lists at most so many items in an answer.
+  void SetPageSize(size_t items) { page_size_ = items; }
   int calls() const { return calls_; }
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
@@ -58,12 +60,22 @@
     } else if (mode == Mode::kHistoryGone && request.target.starts_with("/kv-watch")) {
       mode_ = Mode::kServe;
       co_await writer.Send({410, {}}, "");
+    } else if (request.target.starts_with(platform::kListPath)) {
+      co_await writer.Send({200, {}}, platform::EncodePage(List(request.target)));
     } else {
       co_await mirror_server_.Handle(request, writer);
     }
   }
 
  private:
+  platform::StorePage List(const std::string& target) {
+    platform::StorePage page = MirrorOf(platform::QueryValue(target, "path_prefix")).List();
+    const std::string after = platform::QueryValue(target, "after");
+    std::erase_if(page.changes, [&](const auto& item) { return item.key <= after; });
+    page.has_more = page.changes.size() > page_size_;
+    if (page.has_more) page.changes.resize(page_size_);
+    return page;
+  }
   platform::PrefixMirror& MirrorOf(const std::string& key) {
     return key.starts_with("servers/") ? replica_mirror_ : operator_mirror_;
   }
@@ -75,6 +87,7 @@
   platform::MirrorServer mirror_server_;
   std::unique_ptr<net::HttpServer> server_;
   Mode mode_ = Mode::kServe;
+  size_t page_size_ = 500;
   int calls_ = 0;
 };
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -29,6 +29,11 @@
 constexpr milliseconds kDrainTime{4000};       // for which a replica serves on after it has announced its end
 constexpr milliseconds kUnregisterTime{2500};  // from a replica's crash to the removal of its entry
 
+constexpr size_t kPageSize = 3;  // of the store's listings
+// Names of another writer's entries among those of the replicas.
+const char* const kOddIds[] = {"&",   "a&after=b", "i+1",   "i #",       "r%2F",
+                               "s t", "s%zz",      "s\r\n", "s\xc3\xa9", "s\xff"};
+
 /// Address 127.B.C.n of this run. It depends on the process id, so that runs at the same time don't collide.
 asio::ip::address_v4 RunAddress(uint32_t n) {
   const auto pid = static_cast<uint32_t>(getpid());
@@ -51,6 +56,8 @@
         fleet_(loop_, vms, RunAddress(0), MakeFolder(), StoreAddress()),
         ledger_(fleet_) {
     fleet_.SetLedger(ledger_);
+    store_.SetPageSize(kPageSize);
+    for (const char* id : kOddIds) store_.Put(wire::ReplicaKey(id), "{}");
     uint32_t number = 0;
     for (const Zone& zone : Zones()) {
       for (const char* service : {"simple", "stream"}) {
