--- a/tests/platform/odd_entry_restart_test.cc
+++ b/tests/platform/odd_entry_restart_test.cc
@@ -94,8 +94,9 @@
       file << "[vm]\nname=vm-" << vm << "\nip=" << EndpointOf(vm, "clients").address().to_string()
            << "\nzone=z" << 1 + vm / 2 << "\nzones=z1:r1,z2:r1,z3:r2\nseeds=" << Text(EndpointOf(0, "beats"))
            << "," << Text(EndpointOf(2, "beats")) << "," << Text(EndpointOf(4, "beats")) << "\n[listen]\n";
-      for (const auto& [listener, port] : ports_)
+      for (const auto& [listener, port] : ports_) {
         file << listener << "=" << Text(EndpointOf(vm, listener)) << "\n";
+      }
       file << "[store]\naddress=" << Text(store_.Endpoint()) << "\n[limits]\nsecond_sends=10\ngrace=3s\n";
       file.close();
       // Asio's sockets have no close-on-exec flag, and the process would hold those of the test.
