--- a/tests/platform/odd_key_test.cc
+++ b/tests/platform/odd_key_test.cc
@@ -164,6 +164,23 @@
                                            FruitlessWatchCase{"SameRevision", Watches::kSameRevision}),
                          [](const auto& info) { return info.param.name; });
 
+// Guards against a pause before the listing that brings what was missed during an outage.
+TEST(PagingTest, FollowsALossOfHistoryAtOnceAfterFailures) {
+  net::asio::io_context loop{1};
+  base::SystemClock clock;
+  testing::PagedStore store{loop, 500};
+  store.PutValue("op/config", testing::ConfigText(7));
+  testing::VmUnderTest vm(loop, clock, store.Endpoint(), kFirstVmAddress, testing::OwnMirrorPort());
+  RunFor(loop, std::chrono::milliseconds(300));
+  store.SetWatches(Watches::kBusy);
+  RunFor(loop, std::chrono::milliseconds(3000));
+  store.SetWatches(Watches::kWait);
+  store.DropHistory();
+  RunFor(loop, std::chrono::milliseconds(3000));
+  ASSERT_TRUE(store.TimeToList());
+  EXPECT_LT(*store.TimeToList(), std::chrono::milliseconds(300));
+}
+
 // Guards against calls without a pause to a store whose pages do not advance.
 TEST(PagingTest, OfAStoreThatDoesNotAdvanceIsAFailedCall) {
   net::asio::io_context loop{1};
--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -3,7 +3,9 @@
 #include <kj/encoding.h>
 
 #include <algorithm>
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,12 +43,14 @@
   /// Answers watches from before now with 410.
   void DropHistory() { oldest_revision_ = ++revision_; }
   /// How watches end. kHistoryGone: with 410 at once. kNoWait: without waiting for a change. kSameRevision:
-  /// with the revision that they continue from, also after a change.
-  enum class Watches { kWait, kHistoryGone, kNoWait, kSameRevision };
+  /// with the revision that they continue from, also after a change. kBusy: with 503 at once.
+  enum class Watches { kWait, kHistoryGone, kNoWait, kSameRevision, kBusy };
   void SetWatches(Watches watches) { watches_ = watches; }
   int listing_calls() const { return listing_calls_; }
   /// Listings and watches.
   int calls() const { return calls_; }
+  /// Time from the last 410 until the listing after it; none before that.
+  std::optional<std::chrono::steady_clock::duration> TimeToList() const { return time_to_list_; }
 
   net::Task<> Handle(net::Request& request, net::ResponseWriter& writer) override {
     ++calls_;
@@ -58,6 +62,8 @@
       co_await Watch(query["path_prefix"], query["after"], writer);
     } else {
       ++listing_calls_;
+      if (gone_at_) time_to_list_ = std::chrono::steady_clock::now() - *gone_at_;
+      gone_at_.reset();
       co_await writer.Send({200, {}}, List(query["path_prefix"], query["after"]));
     }
   }
@@ -85,7 +91,12 @@
     std::string events;
     uint64_t revision = 0;
     for (std::chrono::milliseconds waited{0}; events.empty() && waited < wait; waited += kPollInterval) {
+      if (watches_ == Watches::kBusy) {
+        co_await writer.Send({503, {}}, "");
+        co_return;
+      }
       if (watches_ == Watches::kHistoryGone || std::stoull(after) < oldest_revision_) {
+        gone_at_ = std::chrono::steady_clock::now();
         co_await writer.Send({410, {}}, "");
         co_return;
       }
@@ -151,6 +162,8 @@
   Watches watches_ = Watches::kWait;
   int listing_calls_ = 0;
   int calls_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> gone_at_;
+  std::optional<std::chrono::steady_clock::duration> time_to_list_;
 };
 
 }  // namespace cornelplank::testing
