--- a/tests/platform/paged_store.h
+++ b/tests/platform/paged_store.h
@@ -16,7 +16,7 @@
 namespace cornelplank::testing {
 
 /// A fake of the platform's store that lists its items in small pages. It refuses targets that RFC 3986 does
-/// not allow.
+/// not allow, and may misread those it does, or end watches early.
 class PagedStore final : public net::RequestHandler {
  public:
   explicit PagedStore(net::asio::io_context& loop, size_t page_size = 1)
--- a/tests/platform/vm_under_test.h
+++ b/tests/platform/vm_under_test.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -46,6 +47,13 @@
     }
   };
 
+  /// The ids of the replicas that this VM may use.
+  std::set<std::string> KnownReplicas() const {
+    std::set<std::string> ids;
+    for (const auto& [id, replica] : registry.replicas()) ids.insert(id);
+    return ids;
+  }
+
   serving::ReplicaRegistry registry;
   fleet::MemberTable members;
   std::vector<uint64_t> versions;  // of the configurations that came into force
