Let silent VMs of a test reach the same store as the others

Cause: the test. Its nine silent VMs read a second store that lacked the write and that answered the waiting watches "no change" before it fell silent. The logs of six runs show the items as last confirmed 1.0 to 1.1 s after the write, so that the VMs' bound began then; the store was read 3.2 to 3.7 s after the write, in the failed runs after 3.66 s or more, and the other VMs hear of it up to 0.7 s later. A linearizable store gives no such answer.

The VMs now reach one store over a path that falls silent, or turns calls away with 503, just after a watch has begun, which is when it stays unnoticed for longest; waiting watches fall silent too.

--- a/tests/platform/silent_reader_test.cc
+++ b/tests/platform/silent_reader_test.cc
@@ -80,7 +80,7 @@
   // The silence lasts longest unnoticed when the watches of both prefixes have just begun.
   const int calls = paths_[reader]->calls();
   for (int i = 0; i < 400 && paths_[reader]->calls() < calls + 2; ++i) RunFor(loop_, milliseconds(5));
-  paths_[reader]->SetSilent(true);
+  paths_[reader]->SetFault(StorePath::Fault::kSilent);
   Run(GetParam().delay);
   store_.Remove("servers/i-1");
   Run(kDrainBound);
--- a/tests/platform/store_path.h
+++ b/tests/platform/store_path.h
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "libs/net/net.h"
@@ -10,17 +11,19 @@
 
 namespace cornelplank::testing {
 
-/// A network path to the store: a relay that can fall silent, so that no byte passes either way and no
-/// connection ends.
+/// A network path to the store: a relay with faults.
 class StorePath {
  public:
+  /// kSilent: no byte passes either way, and no connection ends. kBusy: new calls are answered with 503.
+  enum class Fault { kNone, kSilent, kBusy };
+
   StorePath(asio::io_context& loop, net::Tcp::endpoint store)
       : loop_(loop), store_(std::move(store)), acceptor_(loop, Loopback()) {
     net::Spawn(loop, "path", Accept());
   }
 
   net::Tcp::endpoint Endpoint() const { return Loopback(acceptor_.local_endpoint().port()); }
-  void SetSilent(bool silent) { silent_ = silent; }
+  void SetFault(Fault fault) { fault_ = fault; }
   /// Number of times that bytes went towards the store, which is once for each call.
   int calls() const { return calls_; }
 
@@ -52,8 +55,13 @@
     while (!error) {
       const size_t size = co_await from->async_read_some(asio::buffer(part), net::Into(error));
       if (size > 0 && up) ++calls_;
-      while (silent_) co_await net::Sleep(loop_, std::chrono::milliseconds(10));
-      if (size > 0) co_await asio::async_write(*to, asio::buffer(part, size), net::Into(error));
+      while (fault_ == Fault::kSilent) co_await net::Sleep(loop_, std::chrono::milliseconds(10));
+      if (size > 0 && up && fault_ == Fault::kBusy) {
+        constexpr std::string_view kRefusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(*from, asio::buffer(kRefusal), net::Into(error));
+      } else if (size > 0) {
+        co_await asio::async_write(*to, asio::buffer(part, size), net::Into(error));
+      }
     }
     net::Error ignored;
     to->shutdown(net::Tcp::socket::shutdown_send, ignored);
@@ -62,7 +70,7 @@
   asio::io_context& loop_;
   net::Tcp::endpoint store_;
   net::Tcp::acceptor acceptor_;
-  bool silent_ = false;
+  Fault fault_ = Fault::kNone;
   int calls_ = 0;
 };
 
--- a/tests/platform/store_sync_test.cc
+++ b/tests/platform/store_sync_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "tests/platform/store_path.h"
 #include "tests/platform/vm_under_test.h"
 
 namespace cornelplank {
@@ -11,6 +12,7 @@
 using testing::MemberAt;
 using testing::ReplicaText;
 using testing::RunFor;
+using testing::StorePath;
 using testing::VmUnderTest;
 using Mode = FakeStore::Mode;
 
@@ -252,8 +254,8 @@
 
 struct TurnedAwayCase {
   const char* name;
-  Mode mode;           // of the store towards the VMs that it turns away
-  size_t turned_away;  // VMs that are first in line to read the store
+  StorePath::Fault fault;  // towards the VMs that the store turns away
+  size_t turned_away;      // VMs that are first in line to read the store
   std::string last_vm_zone = "z";
 };
 
@@ -278,8 +280,7 @@
 TEST_P(TurnedAwayTest, ReceivesNewConfigurationsInTime) {
   constexpr std::chrono::milliseconds kBound{4000};  // a new configuration has to be in force everywhere
   constexpr std::chrono::milliseconds kHeartbeatInterval{200};
-  FakeStore other_store(loop);
-  other_store.Put("op/config", ConfigText(7));
+  StorePath path(loop, store.Endpoint());
   std::vector<uint32_t> addresses;
   for (uint32_t i = 0; i < kVms; ++i) addresses.push_back(kFirstVmAddress + i);
   std::sort(addresses.begin(), addresses.end(), [](uint32_t a, uint32_t b) {
@@ -287,15 +288,18 @@
   });
   std::vector<std::unique_ptr<VmUnderTest>> vms;
   for (uint32_t i = 0; i < kVms; ++i) {
-    const auto& own_store = i < GetParam().turned_away ? other_store : store;
-    vms.push_back(std::make_unique<VmUnderTest>(loop, clock, own_store.Endpoint(), addresses[i], mirror_port,
+    const auto endpoint = i < GetParam().turned_away ? path.Endpoint() : store.Endpoint();
+    vms.push_back(std::make_unique<VmUnderTest>(loop, clock, endpoint, addresses[i], mirror_port,
                                                 i + 1 < kVms ? "z" : GetParam().last_vm_zone));
   }
   for (int i = 0; i < 10; ++i) {
     ExchangeHeartbeats(vms);
     RunFor(loop, kHeartbeatInterval);
   }
-  other_store.SetMode(GetParam().mode);
+  // A silence lasts longest unnoticed when a watch has just begun.
+  const int calls = path.calls();
+  for (int i = 0; i < 400 && path.calls() == calls; ++i) RunFor(loop, std::chrono::milliseconds(5));
+  path.SetFault(GetParam().fault);
   std::map<int, base::TimePoint> published;
   for (int round = 0; round < 50; ++round) {
     if (round % 5 == 0) {
@@ -314,13 +318,14 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Stores, TurnedAwayTest,
-                         ::testing::Values(TurnedAwayCase{"BusyForFour", Mode::kBusy, 4},
-                                           TurnedAwayCase{"SilentForFour", Mode::kSilent, 4},
-                                           TurnedAwayCase{"SilentForAllButOne", Mode::kSilent, 9},
-                                           TurnedAwayCase{"BusyForAWholeZone", Mode::kBusy, 9, "y"},
-                                           TurnedAwayCase{"SilentForAWholeZone", Mode::kSilent, 9, "y"}),
-                         [](const auto& info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Stores, TurnedAwayTest,
+    ::testing::Values(TurnedAwayCase{"BusyForFour", StorePath::Fault::kBusy, 4},
+                      TurnedAwayCase{"SilentForFour", StorePath::Fault::kSilent, 4},
+                      TurnedAwayCase{"SilentForAllButOne", StorePath::Fault::kSilent, 9},
+                      TurnedAwayCase{"BusyForAWholeZone", StorePath::Fault::kBusy, 9, "y"},
+                      TurnedAwayCase{"SilentForAWholeZone", StorePath::Fault::kSilent, 9, "y"}),
+    [](const auto& info) { return info.param.name; });
 
 // Guards against a VM that reaches the store but stays outdated, as it tries one silent VM after the other.
 TEST_F(StoreSyncTest, ReadsTheStoreInTimeWhileOtherVmsAreSilent) {
