Take evacuations that are written between a return of the store and the first listing

What callers saw: the store returns from an older copy, and the operator evacuates a zone that was taken back in the minute before. A VM that lists the items after that write kept the zone in use for up to 10 s (EVAC, bound 5 s).

Cause: after a return, the end of an evacuation stays in force where the listing shows the evacuation, as the copy may be older than the end. Keys and values alone were compared, and a new evacuation has the same ones.

Evidence: EvacuationAfterReturnTest, with a copy from during the earlier evacuation and one from before it, fails in both cases on the code before: not in force 2 s after the write.

Why it works: the copy lists an evacuation with the revision that the VM knew, and a later write has another one.

--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -132,6 +132,40 @@
   EXPECT_TRUE(vm->registry.EvacuatedZones().contains("y"));
 }
 
+struct EvacuationCase {
+  const char* name;
+  bool in_copy;  // whether the copy holds the earlier evacuation
+};
+class EvacuationAfterReturnTest : public StoreReturnTest,
+                                  public ::testing::WithParamInterface<EvacuationCase> {};
+
+// Guards against an evacuation that is taken for an ended one of the copy, and comes into force late.
+TEST_P(EvacuationAfterReturnTest, ComesIntoForceThoughAnEarlierOneEnded) {
+  const auto vm = MakeVm();
+  RunFor(loop, kSyncTime);
+  const auto before = store.MakeCopy();
+  for (int version = 8; version < 11; ++version) store.Put("op/config", ConfigText(version));
+  store.Put("op/evacuate/z", "{}");
+  const auto during = store.MakeCopy();
+  RunFor(loop, kSyncTime);
+  store.Remove("op/evacuate/z");
+  RunFor(loop, kSyncTime);
+  ASSERT_FALSE(vm->registry.EvacuatedZones().contains("z"));
+  store.GoAway();
+  RunFor(loop, std::chrono::milliseconds(300));
+  store.ReturnFrom(GetParam().in_copy ? during : before);
+  store.Put("op/evacuate/z", "{}");
+  RunFor(loop, std::chrono::milliseconds(2000));
+  EXPECT_TRUE(vm->registry.EvacuatedZones().contains("z"));
+}
+
+void PrintTo(const EvacuationCase& evacuation, std::ostream* out) { *out << evacuation.name; }
+
+INSTANTIATE_TEST_SUITE_P(Copies, EvacuationAfterReturnTest,
+                         ::testing::Values(EvacuationCase{"InTheCopy", true},
+                                           EvacuationCase{"AfterTheCopy", false}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against an evacuation that never ends since no writer knows of it any more.
 TEST(StoreReturn, EndsWhatIsNotWrittenAgain) {
   net::asio::io_context loop{1};
--- a/tests/platform/store_settlement_test.cc
+++ b/tests/platform/store_settlement_test.cc
@@ -23,6 +23,7 @@
   bool removed;
   std::optional<std::string> listed;
   Settlement expected;
+  bool rewritten = false;
 };
 void PrintTo(const SettlementCase& settled, std::ostream* out) { *out << settled.name; }
 
@@ -31,7 +32,8 @@
 // Guards against a return of the store from an older copy that undoes what was acknowledged.
 TEST_P(SettlementTest, FollowsTheTable) {
   const SettlementCase& settled = GetParam();
-  EXPECT_EQ(platform::SettleAfterReturn(settled.key, settled.known, settled.removed, settled.listed),
+  EXPECT_EQ(platform::SettleAfterReturn(settled.key, settled.known, settled.removed, settled.listed,
+                                        settled.rewritten),
             settled.expected);
 }
 
@@ -53,6 +55,8 @@
                                      Settlement::kTakeListed},
                       SettlementCase{"EvacuationThatEnded", "op/evacuate/z", "{}", true, "{}",
                                      Settlement::kKeepKnownAWhile},
+                      SettlementCase{"EvacuationThatBeganAgain", "op/evacuate/z", "{}", true, "{}",
+                                     Settlement::kTakeListed, true},
                       SettlementCase{"DrainingListedAsReady", "servers/i", Replica("draining"), false,
                                      Replica("ready"), Settlement::kKeepKnown},
                       SettlementCase{"DrainingThatRestarted", "servers/i", Replica("draining"), false,
@@ -63,6 +67,8 @@
                                      Replica("ready"), Settlement::kKeepKnown},
                       SettlementCase{"RemovedListedAgain", "servers/i", Replica("ready"), true,
                                      Replica("ready"), Settlement::kKeepKnownAWhile},
+                      SettlementCase{"RemovedListedAgainLater", "servers/i", Replica("ready"), true,
+                                     Replica("ready"), Settlement::kKeepKnownAWhile, true},
                       SettlementCase{"RemovedThatRestarted", "servers/i", Replica("ready"), true,
                                      Replica("ready", "1700000009999"), Settlement::kTakeListed},
                       SettlementCase{"RegisteredSince", "servers/i", Replica("ready"), false, std::nullopt,
