--- a/tests/platform/store_path.h
+++ b/tests/platform/store_path.h
@@ -55,7 +55,9 @@
     while (!error) {
       const size_t size = co_await from->async_read_some(asio::buffer(part), net::Into(error));
       if (size > 0 && up) ++calls_;
-      while (fault_ == Fault::kSilent) co_await net::Sleep(loop_, std::chrono::milliseconds(10));
+      while (fault_ == Fault::kSilent) {
+        co_await net::Sleep(loop_, std::chrono::milliseconds(10));
+      }
       if (size > 0 && up && fault_ == Fault::kBusy) {
         constexpr std::string_view kRefusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
         co_await asio::async_write(*from, asio::buffer(kRefusal), net::Into(error));
